--- /dev/null
+++ b/packages/configuration/include/dogwoodhall/configuration/ServiceDeclaration.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/core/NetworkAddress.h"
+#include "dogwoodhall/core/Units.h"
+#include "dogwoodhall/core/WorkClass.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+// One serving address of an upstream.
+struct EndpointDeclaration {
+    EndpointId id;
+    HostId host;
+    DataCentreId dataCentre;
+    NetworkAddress address;
+    SlotCount slots { 1 }; // Requests it runs at the same time.
+    std::uint32_t maxConnections = 200; // Connections it accepts from all entry hosts together.
+
+    friend bool operator==(const EndpointDeclaration&, const EndpointDeclaration&) = default;
+};
+
+// How requests that match are treated. Rules are tried in order; the first match applies.
+struct RuleDeclaration {
+    RuleId id;
+    std::vector<std::string> methods; // Empty: any method.
+    std::string pathPrefix = "/";
+    // Idempotent requests may be retried and hedged. Empty: by method (GET, HEAD and OPTIONS are).
+    std::optional<bool> idempotent;
+    // Empty: recognised by measured duration and bytes.
+    std::optional<WorkClass> workClass;
+    Priority priority = Priority::Normal;
+    // Longest time to the start of the answer, queueing included.
+    Duration deadline = std::chrono::seconds(10);
+
+    friend bool operator==(const RuleDeclaration&, const RuleDeclaration&) = default;
+};
+
+// Bounds on a service's pools.
+struct PoolLimitsDeclaration {
+    std::uint32_t queuePerSlot = 20; // Longest queue of a pool, in requests per slot.
+    Fraction longWorkShare { 0.5 }; // Share of a pool's slots that long work may hold.
+    Fraction retryShare { 0.1 }; // Retries and hedges, relative to successes.
+    Duration coldRamp = std::chrono::seconds(10); // Time over which a new endpoint reaches its full share.
+
+    friend bool operator==(const PoolLimitsDeclaration&, const PoolLimitsDeclaration&) = default;
+};
+
+struct ServiceDeclaration {
+    ServiceId id;
+    std::vector<std::string> hostNames; // Values of the Host header, without port. Empty: any.
+    std::string pathPrefix = "/";
+    std::vector<EndpointDeclaration> endpoints;
+    std::vector<RuleDeclaration> rules;
+    PoolLimitsDeclaration limits;
+
+    friend bool operator==(const ServiceDeclaration&, const ServiceDeclaration&) = default;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/routing/tests/RouteTableTest.cpp
@@ -0,0 +1,63 @@
+#include "dogwoodhall/routing/RouteTable.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace dogwoodhall;
+
+namespace {
+
+RouteTable makeTable()
+{
+    ServiceDeclaration catalogue { ServiceId("catalogue"), {}, "/", {}, {}, {} };
+    RuleDeclaration previews { RuleId("previews"), { "GET" }, "/previews", {}, WorkClass::Short, Priority::Low,
+        std::chrono::seconds(2) };
+    catalogue.rules = { previews };
+    ServiceDeclaration claims { ServiceId("claims"), { "claims.example" }, "/claims", {}, {}, {} };
+    RuleDeclaration lookups { RuleId("lookups"), { "POST" }, "/claims/lookups", true, {}, Priority::Normal,
+        std::chrono::seconds(1) };
+    claims.rules = { lookups };
+    return RouteTable({ catalogue, claims });
+}
+
+} // namespace
+
+struct RouteRow {
+    const char* host;
+    const char* path;
+    const char* method;
+    const char* service; // Empty: no route.
+    const char* rule;
+    bool isIdempotent;
+};
+
+// Guards against a request that reaches the wrong service, or is taken for idempotent when it is not.
+ParameterizedTestParameters(RouteTable, findsServiceAndRule)
+{
+    static RouteRow rows[] = {
+        { "any", "/previews/7", "GET", "catalogue", "previews", true },
+        { "any", "/previews", "POST", "catalogue", "", false },
+        { "any", "/previewsX", "GET", "catalogue", "", true },
+        { "any", "/claims/1", "POST", "catalogue", "", false },
+        { "claims.example", "/claims/1", "POST", "claims", "", false },
+        { "claims.example", "/claims/lookups", "POST", "claims", "lookups", true },
+        { "claims.example", "/claims/1", "PUT", "claims", "", false },
+        { "claims.example", "/claims/1", "DELETE", "claims", "", false },
+        { "claims.example", "/claims", "HEAD", "claims", "", true },
+        { "claims.example", "*", "OPTIONS", "", "", false },
+    };
+    return cr_make_param_array(RouteRow, rows, std::size(rows));
+}
+
+ParameterizedTest(RouteRow* row, RouteTable, findsServiceAndRule)
+{
+    auto route = makeTable().find({ row->host, row->path, row->method });
+    if (!*row->service) {
+        cr_assert_not(route);
+        return;
+    }
+    cr_assert(route);
+    cr_assert_str_eq(route->service.value().c_str(), row->service);
+    cr_assert_str_eq(route->rule.value().c_str(), row->rule);
+    cr_assert_eq(route->isIdempotent, row->isIdempotent);
+}
