Serve a request end to end through separate processes

Cause: the whole path has to run before its parts are deepened.

Change: HTTP/1.1 caller sessions and upstream client over Beast, dogwoodhalld with one control thread and N traffic threads, and stand-ins for the platform and an upstream. A truncated upstream answer is cut off towards the caller instead of ended; SIGTERM drains.

--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/PoolShard.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "dogwoodhall/core/RandomEngine.h"
+#include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/pool/Pool.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <tl/expected.hpp>
+#include <unordered_map>
+
+namespace dogwoodhall {
+
+namespace asio = boost::asio;
+
+// The pools that one traffic thread owns. Runs on that thread only.
+class PoolShard {
+public:
+    // Called with the endpoint that the request may use, or why it was refused.
+    using Reply = std::function<void(RequestId, tl::expected<EndpointId, ErrorKind>)>;
+
+    PoolShard(asio::io_context&, std::uint64_t seed);
+
+    void apply(SnapshotPointer);
+    void admit(const PoolId&, const PoolRequest&, Reply);
+    void complete(const PoolId&, RequestId, const Completion&);
+    void cancel(const PoolId&, RequestId);
+
+private:
+    struct Entry {
+        Entry(Pool pool, asio::io_context&);
+
+        Pool pool;
+        asio::steady_timer timer;
+        std::unordered_map<RequestId, Reply> waiting;
+    };
+
+    Entry& entryFor(const PoolId&);
+    void configure(Entry&);
+    void perform(const PoolId&, Entry&, const PoolActions&);
+    void arm(const PoolId&, Entry&, TimePoint);
+    DecisionContext context();
+
+    asio::io_context& m_io;
+    RandomEngine m_random;
+    SnapshotPointer m_snapshot;
+    std::unordered_map<PoolId, Entry> m_pools;
+};
+
+// The monotonic clock as decisions see it.
+TimePoint monotonicNow();
+std::chrono::steady_clock::time_point toSteadyClock(TimePoint);
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/SlotGateway.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "dogwoodhall/daemon/PoolShard.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <cstdint>
+#include <functional>
+#include <unordered_map>
+
+namespace dogwoodhall {
+
+// Runs the function on the thread that owns the pool, with that thread's shard.
+using PostToShard = std::function<void(const PoolId&, std::function<void(PoolShard&)>)>;
+
+class SlotGateway;
+
+// A slot held at an endpoint. Returned to the pool by complete(), or as cancelled when destroyed.
+class SlotLease {
+public:
+    SlotLease(SlotGateway&, PoolId, RequestId, EndpointId);
+    SlotLease(SlotLease&&) noexcept;
+    SlotLease& operator=(SlotLease&&) = delete;
+    ~SlotLease();
+
+    const EndpointId& endpoint() const { return m_endpoint; }
+    void complete(const Completion&);
+
+private:
+    SlotGateway* m_gateway;
+    PoolId m_pool;
+    RequestId m_request;
+    EndpointId m_endpoint;
+};
+
+// One traffic thread's way to the pools of all threads. Requests wait here while their pool, which another thread may
+// own, decides.
+class SlotGateway {
+public:
+    SlotGateway(asio::io_context&, std::uint32_t threadIndex, PostToShard);
+
+    // Waits for a slot. `request.id` is set here.
+    asio::awaitable<tl::expected<SlotLease, ErrorKind>> acquire(PoolId, PoolRequest);
+
+private:
+    friend class SlotLease;
+
+    struct Waiter {
+        explicit Waiter(asio::io_context& io)
+            : decided(io, asio::steady_timer::time_point::max())
+        {
+        }
+        asio::steady_timer decided; // Cancelled when the pool has decided.
+        std::optional<tl::expected<EndpointId, ErrorKind>> decision;
+    };
+
+    void decide(RequestId, tl::expected<EndpointId, ErrorKind>);
+    void giveBack(const PoolId&, RequestId, const Completion&);
+    void abandon(const PoolId&, RequestId);
+
+    asio::io_context& m_io;
+    PostToShard m_post;
+    std::uint64_t m_nextRequest;
+    std::unordered_map<RequestId, Waiter> m_waiters;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/src/PlatformClient.cpp
@@ -0,0 +1,117 @@
+#include "dogwoodhall/daemon/PlatformClient.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr Duration readTimeout = std::chrono::seconds(2);
+constexpr ByteCount maxAnswer { 64ULL * 1024 * 1024 };
+
+ExchangeError malformed(const std::exception& error)
+{
+    return { ErrorKind::Internal, true, std::string("malformed platform answer: ") + error.what() };
+}
+
+RecordBatch toBatch(const json::value& document)
+{
+    const auto& object = document.as_object();
+    RecordBatch batch;
+    batch.highest = Revision(object.at("revision").to_number<std::uint64_t>());
+    for (const auto& item : object.at("records").as_array()) {
+        const auto& record = item.as_object();
+        batch.records.push_back({ RecordKey(json::value_to<std::string>(record.at("key"))),
+            Revision(record.at("revision").to_number<std::uint64_t>()), record.at("deleted").as_bool(),
+            json::value_to<std::string>(record.at("value")) });
+    }
+    return batch;
+}
+
+HostList toHostList(const json::value& document)
+{
+    const auto& object = document.as_object();
+    HostList list;
+    list.version = object.at("version").to_number<std::uint64_t>();
+    for (const auto& item : object.at("hosts").as_array()) {
+        const auto& host = item.as_object();
+        list.hosts.push_back({ HostId(json::value_to<std::string>(host.at("id"))),
+            DataCentreId(json::value_to<std::string>(host.at("dataCentre"))), host.at("role").as_string() == "entry",
+            parseNetworkAddress(json::value_to<std::string>(host.at("address"))).value_or(NetworkAddress {}),
+            host.at("state").as_string() == "leaving" });
+    }
+    return list;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(asio::any_io_executor executor, NetworkAddress address)
+    : m_client(std::move(executor), UpstreamLimits {})
+    , m_address(std::move(address))
+{
+}
+
+ExchangeResult<RecordBatch> PlatformClient::readRecords(Revision since, Duration wait)
+{
+    const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    auto body
+        = co_await get("/v1/records?since=" + std::to_string(since.value()) + "&wait_ms=" + std::to_string(waitMs),
+            wait + readTimeout);
+    if (!body)
+        co_return tl::unexpected(body.error());
+    try {
+        co_return toBatch(json::parse(*body));
+    } catch (const std::exception& error) {
+        co_return tl::unexpected(malformed(error));
+    }
+}
+
+ExchangeResult<HostList> PlatformClient::readHosts()
+{
+    auto body = co_await get("/v1/hosts", readTimeout);
+    if (!body)
+        co_return tl::unexpected(body.error());
+    try {
+        co_return toHostList(json::parse(*body));
+    } catch (const std::exception& error) {
+        co_return tl::unexpected(malformed(error));
+    }
+}
+
+ExchangeResult<std::string> PlatformClient::get(std::string target, Duration timeout)
+{
+    OutgoingRequest request;
+    request.head.method = "GET";
+    request.head.target = std::move(target);
+    request.head.fields.add("Host", toString(m_address));
+    request.readBody = emptyBody();
+    const auto deadline
+        = std::chrono::steady_clock::now() + std::chrono::duration_cast<std::chrono::steady_clock::duration>(timeout);
+    auto response = co_await m_client.exchange(m_address, std::move(request), deadline);
+    if (!response)
+        co_return tl::unexpected(response.error());
+    std::string body;
+    std::array<char, 16 * 1024> buf;
+    while (true) {
+        auto n = co_await response->readBody(asio::buffer(buf));
+        if (!n)
+            co_return tl::unexpected(n.error());
+        if (*n == 0)
+            break;
+        body.append(buf.data(), *n);
+        if (body.size() > maxAnswer.count()) {
+            response->abandon();
+            co_return tl::unexpected(ExchangeError { ErrorKind::Internal, true, "platform answer too large" });
+        }
+    }
+    if (response->head.status != 200)
+        co_return tl::unexpected(
+            ExchangeError { ErrorKind::Internal, true, "platform answered " + std::to_string(response->head.status) });
+    co_return body;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/src/PoolShard.cpp
@@ -0,0 +1,116 @@
+#include "dogwoodhall/daemon/PoolShard.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace dogwoodhall {
+
+TimePoint monotonicNow() { return TimePoint(std::chrono::steady_clock::now().time_since_epoch()); }
+
+std::chrono::steady_clock::time_point toSteadyClock(TimePoint t)
+{
+    return std::chrono::steady_clock::time_point(
+        std::chrono::duration_cast<std::chrono::steady_clock::duration>(t.sinceOrigin()));
+}
+
+PoolShard::Entry::Entry(Pool pool, asio::io_context& io)
+    : pool(std::move(pool))
+    , timer(io)
+{
+}
+
+PoolShard::PoolShard(asio::io_context& io, std::uint64_t seed)
+    : m_io(io)
+    , m_random(seed)
+    , m_snapshot(std::make_shared<Snapshot>())
+{
+}
+
+void PoolShard::apply(SnapshotPointer snapshot)
+{
+    m_snapshot = std::move(snapshot);
+    for (auto& [id, entry] : m_pools)
+        configure(entry);
+}
+
+void PoolShard::admit(const PoolId& id, const PoolRequest& request, Reply reply)
+{
+    Entry& entry = entryFor(id);
+    entry.waiting.emplace(request.id, std::move(reply));
+    perform(id, entry, entry.pool.admit(request, context()));
+}
+
+void PoolShard::complete(const PoolId& id, RequestId request, const Completion& completion)
+{
+    Entry& entry = entryFor(id);
+    perform(id, entry, entry.pool.complete(request, completion, context()));
+}
+
+void PoolShard::cancel(const PoolId& id, RequestId request)
+{
+    Entry& entry = entryFor(id);
+    entry.waiting.erase(request);
+    perform(id, entry, entry.pool.cancel(request, context()));
+}
+
+PoolShard::Entry& PoolShard::entryFor(const PoolId& id)
+{
+    auto it = m_pools.find(id);
+    if (it == m_pools.end()) {
+        it = m_pools.try_emplace(id, Pool(id, PoolLimits {}, leastInUse()), m_io).first;
+        configure(it->second);
+    }
+    return it->second;
+}
+
+void PoolShard::configure(Entry& entry)
+{
+    std::vector<PoolEndpoint> endpoints;
+    PoolLimits limits;
+    const PoolId& id = entry.pool.id();
+    if (const auto* service = m_snapshot->routes.service(id.service)) {
+        limits.queuePerSlot = service->limits.queuePerSlot;
+        limits.longWorkShare = service->limits.longWorkShare;
+        limits.coldRamp = service->limits.coldRamp;
+        for (const auto& endpoint : service->endpoints) {
+            if (endpoint.dataCentre != id.dataCentre)
+                continue;
+            auto host = m_snapshot->leavingUpstreamHosts.find(endpoint.host);
+            const bool isLeaving = host != m_snapshot->leavingUpstreamHosts.end() && host->second;
+            endpoints.push_back({ endpoint.id, endpoint.slots, isLeaving });
+        }
+    }
+    perform(id, entry, entry.pool.reconfigure(endpoints, limits, context()));
+}
+
+void PoolShard::perform(const PoolId& id, Entry& entry, const PoolActions& actions)
+{
+    const auto answer = [&](RequestId request, tl::expected<EndpointId, ErrorKind> result) {
+        auto node = entry.waiting.extract(request);
+        if (node)
+            node.mapped()(request, std::move(result));
+    };
+    for (const auto& action : actions) {
+        if (const auto* dispatch = std::get_if<Dispatch>(&action))
+            answer(dispatch->request, dispatch->endpoint);
+        else if (const auto* refuse = std::get_if<Refuse>(&action))
+            answer(refuse->request, tl::unexpected(refuse->kind));
+        else if (const auto* timer = std::get_if<ArmTimer>(&action))
+            arm(id, entry, timer->at);
+    }
+}
+
+void PoolShard::arm(const PoolId& id, Entry& entry, TimePoint at)
+{
+    entry.timer.expires_at(toSteadyClock(at));
+    entry.timer.async_wait([this, id](boost::system::error_code ec) {
+        if (ec)
+            return;
+        Entry& entry = entryFor(id);
+        perform(id, entry, entry.pool.expire(context()));
+    });
+}
+
+DecisionContext PoolShard::context() { return { monotonicNow(), m_random }; }
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/exchange/src/ReplayableBody.cpp
@@ -0,0 +1,49 @@
+#include "dogwoodhall/exchange/ReplayableBody.h"
+
+#include <algorithm>
+#include <cstring>
+#include <utility>
+
+namespace dogwoodhall {
+
+ReplayableBody::ReplayableBody(ReadBody source, ByteCount limit)
+    : m_source(std::move(source))
+    , m_limit(limit)
+{
+}
+
+ReadBody ReplayableBody::reader()
+{
+    return [this](asio::mutable_buffer buf) { return read(buf); };
+}
+
+void ReplayableBody::rewind() { m_position = 0; }
+
+ExchangeResult<std::size_t> ReplayableBody::read(asio::mutable_buffer buf)
+{
+    if (m_position < m_kept.size()) {
+        const std::size_t n = std::min(buf.size(), m_kept.size() - m_position);
+        std::memcpy(buf.data(), m_kept.data() + m_position, n);
+        m_position += n;
+        co_return n;
+    }
+    if (m_ended)
+        co_return std::size_t { 0 };
+    auto n = co_await m_source(buf);
+    if (!n) {
+        m_overflowed = true;
+        co_return n;
+    }
+    m_ended = *n == 0;
+    if (!m_overflowed && m_kept.size() + *n <= m_limit.count()) {
+        m_kept.append(static_cast<const char*>(buf.data()), *n);
+        m_position = m_kept.size();
+    } else if (*n > 0) {
+        m_overflowed = true;
+        m_kept.clear();
+        m_position = 0;
+    }
+    co_return n;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/http/include/dogwoodhall/http/UpstreamClient.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/core/NetworkAddress.h"
+#include "dogwoodhall/exchange/Exchange.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <unordered_map>
+
+namespace dogwoodhall {
+
+struct UpstreamLimits {
+    Duration connectTimeout = std::chrono::milliseconds(500);
+    Duration idleTimeout = std::chrono::seconds(30); // After which an unused connection is closed.
+    std::size_t idleConnectionsPerEndpoint = 64;
+};
+
+// Sends requests to upstreams over HTTP/1.1, one at a time on each connection, and keeps connections for reuse. A
+// connection is reused only when the whole answer was read and no byte is left over. Not thread-safe.
+class UpstreamClient {
+public:
+    UpstreamClient(asio::any_io_executor, UpstreamLimits);
+    ~UpstreamClient();
+
+    // Sends the request and gives the answer once its head has arrived, by `deadline` on the steady clock. The error
+    // is proven not-run only where no byte was handed to a connection.
+    ExchangeResult<IncomingResponse> exchange(
+        const NetworkAddress&, OutgoingRequest, std::chrono::steady_clock::time_point deadline);
+
+    std::size_t openConnections() const { return m_connections.size(); }
+
+private:
+    class Connection;
+
+    ExchangeResult<ConnectionId> acquire(const NetworkAddress&, std::chrono::steady_clock::time_point deadline);
+    ExchangeResult<void> send(Connection&, OutgoingRequest&);
+    ExchangeResult<ResponseHead> readHead(Connection&);
+    ExchangeResult<std::size_t> readBody(ConnectionId, asio::mutable_buffer);
+    std::optional<ConnectionId> takeIdle(const NetworkAddress&);
+    void putIdle(ConnectionId);
+    void close(ConnectionId);
+
+    asio::any_io_executor m_executor;
+    UpstreamLimits m_limits;
+    std::unordered_map<ConnectionId, std::unique_ptr<Connection>> m_connections;
+    std::map<NetworkAddress, std::deque<ConnectionId>> m_idle;
+    std::uint64_t m_nextConnection = 1;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/http/src/CallerSession.cpp
@@ -0,0 +1,279 @@
+#include "dogwoodhall/http/CallerSession.h"
+
+#include "BeastHeads.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace beast = boost::beast;
+using asio::experimental::awaitable_operators::operator||;
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
+using RequestParser = http::request_parser<http::buffer_body>;
+
+ErrorKind errorKindFor(beast::error_code ec)
+{
+    if (ec == http::error::header_limit)
+        return ErrorKind::HeadersTooLarge;
+    if (ec == http::error::body_limit)
+        return ErrorKind::BodyTooLarge;
+    if (ec == beast::error::timeout)
+        return ErrorKind::RequestTimeout;
+    return ErrorKind::BadRequest;
+}
+
+BodyLength bodyLengthOf(const RequestParser& parser)
+{
+    if (parser.chunked())
+        return { BodyLength::Kind::Streamed, {} };
+    if (auto n = parser.content_length(); n && *n > 0)
+        return { BodyLength::Kind::Exact, ByteCount(*n) };
+    return {};
+}
+
+// The state of the request in progress.
+struct CurrentRequest {
+    std::optional<RequestParser> parser;
+    bool expectsContinue = false;
+    bool keepAlive = false;
+    bool isHead = false;
+    bool answered = false; // The whole answer is written.
+    std::optional<http::response<http::buffer_body>> response;
+    std::optional<http::response_serializer<http::buffer_body>> serializer;
+};
+
+} // namespace
+
+class CallerSession::Impl {
+public:
+    Impl(asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler)
+        : m_stream(std::move(socket))
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+        , m_bodyRead(m_stream.get_executor(), asio::steady_timer::time_point::max())
+    {
+    }
+
+    asio::awaitable<void> run();
+    void stopAfterCurrentRequest();
+    bool isIdle() const { return m_isIdle; }
+
+private:
+    asio::awaitable<bool> serveOne();
+    asio::awaitable<beast::error_code> readHead();
+    asio::awaitable<void> answerParseError(beast::error_code);
+    ExchangeResult<std::size_t> readBody(asio::mutable_buffer);
+    ExchangeResult<void> writeHead(const ResponseHead&);
+    ExchangeResult<void> writeBody(asio::const_buffer);
+    ExchangeResult<void> finish();
+    ResponseWriter writer();
+    asio::awaitable<void> waitForDisconnect();
+
+    beast::tcp_stream m_stream;
+    CallerLimits m_limits;
+    RequestHandler m_handler;
+    beast::flat_buffer m_buffer;
+    std::optional<CurrentRequest> m_current;
+    asio::steady_timer m_bodyRead; // Cancelled when the request body has been read to its end.
+    bool m_isIdle = true;
+    bool m_isStopping = false;
+};
+
+asio::awaitable<void> CallerSession::Impl::run()
+{
+    while (!m_isStopping) {
+        if (!co_await serveOne())
+            break;
+    }
+    beast::error_code ec;
+    m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    m_stream.close();
+}
+
+void CallerSession::Impl::stopAfterCurrentRequest()
+{
+    m_isStopping = true;
+    if (m_isIdle)
+        m_stream.close();
+}
+
+asio::awaitable<beast::error_code> CallerSession::Impl::readHead()
+{
+    if (m_buffer.size() == 0) {
+        m_stream.expires_after(m_limits.idleTimeout);
+        auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(4096), useTuple);
+        if (ec)
+            co_return ec == beast::error::timeout ? asio::error::eof : ec;
+        m_buffer.commit(n);
+    }
+    m_isIdle = false;
+    m_stream.expires_after(m_limits.headerTimeout);
+    auto [ec, n] = co_await http::async_read_header(m_stream, m_buffer, *m_current->parser, useTuple);
+    co_return ec;
+}
+
+asio::awaitable<bool> CallerSession::Impl::serveOne()
+{
+    m_current.emplace();
+    m_isIdle = true;
+    m_current->parser.emplace();
+    m_current->parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes.count()));
+    m_current->parser->body_limit(m_limits.bodyBytes.count());
+    if (auto ec = co_await readHead()) {
+        const bool connectionEnded = ec == http::error::end_of_stream || ec == asio::error::eof
+            || ec == asio::error::operation_aborted || ec == asio::error::connection_reset;
+        if (!connectionEnded)
+            co_await answerParseError(ec);
+        co_return false;
+    }
+    const auto& message = m_current->parser->get();
+    m_current->keepAlive = message.keep_alive();
+    m_current->isHead = message.method() == http::verb::head;
+    m_current->expectsContinue = beast::iequals(message[http::field::expect], "100-continue");
+
+    IncomingRequest request;
+    request.head.method = std::string(message.method_string());
+    request.head.target = std::string(message.target());
+    request.head.fields = fromBeast(message);
+    request.head.bodyLength = bodyLengthOf(*m_current->parser);
+    request.readBody = [this](asio::mutable_buffer buf) { return readBody(buf); };
+    co_await (m_handler(std::move(request), writer()) || waitForDisconnect());
+    co_return m_current->answered && m_current->keepAlive && m_current->parser->is_done() && !m_isStopping;
+}
+
+// Completes when the caller closes its connection while its request is being served. Bytes of a following request end
+// the watch, since a half-closed connection can no longer be told from one with more to read.
+asio::awaitable<void> CallerSession::Impl::waitForDisconnect()
+{
+    asio::steady_timer never(m_stream.get_executor(), asio::steady_timer::time_point::max());
+    while (!m_current->parser->is_done())
+        co_await m_bodyRead.async_wait(useTuple);
+    auto [ec] = co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, useTuple);
+    if (!ec) {
+        std::array<char, 1> byte;
+        beast::error_code peekError;
+        const auto n = m_stream.socket().receive(asio::buffer(byte), asio::socket_base::message_peek, peekError);
+        if (n == 0)
+            co_return;
+    }
+    co_await never.async_wait(useTuple);
+}
+
+asio::awaitable<void> CallerSession::Impl::answerParseError(beast::error_code ec)
+{
+    m_current->keepAlive = false;
+    co_await writeError(writer(), errorKindFor(ec), Outcome::NotRun);
+}
+
+ExchangeResult<std::size_t> CallerSession::Impl::readBody(asio::mutable_buffer buf)
+{
+    auto& parser = *m_current->parser;
+    if (parser.is_done())
+        co_return std::size_t { 0 };
+    if (std::exchange(m_current->expectsContinue, false)) {
+        static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(m_stream, asio::buffer(interim), useTuple);
+    }
+    std::size_t size = 0;
+    while (size == 0 && !parser.is_done()) {
+        parser.get().body().data = buf.data();
+        parser.get().body().size = buf.size();
+        parser.get().body().more = true;
+        m_stream.expires_after(m_limits.headerTimeout);
+        auto [ec, n] = co_await http::async_read_some(m_stream, m_buffer, parser, useTuple);
+        if (ec && ec != http::error::need_buffer) {
+            m_current->keepAlive = false;
+            co_return tl::unexpected(ExchangeError { errorKindFor(ec), false, ec.message() });
+        }
+        size = buf.size() - parser.get().body().size;
+    }
+    m_stream.expires_never();
+    if (parser.is_done())
+        m_bodyRead.cancel();
+    co_return size;
+}
+
+ResponseWriter CallerSession::Impl::writer()
+{
+    return { [this](const ResponseHead& head) { return writeHead(head); },
+        [this](asio::const_buffer buf) { return writeBody(buf); }, [this] { return finish(); } };
+}
+
+ExchangeResult<void> CallerSession::Impl::writeHead(const ResponseHead& head)
+{
+    auto& response = m_current->response.emplace();
+    response.version(11);
+    response.result(head.status);
+    toBeast(head.fields, response);
+    m_current->keepAlive = m_current->keepAlive && m_current->parser->is_done() && !m_isStopping;
+    response.keep_alive(m_current->keepAlive);
+    if (head.bodyLength.kind == BodyLength::Kind::Streamed)
+        response.chunked(true);
+    else if (head.status >= 200 && head.status != 204 && head.status != 304)
+        response.content_length(head.bodyLength.bytes.count());
+    response.body().data = nullptr;
+    response.body().more = true;
+    m_current->serializer.emplace(response);
+    m_stream.expires_never();
+    auto [ec, n] = co_await http::async_write_header(m_stream, *m_current->serializer, useTuple);
+    if (ec)
+        co_return tl::unexpected(ExchangeError { ErrorKind::Cancelled, false, ec.message() });
+    co_return tl::expected<void, ExchangeError> {};
+}
+
+ExchangeResult<void> CallerSession::Impl::writeBody(asio::const_buffer buf)
+{
+    if (m_current->isHead || buf.size() == 0)
+        co_return tl::expected<void, ExchangeError> {};
+    auto& body = m_current->response->body();
+    body.data = const_cast<void*>(buf.data());
+    body.size = buf.size();
+    body.more = true;
+    auto [ec, n] = co_await http::async_write(m_stream, *m_current->serializer, useTuple);
+    if (ec && ec != http::error::need_buffer)
+        co_return tl::unexpected(ExchangeError { ErrorKind::Cancelled, false, ec.message() });
+    co_return tl::expected<void, ExchangeError> {};
+}
+
+ExchangeResult<void> CallerSession::Impl::finish()
+{
+    auto& body = m_current->response->body();
+    body.data = nullptr;
+    body.size = 0;
+    body.more = false;
+    if (!m_current->isHead && !m_current->serializer->is_done()) {
+        auto [ec, n] = co_await http::async_write(m_stream, *m_current->serializer, useTuple);
+        if (ec)
+            co_return tl::unexpected(ExchangeError { ErrorKind::Cancelled, false, ec.message() });
+    }
+    m_current->answered = true;
+    co_return tl::expected<void, ExchangeError> {};
+}
+
+CallerSession::CallerSession(asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler)
+    : m_impl(std::make_unique<Impl>(std::move(socket), limits, std::move(handler)))
+{
+}
+
+CallerSession::~CallerSession() = default;
+
+asio::awaitable<void> CallerSession::run() { return m_impl->run(); }
+
+void CallerSession::stopAfterCurrentRequest() { m_impl->stopAfterCurrentRequest(); }
+
+bool CallerSession::isIdle() const { return m_impl->isIdle(); }
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/http/src/UpstreamClient.cpp
@@ -0,0 +1,254 @@
+#include "dogwoodhall/http/UpstreamClient.h"
+
+#include "BeastHeads.h"
+
+#include <array>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t relayBufferBytes = 16 * 1024;
+constexpr std::uint32_t responseHeaderLimit = 64 * 1024;
+
+using ResponseParser = http::response_parser<http::buffer_body>;
+
+tl::unexpected<ExchangeError> failure(ErrorKind kind, bool provenNotRun, beast::error_code ec)
+{
+    if (ec == beast::error::timeout)
+        kind = ErrorKind::DeadlineExceeded;
+    return tl::unexpected(ExchangeError { kind, provenNotRun, ec.message() });
+}
+
+BodyLength bodyLengthOf(const ResponseParser& parser)
+{
+    if (parser.is_done())
+        return {};
+    if (auto n = parser.content_length())
+        return { BodyLength::Kind::Exact, ByteCount(*n) };
+    return { BodyLength::Kind::Streamed, {} };
+}
+
+} // namespace
+
+class UpstreamClient::Connection {
+public:
+    Connection(asio::any_io_executor executor, NetworkAddress address)
+        : stream(std::move(executor))
+        , address(std::move(address))
+    {
+    }
+
+    // True when the other side has closed the connection or sent bytes that no request asked for.
+    bool isStale()
+    {
+        std::array<char, 1> byte;
+        beast::error_code ec;
+        stream.socket().non_blocking(true, ec);
+        stream.socket().receive(asio::buffer(byte), asio::socket_base::message_peek, ec);
+        return ec != asio::error::would_block;
+    }
+
+    beast::tcp_stream stream;
+    NetworkAddress address;
+    beast::flat_buffer buffer;
+    std::optional<ResponseParser> parser;
+    std::chrono::steady_clock::time_point idleSince;
+    bool bytesSent = false; // Of the request in progress.
+};
+
+UpstreamClient::UpstreamClient(asio::any_io_executor executor, UpstreamLimits limits)
+    : m_executor(std::move(executor))
+    , m_limits(limits)
+{
+}
+
+UpstreamClient::~UpstreamClient() = default;
+
+ExchangeResult<IncomingResponse> UpstreamClient::exchange(
+    const NetworkAddress& address, OutgoingRequest request, std::chrono::steady_clock::time_point deadline)
+{
+    auto acquired = co_await acquire(address, deadline);
+    if (!acquired)
+        co_return tl::unexpected(acquired.error());
+    const ConnectionId id = *acquired;
+    // Closes the connection on every early exit, cancellation included.
+    struct Guard {
+        UpstreamClient& client;
+        ConnectionId id;
+        bool armed = true;
+        ~Guard()
+        {
+            if (armed)
+                client.close(id);
+        }
+    } guard { *this, id };
+
+    Connection& connection = *m_connections.at(id);
+    connection.stream.expires_at(deadline);
+    connection.bytesSent = false;
+    connection.parser.emplace();
+    connection.parser->header_limit(responseHeaderLimit);
+    connection.parser->body_limit(boost::none);
+    connection.parser->skip(request.head.method == "HEAD");
+    if (auto sent = co_await send(connection, request); !sent)
+        co_return tl::unexpected(sent.error());
+    auto head = co_await readHead(connection);
+    if (!head)
+        co_return tl::unexpected(head.error());
+    connection.stream.expires_never();
+    guard.armed = false;
+    co_return IncomingResponse { std::move(*head), [this, id](asio::mutable_buffer buf) { return readBody(id, buf); },
+        [this, id] { close(id); } };
+}
+
+ExchangeResult<ConnectionId> UpstreamClient::acquire(
+    const NetworkAddress& address, std::chrono::steady_clock::time_point deadline)
+{
+    if (auto idle = takeIdle(address))
+        co_return *idle;
+    const ConnectionId id(m_nextConnection++);
+    auto connection = std::make_unique<Connection>(m_executor, address);
+    beast::error_code parseError;
+    const asio::ip::tcp::endpoint target(asio::ip::make_address(address.ip, parseError), address.port);
+    const auto connectBy = std::chrono::steady_clock::now()
+        + std::chrono::duration_cast<std::chrono::steady_clock::duration>(m_limits.connectTimeout);
+    connection->stream.expires_at(std::min(deadline, connectBy));
+    auto [ec] = co_await connection->stream.async_connect(target, useTuple);
+    if (ec)
+        co_return tl::unexpected(ExchangeError { ErrorKind::UpstreamFailed, true, ec.message() });
+    beast::error_code optionError;
+    connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), optionError);
+    m_connections.emplace(id, std::move(connection));
+    co_return id;
+}
+
+ExchangeResult<void> UpstreamClient::send(Connection& connection, OutgoingRequest& request)
+{
+    http::request<http::buffer_body> message;
+    message.version(11);
+    message.method_string(request.head.method);
+    message.target(request.head.target);
+    toBeast(request.head.fields, message);
+    if (request.head.bodyLength.kind == BodyLength::Kind::Exact)
+        message.content_length(request.head.bodyLength.bytes.count());
+    else if (request.head.bodyLength.kind == BodyLength::Kind::Streamed)
+        message.chunked(true);
+    else if (request.head.method != "GET" && request.head.method != "HEAD")
+        message.content_length(0);
+    message.body().data = nullptr;
+    message.body().more = request.head.bodyLength.kind != BodyLength::Kind::None;
+    http::request_serializer<http::buffer_body> serializer(message);
+
+    connection.bytesSent = true;
+    auto [headError, headBytes] = co_await http::async_write_header(connection.stream, serializer, useTuple);
+    if (headError)
+        co_return failure(ErrorKind::UpstreamFailed, false, headError);
+    std::array<char, relayBufferBytes> buf;
+    while (!serializer.is_done()) {
+        auto n = co_await request.readBody(asio::buffer(buf));
+        if (!n)
+            co_return tl::unexpected(n.error());
+        message.body().data = *n == 0 ? nullptr : buf.data();
+        message.body().size = *n;
+        message.body().more = *n != 0;
+        auto [ec, written] = co_await http::async_write(connection.stream, serializer, useTuple);
+        if (ec && ec != http::error::need_buffer)
+            co_return failure(ErrorKind::UpstreamFailed, false, ec);
+    }
+    co_return tl::expected<void, ExchangeError> {};
+}
+
+ExchangeResult<ResponseHead> UpstreamClient::readHead(Connection& connection)
+{
+    while (true) {
+        auto [ec, n]
+            = co_await http::async_read_header(connection.stream, connection.buffer, *connection.parser, useTuple);
+        if (ec)
+            co_return failure(ErrorKind::UpstreamFailed, false, ec);
+        const auto& message = connection.parser->get();
+        // Interim answers (100 Continue, 103 Early Hints) are followed by the final one.
+        if (message.result_int() >= 200) {
+            ResponseHead head;
+            head.status = message.result_int();
+            head.fields = fromBeast(message);
+            head.bodyLength = bodyLengthOf(*connection.parser);
+            co_return head;
+        }
+        connection.parser.emplace();
+        connection.parser->header_limit(responseHeaderLimit);
+        connection.parser->body_limit(boost::none);
+    }
+}
+
+ExchangeResult<std::size_t> UpstreamClient::readBody(ConnectionId id, asio::mutable_buffer buf)
+{
+    auto it = m_connections.find(id);
+    if (it == m_connections.end())
+        co_return tl::unexpected(ExchangeError { ErrorKind::UpstreamTruncated, false, "connection closed" });
+    Connection& connection = *it->second;
+    auto& parser = *connection.parser;
+    std::size_t size = 0;
+    while (size == 0 && !parser.is_done()) {
+        parser.get().body().data = buf.data();
+        parser.get().body().size = buf.size();
+        parser.get().body().more = true;
+        auto [ec, n] = co_await http::async_read_some(connection.stream, connection.buffer, parser, useTuple);
+        if (ec && ec != http::error::need_buffer) {
+            close(id);
+            co_return tl::unexpected(ExchangeError { ErrorKind::UpstreamTruncated, false, ec.message() });
+        }
+        size = buf.size() - parser.get().body().size;
+    }
+    if (size == 0)
+        putIdle(id);
+    co_return size;
+}
+
+std::optional<ConnectionId> UpstreamClient::takeIdle(const NetworkAddress& address)
+{
+    auto it = m_idle.find(address);
+    if (it == m_idle.end())
+        return std::nullopt;
+    const auto oldest = std::chrono::steady_clock::now() - m_limits.idleTimeout;
+    while (!it->second.empty()) {
+        const ConnectionId id = it->second.back();
+        it->second.pop_back();
+        Connection& connection = *m_connections.at(id);
+        if (connection.idleSince > oldest && !connection.isStale())
+            return id;
+        close(id);
+    }
+    m_idle.erase(it);
+    return std::nullopt;
+}
+
+void UpstreamClient::putIdle(ConnectionId id)
+{
+    Connection& connection = *m_connections.at(id);
+    const bool reusable
+        = connection.parser->keep_alive() && !connection.parser->need_eof() && connection.buffer.size() == 0;
+    auto& idle = m_idle[connection.address];
+    if (!reusable || idle.size() >= m_limits.idleConnectionsPerEndpoint) {
+        close(id);
+        return;
+    }
+    connection.parser.reset();
+    connection.idleSince = std::chrono::steady_clock::now();
+    idle.push_back(id);
+}
+
+void UpstreamClient::close(ConnectionId id) { m_connections.erase(id); }
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/tools/include/StandInServer.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/core/NetworkAddress.h"
+#include "dogwoodhall/http/CallerSession.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace dogwoodhall {
+
+// A single-threaded HTTP/1.1 server for the stand-ins.
+class StandInServer {
+public:
+    StandInServer(NetworkAddress, RequestHandler);
+
+    asio::io_context& io() { return m_io; }
+
+    // Prints "listening <address>" on standard output and serves until the process ends.
+    void run();
+
+private:
+    asio::awaitable<void> accept();
+    asio::awaitable<void> serve(ConnectionId);
+
+    NetworkAddress m_address;
+    RequestHandler m_handler;
+    asio::io_context m_io { 1 };
+    asio::ip::tcp::acceptor m_acceptor;
+    std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
+    std::uint64_t m_nextConnection = 1;
+};
+
+// Reads a whole body.
+asio::awaitable<std::string> readAll(ReadBody);
+
+asio::awaitable<void> writeAnswer(const ResponseWriter&, unsigned status, std::string body, HeaderFields = {});
+
+// Path and query parameters of a request target; parameters are not percent-decoded.
+struct Target {
+    std::string path;
+    std::map<std::string, std::string> parameters;
+
+    std::uint64_t number(const std::string& name, std::uint64_t otherwise) const;
+};
+
+Target parseTarget(std::string_view);
+
+} // namespace dogwoodhall
