Give table tests row indices as parameters

Cause: Criterion runs each row in a process that is not forked from the one that built the table, so a row's const char* pointed nowhere: all 10 rows of RouteTableTest crashed.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -37,6 +37,7 @@
 # dogwoodhall_test(name source libraries...): a Criterion program registered with CTest.
 function(dogwoodhall_test name source)
   add_executable(${name} ${source})
+  target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support)
   target_link_libraries(${name} PRIVATE ${ARGN} dogwoodhall_options PkgConfig::CRITERION)
   add_test(NAME ${name} COMMAND ${name})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
--- a/packages/core/tests/StableHashTest.cpp
+++ b/packages/core/tests/StableHashTest.cpp
@@ -1,6 +1,8 @@
 #include "dogwoodhall/core/Ids.h"
 
+#include "TableRows.h"
 #include <algorithm>
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <string>
@@ -14,18 +16,17 @@
     double allowedSkew; // Largest bucket relative to the mean.
 };
 
+const SpreadRow rows[] = { { 3, 3000, 1.15 }, { 17, 17000, 1.2 }, { 100, 100000, 1.2 } };
+
 // Guards against a hash that gives one member most of the pools.
-ParameterizedTestParameters(StableHash, spreadsShortKeys)
-{
-    static SpreadRow rows[] = { { 3, 3000, 1.15 }, { 17, 17000, 1.2 }, { 100, 100000, 1.2 } };
-    return cr_make_param_array(SpreadRow, rows, std::size(rows));
-}
+ParameterizedTestParameters(StableHash, spreadsShortKeys) { return rowIndices(rows); }
 
-ParameterizedTest(SpreadRow* row, StableHash, spreadsShortKeys)
+ParameterizedTest(std::size_t* index, StableHash, spreadsShortKeys)
 {
-    std::vector<int> counts(row->buckets);
-    for (int n = 0; n < row->keys; ++n)
-        ++counts[stableHash("service-" + std::to_string(n)) % row->buckets];
+    const SpreadRow& row = rows[*index];
+    std::vector<int> counts(row.buckets);
+    for (int n = 0; n < row.keys; ++n)
+        ++counts[stableHash("service-" + std::to_string(n)) % row.buckets];
     const int largest = *std::max_element(counts.begin(), counts.end());
-    cr_assert_lt(largest, row->allowedSkew * row->keys / row->buckets);
+    cr_assert_lt(largest, row.allowedSkew * row.keys / row.buckets);
 }
--- a/packages/request/tests/RequestLifecycleTest.cpp
+++ b/packages/request/tests/RequestLifecycleTest.cpp
@@ -1,5 +1,7 @@
 #include "dogwoodhall/request/RequestLifecycle.h"
 
+#include "TableRows.h"
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -16,33 +18,32 @@
     Outcome expectedOutcome;
 };
 
+const LifecycleRow rows[] = {
+    { "lost order", false, false, true, true, 10, 1, Outcome::Unknown },
+    { "refused order", false, true, true, true, 10, 2, Outcome::NotRun },
+    { "refused, then lost order", false, true, true, false, 10, 2, Outcome::Unknown },
+    { "refused order, body gone", false, true, false, true, 10, 1, Outcome::NotRun },
+    { "refused order, no budget", false, true, true, true, 0, 1, Outcome::NotRun },
+    { "lost lookup", true, false, true, true, 10, 2, Outcome::Unknown },
+    { "lost lookup, no budget", true, false, true, true, 0, 1, Outcome::Unknown },
+    { "refused lookup", true, true, true, true, 10, 2, Outcome::NotRun },
+};
+
 // Guards against a second run of a request that is not idempotent, and against not-run without proof.
-ParameterizedTestParameters(RequestLifecycle, repeatsOnlyOnProof)
-{
-    static LifecycleRow rows[] = {
-        { "lost order", false, false, true, true, 10, 1, Outcome::Unknown },
-        { "refused order", false, true, true, true, 10, 2, Outcome::NotRun },
-        { "refused, then lost order", false, true, true, false, 10, 2, Outcome::Unknown },
-        { "refused order, body gone", false, true, false, true, 10, 1, Outcome::NotRun },
-        { "refused order, no budget", false, true, true, true, 0, 1, Outcome::NotRun },
-        { "lost lookup", true, false, true, true, 10, 2, Outcome::Unknown },
-        { "lost lookup, no budget", true, false, true, true, 0, 1, Outcome::Unknown },
-        { "refused lookup", true, true, true, true, 10, 2, Outcome::NotRun },
-    };
-    return cr_make_param_array(LifecycleRow, rows, std::size(rows));
-}
+ParameterizedTestParameters(RequestLifecycle, repeatsOnlyOnProof) { return rowIndices(rows); }
 
-ParameterizedTest(LifecycleRow* row, RequestLifecycle, repeatsOnlyOnProof)
+ParameterizedTest(std::size_t* index, RequestLifecycle, repeatsOnlyOnProof)
 {
-    RetryBudget budget(Fraction(0.1), row->budget);
-    RequestLifecycle request(row->isIdempotent, 2);
+    const LifecycleRow& row = rows[*index];
+    RetryBudget budget(Fraction(0.1), row.budget);
+    RequestLifecycle request(row.isIdempotent, 2);
     request.attemptStarted();
-    auto next = request.attemptFailed({ ErrorKind::UpstreamFailed, row->firstProven, row->replayable }, budget);
+    auto next = request.attemptFailed({ ErrorKind::UpstreamFailed, row.firstProven, row.replayable }, budget);
     if (std::holds_alternative<RetryRequest>(next)) {
         request.attemptStarted();
-        next = request.attemptFailed({ ErrorKind::UpstreamFailed, row->secondProven, true }, budget);
+        next = request.attemptFailed({ ErrorKind::UpstreamFailed, row.secondProven, true }, budget);
     }
-    cr_assert_eq(request.attempts(), row->expectedAttempts, "%s", row->name);
+    cr_assert_eq(request.attempts(), row.expectedAttempts, "%s", row.name);
     cr_assert(std::holds_alternative<AnswerWithError>(next));
-    cr_assert(std::get<AnswerWithError>(next).outcome == row->expectedOutcome, "%s", row->name);
+    cr_assert(std::get<AnswerWithError>(next).outcome == row.expectedOutcome, "%s", row.name);
 }
--- a/packages/routing/tests/RouteTableTest.cpp
+++ b/packages/routing/tests/RouteTableTest.cpp
@@ -1,5 +1,7 @@
 #include "dogwoodhall/routing/RouteTable.h"
 
+#include "TableRows.h"
+
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -31,33 +33,32 @@
     bool isIdempotent;
 };
 
+const RouteRow rows[] = {
+    { "any", "/previews/7", "GET", "catalogue", "previews", true },
+    { "any", "/previews", "POST", "catalogue", "", false },
+    { "any", "/previewsX", "GET", "catalogue", "", true },
+    { "any", "/claims/1", "POST", "catalogue", "", false },
+    { "claims.example", "/claims/1", "POST", "claims", "", false },
+    { "claims.example", "/claims/lookups", "POST", "claims", "lookups", true },
+    { "claims.example", "/claims/1", "PUT", "claims", "", false },
+    { "claims.example", "/claims/1", "DELETE", "claims", "", false },
+    { "claims.example", "/claims", "HEAD", "claims", "", true },
+    { "claims.example", "*", "OPTIONS", "", "", false },
+};
+
 // Guards against a request that reaches the wrong service, or is taken for idempotent when it is not.
-ParameterizedTestParameters(RouteTable, findsServiceAndRule)
-{
-    static RouteRow rows[] = {
-        { "any", "/previews/7", "GET", "catalogue", "previews", true },
-        { "any", "/previews", "POST", "catalogue", "", false },
-        { "any", "/previewsX", "GET", "catalogue", "", true },
-        { "any", "/claims/1", "POST", "catalogue", "", false },
-        { "claims.example", "/claims/1", "POST", "claims", "", false },
-        { "claims.example", "/claims/lookups", "POST", "claims", "lookups", true },
-        { "claims.example", "/claims/1", "PUT", "claims", "", false },
-        { "claims.example", "/claims/1", "DELETE", "claims", "", false },
-        { "claims.example", "/claims", "HEAD", "claims", "", true },
-        { "claims.example", "*", "OPTIONS", "", "", false },
-    };
-    return cr_make_param_array(RouteRow, rows, std::size(rows));
-}
+ParameterizedTestParameters(RouteTable, findsServiceAndRule) { return rowIndices(rows); }
 
-ParameterizedTest(RouteRow* row, RouteTable, findsServiceAndRule)
+ParameterizedTest(std::size_t* index, RouteTable, findsServiceAndRule)
 {
-    auto route = makeTable().find({ row->host, row->path, row->method });
-    if (!*row->service) {
+    const RouteRow& row = rows[*index];
+    auto route = makeTable().find({ row.host, row.path, row.method });
+    if (!*row.service) {
         cr_assert_not(route);
         return;
     }
     cr_assert(route);
-    cr_assert_str_eq(route->service.value().c_str(), row->service);
-    cr_assert_str_eq(route->rule.value().c_str(), row->rule);
-    cr_assert_eq(route->isIdempotent, row->isIdempotent);
+    cr_assert_str_eq(route->service.value().c_str(), row.service);
+    cr_assert_str_eq(route->rule.value().c_str(), row.rule);
+    cr_assert_eq(route->isIdempotent, row.isIdempotent);
 }
