--- /dev/null
+++ b/packages/telemetry/include/dogwoodhall/telemetry/Counter.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+
+namespace dogwoodhall {
+
+// A number that any thread may change and any may read. Relaxed: values of two counters need not match one moment.
+class Counter {
+public:
+    void add(std::uint64_t n = 1) { m_value.fetch_add(n, std::memory_order_relaxed); }
+    void set(std::uint64_t value) { m_value.store(value, std::memory_order_relaxed); }
+    std::uint64_t value() const { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> m_value { 0 };
+};
+
+} // namespace dogwoodhall
--- a/tests/support/TableRows.h
+++ b/tests/support/TableRows.h
@@ -1,8 +1,10 @@
 #pragma once
 
-#include <algorithm>
+// criterion.h must come before parameterized.h: the other order leaves its Test macro undefined.
+#include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <cstddef>
+#include <iterator>
 #include <numeric>
 
 namespace dogwoodhall {
