--- /dev/null
+++ b/packages/request/include/dogwoodhall/request/Ticket.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "dogwoodhall/core/Ids.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace dogwoodhall {
+
+using TicketSerial = StrongId<struct TicketSerialTag, std::uint64_t>;
+
+// An idempotency key that one running process issued. A later run of the same member has another incarnation and does
+// not know it.
+struct Ticket {
+    MemberId issuer;
+    Incarnation incarnation;
+    TicketSerial serial;
+
+    friend bool operator==(const Ticket&, const Ticket&) = default;
+};
+
+// "<member>.<incarnation>.<serial>", numbers in hexadecimal.
+std::string toString(const Ticket&);
+std::optional<Ticket> parseTicket(std::string_view);
+
+} // namespace dogwoodhall
