Add the fleet package: members, gossip, homes and watchers

Cause: daemons have no knowledge of one another, so there is no home per pool, no exchange of revisions and no watcher selection.

Change: public types of the gossip exchange and a first version of the Fleet aggregate. Claims about a member are ordered by incarnation, version and state. Each period starts two exchanges, the first in rounds over the own data centre. Homes and watchers follow from rendezvous hashing over heard, ready members. After a pause every member is unconfirmed until a reply to a new exchange, or a peer with an equal roster hash, vouches for it.

--- /dev/null
+++ b/packages/fleet/include/dogwoodhall/fleet/FleetActions.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "dogwoodhall/fleet/GossipMessage.h"
+
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace dogwoodhall {
+
+// Send messageFor(member) to the member, and give its reply to handle() or call exchangeFailed().
+struct Exchange {
+    MemberId member;
+    NetworkAddress address;
+
+    friend bool operator==(const Exchange&, const Exchange&) = default;
+};
+
+// Offer these records to the configuration in force, in this order.
+struct OfferRecords {
+    MemberId from;
+    std::vector<Record> records;
+
+    friend bool operator==(const OfferRecords&, const OfferRecords&) = default;
+};
+
+// Take note of the load of other members' pools.
+struct ObservePoolLoads {
+    MemberId from;
+    std::vector<PoolLoadSummary> loads;
+
+    friend bool operator==(const ObservePoolLoads&, const ObservePoolLoads&) = default;
+};
+
+// Homes or watchers may have changed: publish them anew.
+struct MembersChanged {
+    friend bool operator==(const MembersChanged&, const MembersChanged&) = default;
+};
+
+// The process did not run for `gap`: nothing known before is to be acted on.
+struct StateExpired {
+    Duration gap {};
+
+    friend bool operator==(const StateExpired&, const StateExpired&) = default;
+};
+
+using FleetAction = std::variant<Exchange, OfferRecords, ObservePoolLoads, MembersChanged, StateExpired>;
+
+struct HandledGossip {
+    std::optional<GossipMessage> reply; // Present for a request.
+    std::vector<FleetAction> actions;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/fleet/src/Fleet.cpp
@@ -0,0 +1,201 @@
+#include "dogwoodhall/fleet/Fleet.h"
+
+#include <algorithm>
+#include <bit>
+#include <utility>
+
+namespace dogwoodhall {
+
+Fleet::Fleet(Member self, Hooks hooks, FleetLimits limits)
+    : m_self(std::move(self))
+    , m_hooks(std::move(hooks))
+    , m_limits(limits)
+{
+}
+
+std::vector<FleetAction> Fleet::applyHostList(std::span<const ListedHost> hosts, TimePoint now)
+{
+    std::vector<FleetAction> actions;
+    observe(now, actions);
+    for (auto& [id, tracked] : m_table.members())
+        tracked.isListed = false;
+    for (const auto& host : hosts) {
+        if (host.id == m_self.id) {
+            m_isSelfListedLeaving = host.isLeaving;
+            continue;
+        }
+        Member member;
+        member.id = host.id;
+        member.dataCentre = host.dataCentre;
+        member.peerAddress = host.peerAddress;
+        auto& tracked = m_table.addListed(member, now);
+        tracked.isListed = true;
+        tracked.isListedLeaving = host.isLeaving;
+    }
+    std::erase_if(m_table.members(), [](const auto& item) { return !item.second.isListed && !item.second.hasRun(); });
+    noteChange();
+    reportChange(actions);
+    return actions;
+}
+
+void Fleet::setRegions(std::map<DataCentreId, RegionId> regions)
+{
+    m_regions = std::move(regions);
+    m_views.isValid = false;
+}
+
+std::vector<FleetAction> Fleet::tick(DecisionContext context)
+{
+    std::vector<FleetAction> actions;
+    observe(context.now, actions);
+    ++m_periods;
+    m_hasFollowedUp = false;
+    ageUnreachable(context.now);
+    if (m_periods % m_limits.retryPeriods == 0)
+        suspectSilent(context.now);
+    const auto* first = nextOwn(context.random);
+    startExchange(first, context.now, actions);
+    const auto* second = secondPeer(context);
+    if (second != first)
+        startExchange(second, context.now, actions);
+    reportChange(actions);
+    return actions;
+}
+
+HandledGossip Fleet::handle(const GossipMessage& message, TimePoint now)
+{
+    HandledGossip handled;
+    observe(now, handled.actions);
+    const bool isReply = message.kind == GossipMessage::Kind::Reply;
+    const auto started = m_exchanges.find(message.sender.id);
+    const bool isFreshReply = isReply && started != m_exchanges.end() && started->second >= m_wokeAt;
+    if (isReply && started != m_exchanges.end())
+        m_exchanges.erase(started);
+    const auto* known = m_table.find(message.sender.id);
+    if (message.sender.id == m_self.id || (known && known->member.incarnation > message.sender.incarnation)) {
+        reportChange(handled.actions);
+        return handled;
+    }
+    if (isFreshReply && m_isSelfExpired) {
+        m_isSelfExpired = false;
+        noteChange();
+    }
+    // A request that waited in a socket while this process was paused confirms nothing.
+    mergeMembers(message, isFreshReply || !m_isSelfExpired, now);
+    if (!message.records.empty())
+        handled.actions.emplace_back(OfferRecords { message.sender.id, message.records });
+    if (!message.poolLoads.empty())
+        handled.actions.emplace_back(ObservePoolLoads { message.sender.id, message.poolLoads });
+    followUp(message, now, handled);
+    reportChange(handled.actions);
+    return handled;
+}
+
+void Fleet::followUp(const GossipMessage& message, TimePoint now, HandledGossip& handled)
+{
+    const auto mine = m_hooks.digest();
+    if (message.kind == GossipMessage::Kind::Request) {
+        if (message.configuration.highest < mine.highest)
+            m_behind[message.sender.id] = message.configuration.highest;
+        handled.reply = makeMessage(GossipMessage::Kind::Reply, message.sender.id);
+        addRoster(*handled.reply, message);
+        return;
+    }
+    const bool isBehind = message.configuration.highest < mine.highest;
+    const bool doubtsSelf = std::any_of(message.members.begin(), message.members.end(),
+        [&](const Member& claim) { return claim.id == m_self.id && claim.incarnation == m_self.incarnation; });
+    if (m_hasFollowedUp || !(isBehind || doubtsSelf))
+        return;
+    m_hasFollowedUp = true;
+    if (isBehind)
+        m_behind[message.sender.id] = message.configuration.highest;
+    startExchange(m_table.find(message.sender.id), now, handled.actions);
+}
+
+std::vector<FleetAction> Fleet::exchangeFailed(const MemberId& id, TimePoint now)
+{
+    std::vector<FleetAction> actions;
+    observe(now, actions);
+    m_behind.erase(id);
+    const auto started = m_exchanges.find(id);
+    const bool isFresh = started != m_exchanges.end() && started->second >= m_wokeAt;
+    if (started != m_exchanges.end())
+        m_exchanges.erase(started);
+    auto* tracked = m_table.find(id);
+    // A failure of an exchange that a pause of this process cut short says nothing about the peer.
+    if (!tracked || !isFresh)
+        return actions;
+    ++tracked->failures;
+    if (!tracked->hasRun()) {
+        m_views.isValid = false;
+    } else if (tracked->member.state == MemberState::Leaving) {
+        changeState(id, MemberState::Gone, now);
+    } else if (tracked->member.state == MemberState::Alive) {
+        // One lost message must not move homes: the second failure in a row counts.
+        if (tracked->failures < 2)
+            m_retries.push_back(id);
+        else
+            changeState(id, MemberState::Suspect, now);
+    }
+    reportChange(actions);
+    return actions;
+}
+
+void Fleet::setReady(bool isReady)
+{
+    if (m_self.isReady == isReady)
+        return;
+    m_self.isReady = isReady;
+    ++m_self.version;
+    noteChange();
+}
+
+void Fleet::announceLeaving()
+{
+    if (m_self.state == MemberState::Leaving)
+        return;
+    m_self.state = MemberState::Leaving;
+    ++m_self.version;
+    noteChange();
+}
+
+const Member* Fleet::find(const MemberId& id) const
+{
+    const auto* tracked = m_table.find(id);
+    return tracked ? &tracked->member : nullptr;
+}
+
+std::size_t Fleet::countIn(MemberState state) const
+{
+    const auto& members = m_table.members();
+    const auto others = std::count_if(
+        members.begin(), members.end(), [&](const auto& item) { return item.second.member.state == state; });
+    return static_cast<std::size_t>(others) + (m_self.state == state ? 1 : 0);
+}
+
+Duration Fleet::hostListPeriod() const
+{
+    constexpr Duration shortest = std::chrono::seconds(1);
+    constexpr Duration perMember = std::chrono::milliseconds(2);
+    return std::max(shortest, perMember * static_cast<std::int64_t>(size()));
+}
+
+void Fleet::noteChange()
+{
+    m_views.isValid = false;
+    m_hasChanged = true;
+}
+
+void Fleet::reportChange(std::vector<FleetAction>& actions)
+{
+    if (std::exchange(m_hasChanged, false))
+        actions.emplace_back(MembersChanged {});
+}
+
+std::uint32_t Fleet::sendsPerClaim() const
+{
+    // Twice the binary logarithm: enough for a claim to reach all members with overwhelming probability.
+    return 2 * static_cast<std::uint32_t>(std::bit_width(size()));
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/fleet/src/FleetGossip.cpp
@@ -0,0 +1,192 @@
+// The part of Fleet that builds messages and merges those of peers.
+#include "dogwoodhall/fleet/Fleet.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace dogwoodhall {
+
+void Fleet::observe(TimePoint now, std::vector<FleetAction>& actions)
+{
+    const auto gap = m_pauses.observe(now);
+    if (!gap)
+        return;
+    expireState(now);
+    actions.emplace_back(StateExpired { *gap });
+}
+
+// Claims from before the pause are neither used nor passed on. Silence during the pause was this process's own, so it
+// is not held against the others.
+void Fleet::expireState(TimePoint now)
+{
+    m_wokeAt = now;
+    m_pendingClaims.clear();
+    m_behind.clear();
+    m_retries.clear();
+    bool hasPeers = false;
+    for (auto& [id, tracked] : m_table.members()) {
+        hasPeers = hasPeers || (tracked.isReachable() && tracked.hasRun());
+        tracked.isConfirmed = false;
+        tracked.lastHeard = now;
+        tracked.stateSince = now;
+        tracked.failures = 0;
+    }
+    m_isSelfExpired = hasPeers;
+    noteChange();
+}
+
+bool Fleet::merge(const Member& claim, TimePoint now)
+{
+    if (!m_table.merge(claim, now))
+        return false;
+    m_pendingClaims[claim.id] = 0;
+    if (claim.state == MemberState::Suspect || claim.state == MemberState::Gone)
+        m_unreachable.insert(claim.id);
+    else
+        m_unreachable.erase(claim.id);
+    noteChange();
+    return true;
+}
+
+// Raises this member's version above a claim that it is suspect or gone.
+bool Fleet::refute(const Member& claim)
+{
+    const bool isDoubt = claim.state == MemberState::Suspect || claim.state == MemberState::Gone;
+    const bool isCurrent = claim.incarnation == m_self.incarnation && claim.version >= m_self.version;
+    if (!isDoubt || !isCurrent || claim.version == std::numeric_limits<std::uint32_t>::max())
+        return false;
+    m_self.version = claim.version + 1;
+    return true;
+}
+
+void Fleet::mergeMembers(const GossipMessage& message, bool isFresh, TimePoint now)
+{
+    merge(message.sender, now);
+    m_table.heard(message.sender.id, now);
+    const auto confirmClaim = [&](const Member& claim) {
+        auto* tracked = m_table.find(claim.id);
+        if (isFresh && tracked && tracked->member == claim && tracked->isReachable())
+            confirm(*tracked);
+    };
+    for (const auto& claim : message.members) {
+        if (claim.id == m_self.id) {
+            refute(claim);
+            continue;
+        }
+        merge(claim, now);
+        confirmClaim(claim);
+    }
+    confirmClaim(message.sender);
+    if (isFresh)
+        confirmRosters(message);
+}
+
+void Fleet::confirm(TrackedMember& tracked)
+{
+    if (tracked.isConfirmed)
+        return;
+    tracked.isConfirmed = true;
+    m_hasChanged = true;
+    if (!m_views.isValid || !tracked.isCandidate())
+        return;
+    --m_views.fleetRoster.unconfirmed;
+    if (tracked.member.dataCentre == m_self.dataCentre)
+        --m_views.ownRoster.unconfirmed;
+}
+
+// A peer that has heard of all members in a scope, and knows the same ones, vouches for them.
+void Fleet::confirmRosters(const GossipMessage& message)
+{
+    const auto& current = views();
+    const bool isNeighbour = message.sender.dataCentre == m_self.dataCentre;
+    const bool vouchesForOwn = isNeighbour && message.dataCentreRoster != 0 && current.ownRoster.unconfirmed > 0
+        && current.ownRoster.sum == message.dataCentreRoster;
+    const bool vouchesForAll = message.fleetRoster != 0 && current.fleetRoster.unconfirmed > 0
+        && current.fleetRoster.sum == message.fleetRoster;
+    if (!vouchesForOwn && !vouchesForAll)
+        return;
+    for (const auto* tracked : current.roster) {
+        if (vouchesForAll || tracked->member.dataCentre == m_self.dataCentre)
+            confirm(*m_table.find(tracked->member.id));
+    }
+}
+
+std::uint64_t Fleet::hashOf(const Roster& roster) const
+{
+    return m_isSelfExpired || roster.unconfirmed > 0 ? 0 : roster.sum;
+}
+
+GossipMessage Fleet::messageFor(const MemberId& peer, TimePoint)
+{
+    return makeMessage(GossipMessage::Kind::Request, peer);
+}
+
+GossipMessage Fleet::makeMessage(GossipMessage::Kind kind, const MemberId& peer)
+{
+    GossipMessage message;
+    message.kind = kind;
+    message.sender = m_self;
+    message.configuration = m_hooks.digest();
+    message.dataCentreRoster = hashOf(views().ownRoster);
+    message.fleetRoster = hashOf(views().fleetRoster);
+    message.poolLoads = m_hooks.poolLoads(m_limits.maxPoolLoads);
+    const auto behind = m_behind.find(peer);
+    if (behind != m_behind.end()) {
+        message.records = m_hooks.recordsSince(behind->second, m_limits.maxRecordBytes);
+        m_behind.erase(behind);
+    }
+    addPendingClaims(message, peer);
+    return message;
+}
+
+void Fleet::addPendingClaims(GossipMessage& message, const MemberId& peer)
+{
+    // The peer learns first what is held against it, so that it can refute it.
+    const auto* tracked = m_table.find(peer);
+    if (tracked && !tracked->isReachable())
+        message.members.push_back(tracked->member);
+    std::vector<std::pair<std::uint32_t, MemberId>> pending;
+    for (const auto& [id, sent] : m_pendingClaims) {
+        if (id != peer)
+            pending.emplace_back(sent, id);
+    }
+    const std::size_t room = m_limits.maxMemberUpdates - message.members.size();
+    if (pending.size() > room) {
+        std::nth_element(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(room), pending.end());
+        pending.resize(room);
+    }
+    for (const auto& [sent, id] : pending) {
+        if (const auto* claimed = m_table.find(id))
+            message.members.push_back(claimed->member);
+        if (sent + 1 >= sendsPerClaim())
+            m_pendingClaims.erase(id);
+        else
+            m_pendingClaims[id] = sent + 1;
+    }
+}
+
+// Adds the next part of the confirmed candidates where the requester's view of them differs: first of the data centre
+// that both share, then of all.
+void Fleet::addRoster(GossipMessage& message, const GossipMessage& request)
+{
+    const auto& current = views();
+    const bool isNeighbour = request.sender.dataCentre == m_self.dataCentre;
+    const bool ownDiffers = isNeighbour && request.dataCentreRoster != current.ownRoster.sum;
+    if (!ownDiffers && request.fleetRoster == current.fleetRoster.sum)
+        return;
+    const auto& roster = current.roster;
+    auto it = std::upper_bound(roster.begin(), roster.end(), m_rosterCursor,
+        [](const MemberId& id, const TrackedMember* tracked) { return id < tracked->member.id; });
+    for (std::size_t n = 0; n < roster.size() && message.members.size() < m_limits.maxMemberUpdates; ++n, ++it) {
+        if (it == roster.end())
+            it = roster.begin();
+        const auto& member = (*it)->member;
+        m_rosterCursor = member.id;
+        const bool isWanted = !ownDiffers || member.dataCentre == m_self.dataCentre;
+        if (isWanted && (*it)->isConfirmed && member.id != request.sender.id)
+            message.members.push_back(member);
+    }
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/fleet/src/FleetPeers.cpp
@@ -0,0 +1,213 @@
+// The part of Fleet that chooses peers, ages states and derives homes and watchers from the table.
+#include "dogwoodhall/fleet/Fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr std::size_t watchersPerDataCentre = 2;
+
+std::uint64_t rosterEntry(const Member& member) { return stableHash(member.id.value(), member.incarnation.value()); }
+
+std::uint64_t keyOf(const PoolId& pool)
+{
+    return stableHash(pool.service.value(), stableHash(pool.dataCentre.value()));
+}
+
+const TrackedMember* randomOf(const std::vector<const TrackedMember*>& members, RandomEngine& random)
+{
+    if (members.empty())
+        return nullptr;
+    return members[std::uniform_int_distribution<std::size_t>(0, members.size() - 1)(random)];
+}
+
+} // namespace
+
+void Fleet::changeState(const MemberId& id, MemberState state, TimePoint now)
+{
+    if (!m_table.setState(id, state, now))
+        return;
+    m_pendingClaims[id] = 0;
+    m_unreachable.insert(id);
+    noteChange();
+}
+
+void Fleet::ageUnreachable(TimePoint now)
+{
+    const std::vector<MemberId> unreachable(m_unreachable.begin(), m_unreachable.end());
+    for (const auto& id : unreachable) {
+        const auto* tracked = m_table.find(id);
+        const Duration age = tracked ? now - tracked->stateSince : Duration();
+        if (tracked && tracked->member.state == MemberState::Suspect && age >= m_limits.suspectTimeout) {
+            changeState(id, MemberState::Gone, now);
+        } else if (tracked && !tracked->isListed && tracked->member.state == MemberState::Gone
+            && age >= m_limits.forgetAfter) {
+            m_table.remove(id);
+            noteChange();
+            tracked = nullptr;
+        }
+        if (!tracked)
+            m_unreachable.erase(id);
+    }
+}
+
+void Fleet::suspectSilent(TimePoint now)
+{
+    const Duration limit
+        = m_limits.silentAfter + m_limits.silentAfterPerMember * static_cast<std::int64_t>(views().own.size());
+    std::vector<std::pair<MemberId, MemberState>> silent;
+    for (const auto* tracked : views().own) {
+        if (!tracked->hasRun() || now - tracked->lastHeard < limit)
+            continue;
+        const bool isLeaving = tracked->member.state == MemberState::Leaving;
+        silent.emplace_back(tracked->member.id, isLeaving ? MemberState::Gone : MemberState::Suspect);
+    }
+    for (const auto& [id, state] : silent)
+        changeState(id, state, now);
+}
+
+void Fleet::startExchange(const TrackedMember* tracked, TimePoint now, std::vector<FleetAction>& actions)
+{
+    if (!tracked)
+        return;
+    const auto [it, isNew] = m_exchanges.try_emplace(tracked->member.id, now);
+    // An exchange from before a pause is over, whatever becomes of it.
+    if (!isNew && it->second >= m_wokeAt)
+        return;
+    it->second = now;
+    actions.emplace_back(Exchange { tracked->member.id, tracked->member.peerAddress });
+}
+
+// Visits the own data centre's members in rounds of random order, which bounds the time between two visits.
+const TrackedMember* Fleet::nextOwn(RandomEngine& random)
+{
+    const auto& own = views().own;
+    if (own.empty())
+        return nullptr;
+    while (true) {
+        if (m_ownOrder.empty()) {
+            for (const auto* tracked : own)
+                m_ownOrder.push_back(tracked->member.id);
+            std::shuffle(m_ownOrder.begin(), m_ownOrder.end(), random);
+        }
+        const auto* next = m_table.find(m_ownOrder.back());
+        m_ownOrder.pop_back();
+        if (next && next->isReachable() && next->member.dataCentre == m_self.dataCentre)
+            return next;
+    }
+}
+
+const TrackedMember* Fleet::secondPeer(DecisionContext context)
+{
+    while (!m_retries.empty()) {
+        const auto* retry = m_table.find(m_retries.back());
+        m_retries.pop_back();
+        if (retry && retry->isReachable())
+            return retry;
+    }
+    const auto& current = views();
+    const bool hasPeers = !(current.own.empty() && current.region.empty() && current.others.empty());
+    if (!current.lost.empty() && (!hasPeers || m_periods % m_limits.retryPeriods == 0))
+        return randomOf(current.lost, context.random);
+    const bool crossesRegion = m_periods % m_limits.otherRegionPeriods == 0;
+    const bool hasNear = !(current.own.empty() && current.region.empty());
+    if (!current.others.empty() && (crossesRegion || !hasNear))
+        return randomOf(current.others, context.random);
+    return current.region.empty() ? nextOwn(context.random) : randomOf(current.region, context.random);
+}
+
+std::optional<RegionId> Fleet::regionOf(const Member& member) const
+{
+    if (member.region)
+        return member.region;
+    const auto it = m_regions.find(member.dataCentre);
+    return it == m_regions.end() ? std::nullopt : std::optional(it->second);
+}
+
+bool Fleet::isSelfCandidate() const
+{
+    return m_self.state == MemberState::Alive && m_self.isReady && !m_isSelfListedLeaving;
+}
+
+Fleet::Views& Fleet::views() const
+{
+    if (m_views.isValid)
+        return m_views;
+    m_views = {};
+    m_views.isValid = true;
+    std::map<DataCentreId, std::vector<MemberId>> candidates;
+    std::vector<MemberId> watchers;
+    for (const auto& [id, tracked] : m_table.members()) {
+        addToViews(tracked, candidates);
+        if (tracked.isActive() && tracked.member.dataCentre == m_self.dataCentre)
+            watchers.push_back(id);
+    }
+    if (isSelfCandidate()) {
+        candidates[m_self.dataCentre].push_back(m_self.id);
+        addToRosters(m_self, true);
+    }
+    for (auto& [dataCentre, ids] : candidates)
+        m_views.candidates.emplace(dataCentre, Rendezvous(std::move(ids)));
+    if (m_self.state == MemberState::Alive)
+        watchers.push_back(m_self.id);
+    const auto ranked = Rendezvous(std::move(watchers)).ranked(stableHash("watcher"), watchersPerDataCentre);
+    m_views.isWatcher = std::find(ranked.begin(), ranked.end(), m_self.id) != ranked.end();
+    return m_views;
+}
+
+void Fleet::addToViews(const TrackedMember& tracked, std::map<DataCentreId, std::vector<MemberId>>& candidates) const
+{
+    const auto& member = tracked.member;
+    // A listed host that has not been heard of is tried once; after a failure it waits for its turn among the lost.
+    const bool isWorthVisiting = tracked.isReachable() && (tracked.hasRun() || tracked.failures == 0);
+    if (!isWorthVisiting) {
+        if (tracked.isListed)
+            m_views.lost.push_back(&tracked);
+    } else if (member.dataCentre == m_self.dataCentre) {
+        m_views.own.push_back(&tracked);
+    } else {
+        (regionOf(member) == regionOf(m_self) ? m_views.region : m_views.others).push_back(&tracked);
+    }
+    if (!tracked.isCandidate())
+        return;
+    candidates[member.dataCentre].push_back(member.id);
+    m_views.roster.push_back(&tracked);
+    addToRosters(member, tracked.isConfirmed);
+}
+
+void Fleet::addToRosters(const Member& member, bool isConfirmed) const
+{
+    const std::uint64_t entry = rosterEntry(member);
+    const std::size_t unconfirmed = isConfirmed ? 0 : 1;
+    m_views.fleetRoster.sum += entry;
+    m_views.fleetRoster.unconfirmed += unconfirmed;
+    if (member.dataCentre != m_self.dataCentre)
+        return;
+    m_views.ownRoster.sum += entry;
+    m_views.ownRoster.unconfirmed += unconfirmed;
+}
+
+std::optional<MemberId> Fleet::homeOf(const PoolId& pool) const
+{
+    const auto& candidates = views().candidates;
+    const auto it = candidates.find(pool.dataCentre);
+    const MemberId* home = it == candidates.end() ? nullptr : it->second.winner(keyOf(pool));
+    if (!home)
+        return std::nullopt;
+    const bool isConfirmed = *home == m_self.id ? !m_isSelfExpired : m_table.find(*home)->isConfirmed;
+    return isConfirmed ? std::optional(*home) : std::nullopt;
+}
+
+std::vector<MemberId> Fleet::homesRanked(const PoolId& pool, std::size_t count) const
+{
+    const auto& candidates = views().candidates;
+    const auto it = candidates.find(pool.dataCentre);
+    return it == candidates.end() ? std::vector<MemberId> {} : it->second.ranked(keyOf(pool), count);
+}
+
+bool Fleet::isWatcher() const { return views().isWatcher; }
+
+} // namespace dogwoodhall
