Decide refusals, long work, ramps and ejection in Pool

Cause: Pool refused only when its queue was full, let long work hold back short work in its queue, and gave slow, failing and new endpoints the same share as others. Its slot count ran below zero when an endpoint left the list and returned while its requests were running, and its timer was set back to later deadlines.

Change: separate queue lanes by class and priority (WaitQueue), early refusal from the expected wait, displacement of low priority, limits on long work, a ramp for cold endpoints, lower weight and bounded ejection with a probe (EndpointHealth), a lower limit after a refusal, and learnt leaving that survives reconfigure().

--- a/packages/pool/include/dogwoodhall/pool/PlacementPolicy.h
+++ b/packages/pool/include/dogwoodhall/pool/PlacementPolicy.h
@@ -27,4 +27,14 @@
 // The endpoint with the lowest share of its slots in use, weight considered; ties are broken at random.
 PlacementPolicy leastInUse();
 
+// Any endpoint, with a probability in proportion to slots and weight.
+PlacementPolicy randomEndpoint();
+
+// The less loaded of two endpoints drawn at random, by the load that they last reported. One without a report counts
+// as idle.
+PlacementPolicy twoChoicesOnReports();
+
+// The less loaded of two endpoints drawn at random, by the caller's own requests there.
+PlacementPolicy twoChoicesOnOutstanding();
+
 } // namespace dogwoodhall
--- a/packages/pool/src/PlacementPolicy.cpp
+++ b/packages/pool/src/PlacementPolicy.cpp
@@ -1,37 +1,88 @@
 #include "dogwoodhall/pool/PlacementPolicy.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dogwoodhall {
 
 namespace {
 
-double loadOf(const EndpointCandidate& candidate)
+using Candidates = std::vector<EndpointCandidate>;
+using Load = double (*)(const EndpointCandidate&);
+
+double capacityOf(const EndpointCandidate& candidate)
 {
-    const double slots = std::max<double>(1, candidate.slots.count());
-    return (candidate.inUse.count() + 1) / (slots * std::max(candidate.weight, 0.01));
+    return std::max<double>(1, candidate.slots.count()) * std::max(candidate.weight, 0.01);
+}
+
+double ownLoad(const EndpointCandidate& candidate) { return (candidate.inUse.count() + 1) / capacityOf(candidate); }
+
+double reportedLoad(const EndpointCandidate& candidate)
+{
+    return (candidate.reportedInUse.value_or(SlotCount(0)).count() + 1) / capacityOf(candidate);
+}
+
+std::size_t drawBelow(std::size_t count, RandomEngine& random)
+{
+    return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+}
+
+PlacementPolicy twoChoices(Load load)
+{
+    return [load](const Candidates& candidates, WorkClass, DecisionContext context) -> std::optional<std::size_t> {
+        const std::size_t count = candidates.size();
+        if (count == 0)
+            return std::nullopt;
+        if (count == 1)
+            return 0;
+        const std::size_t first = drawBelow(count, context.random);
+        // Two different endpoints: the second is drawn from the others.
+        const std::size_t second = (first + 1 + drawBelow(count - 1, context.random)) % count;
+        return load(candidates[second]) < load(candidates[first]) ? second : first;
+    };
 }
 
 } // namespace
 
 PlacementPolicy leastInUse()
 {
-    return [](const std::vector<EndpointCandidate>& candidates, WorkClass,
-               DecisionContext context) -> std::optional<std::size_t> {
-        if (candidates.empty())
-            return std::nullopt;
-        std::vector<std::size_t> best;
+    return [](const Candidates& candidates, WorkClass, DecisionContext context) -> std::optional<std::size_t> {
+        std::optional<std::size_t> best;
         double bestLoad = 0;
+        std::size_t ties = 0;
         for (std::size_t n = 0; n < candidates.size(); ++n) {
-            const double load = loadOf(candidates[n]);
-            if (best.empty() || load < bestLoad) {
-                best.assign(1, n);
+            const double load = ownLoad(candidates[n]);
+            if (!best || load < bestLoad) {
+                best = n;
                 bestLoad = load;
-            } else if (load == bestLoad)
-                best.push_back(n);
+                ties = 1;
+            } else if (load == bestLoad && drawBelow(++ties, context.random) == 0)
+                best = n;
+        }
+        return best;
+    };
+}
+
+PlacementPolicy randomEndpoint()
+{
+    return [](const Candidates& candidates, WorkClass, DecisionContext context) -> std::optional<std::size_t> {
+        if (candidates.empty())
+            return std::nullopt;
+        double total = 0;
+        for (const auto& candidate : candidates)
+            total += capacityOf(candidate);
+        double draw = std::uniform_real_distribution<double>(0, total)(context.random);
+        for (std::size_t n = 0; n < candidates.size(); ++n) {
+            draw -= capacityOf(candidates[n]);
+            if (draw < 0)
+                return n;
         }
-        return best[std::uniform_int_distribution<std::size_t>(0, best.size() - 1)(context.random)];
+        return candidates.size() - 1;
     };
 }
 
+PlacementPolicy twoChoicesOnReports() { return twoChoices(reportedLoad); }
+
+PlacementPolicy twoChoicesOnOutstanding() { return twoChoices(ownLoad); }
+
 } // namespace dogwoodhall
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -1,10 +1,21 @@
 #include "dogwoodhall/pool/Pool.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace dogwoodhall {
 
+namespace {
+
+// Weight of the newest sample in the mean time that a slot is held: about the last 32 completions count, which a pool
+// of ten slots makes in a few service times.
+constexpr double newestShare = 1.0 / 32;
+// Least time between two computations of the median, which looks at every endpoint.
+constexpr Duration typicalTimePeriod = std::chrono::milliseconds(100);
+
+} // namespace
+
 Pool::Pool(PoolId id, PoolLimits limits, PlacementPolicy policy)
     : m_id(std::move(id))
     , m_limits(limits)
@@ -14,65 +25,57 @@
 
 PoolActions Pool::admit(const PoolRequest& request, DecisionContext context)
 {
+    assert(!m_dispatched.contains(request.id));
     PoolActions actions;
-    if (m_endpoints.empty()) {
+    if (!hasUsableEndpoint(request)) {
         actions.push_back(Refuse { request.id, ErrorKind::NoEndpoint });
         return actions;
     }
-    if (auto endpoint = place(request, context)) {
-        dispatch(request, *endpoint, actions);
-        return actions;
-    }
-    if (m_queue.size() >= queueCapacity()) {
-        actions.push_back(Refuse { request.id, ErrorKind::QueueFull });
+    if (request.deadline <= context.now) {
+        actions.push_back(Refuse { request.id, ErrorKind::DeadlineUnreachable });
         return actions;
     }
-    m_queue.push_back(request);
-    actions.push_back(ArmTimer { request.deadline });
+    // What still waits after this cannot be placed now, so that the new request overtakes nothing.
+    drainQueue(context, actions);
+    if (!tryDispatch(request, context, actions))
+        enqueue(request, context.now, actions);
+    armTimer(context.now, actions);
     return actions;
 }
 
 PoolActions Pool::complete(RequestId id, const Completion& completion, DecisionContext context)
 {
     PoolActions actions;
-    auto it = m_dispatched.find(id);
-    if (it == m_dispatched.end())
+    const auto dispatched = release(id);
+    if (!dispatched)
         return actions;
-    auto endpoint = m_endpoints.find(it->second.endpoint);
-    if (endpoint != m_endpoints.end()) {
-        endpoint->second.reportedInUse = completion.reportedInUse;
-        endpoint->second.declared.isLeaving = endpoint->second.declared.isLeaving || completion.isDraining;
-    }
-    release(id);
+    if (Endpoint* endpoint = find(dispatched->endpoint))
+        learn(*endpoint, *dispatched, completion, context.now);
     drainQueue(context, actions);
+    if (completion.isDraining)
+        refuseUnplaceable(actions);
+    armTimer(context.now, actions);
     return actions;
 }
 
 PoolActions Pool::cancel(RequestId id, DecisionContext context)
 {
     PoolActions actions;
-    std::erase_if(m_queue, [&](const PoolRequest& request) { return request.id == id; });
-    release(id);
-    drainQueue(context, actions);
+    if (m_queue.take(id))
+        return actions;
+    if (release(id)) {
+        drainQueue(context, actions);
+        armTimer(context.now, actions);
+    }
     return actions;
 }
 
 PoolActions Pool::expire(DecisionContext context)
 {
     PoolActions actions;
-    std::deque<PoolRequest> remaining;
-    for (auto& request : m_queue) {
-        if (request.deadline <= context.now)
-            actions.push_back(Refuse { request.id, ErrorKind::DeadlineUnreachable });
-        else
-            remaining.push_back(std::move(request));
-    }
-    m_queue = std::move(remaining);
-    if (!m_queue.empty()) {
-        auto it = std::min_element(m_queue.begin(), m_queue.end(),
-            [](const PoolRequest& a, const PoolRequest& b) { return a.deadline < b.deadline; });
-        actions.push_back(ArmTimer { it->deadline });
-    }
+    m_armedAt.reset();
+    drainQueue(context, actions);
+    armTimer(context.now, actions);
     return actions;
 }
 
@@ -80,84 +83,164 @@
     const std::vector<PoolEndpoint>& endpoints, const PoolLimits& limits, DecisionContext context)
 {
     m_limits = limits;
-    std::map<EndpointId, Endpoint> updated;
+    std::vector<Endpoint> updated;
+    std::unordered_map<EndpointId, std::size_t> index;
     for (const auto& declared : endpoints) {
-        auto it = m_endpoints.find(declared.id);
-        Endpoint endpoint = it != m_endpoints.end() ? it->second : Endpoint {};
+        const Endpoint* known = find(declared.id);
+        Endpoint endpoint = known ? *known : Endpoint {};
+        const bool comesBack = known && !declared.isLeaving && (known->declared.isLeaving || !known->isDeclared);
+        if (comesBack) {
+            endpoint.isKnownLeaving = false;
+            endpoint.health = EndpointHealth {};
+        }
+        if (comesBack || (!known && m_isConfigured))
+            endpoint.coldSince = context.now;
         endpoint.declared = declared;
-        updated.emplace(declared.id, endpoint);
+        endpoint.isDeclared = true;
+        endpoint.isKnownLeaving = endpoint.isKnownLeaving || declared.isLeaving;
+        if (index.emplace(declared.id, updated.size()).second)
+            updated.push_back(std::move(endpoint));
+    }
+    // An endpoint that is gone is kept until its requests have ended, so that its count is right if it comes back.
+    for (auto& endpoint : m_endpoints) {
+        if (endpoint.inUse.count() == 0 || index.contains(endpoint.declared.id))
+            continue;
+        endpoint.isDeclared = false;
+        index.emplace(endpoint.declared.id, updated.size());
+        updated.push_back(std::move(endpoint));
     }
     m_endpoints = std::move(updated);
+    m_index = std::move(index);
+    m_isConfigured = m_isConfigured || !endpoints.empty();
+    countUsableSlots();
+
     PoolActions actions;
     drainQueue(context, actions);
+    refuseUnplaceable(actions);
+    armTimer(context.now, actions);
+    return actions;
+}
+
+PoolActions Pool::setLeaving(const EndpointId& id, DecisionContext context)
+{
+    PoolActions actions;
+    if (Endpoint* endpoint = find(id)) {
+        endpoint->isKnownLeaving = true;
+        countUsableSlots();
+        refuseUnplaceable(actions);
+        armTimer(context.now, actions);
+    }
     return actions;
 }
 
-bool Pool::canTake(const Endpoint& endpoint, const PoolRequest& request) const
+void Pool::observeLoad(const EndpointId& id, SlotCount reportedInUse)
 {
-    if (endpoint.declared.isLeaving || endpoint.inUse >= endpoint.declared.slots + m_limits.allowance)
-        return false;
-    if (request.workClass == WorkClass::Long && endpoint.longInUse >= m_limits.longSlotsPerEndpoint)
-        return false;
-    return std::find(request.excluded.begin(), request.excluded.end(), endpoint.declared.id) == request.excluded.end();
+    if (Endpoint* endpoint = find(id))
+        endpoint->reportedInUse = reportedInUse;
 }
 
-std::optional<EndpointId> Pool::place(const PoolRequest& request, DecisionContext context) const
+Pool::Endpoint* Pool::find(const EndpointId& id)
 {
-    std::vector<EndpointCandidate> candidates;
-    for (const auto& [id, endpoint] : m_endpoints) {
-        if (canTake(endpoint, request))
-            candidates.push_back({ id, endpoint.declared.slots, endpoint.inUse, endpoint.reportedInUse, 1 });
-    }
-    auto chosen = m_policy(candidates, request.workClass, context);
-    if (!chosen)
-        return std::nullopt;
-    return candidates[*chosen].id;
+    auto it = m_index.find(id);
+    return it == m_index.end() ? nullptr : &m_endpoints[it->second];
 }
 
-void Pool::dispatch(const PoolRequest& request, const EndpointId& id, PoolActions& actions)
+std::optional<Pool::Dispatched> Pool::release(RequestId id)
 {
-    Endpoint& endpoint = m_endpoints.at(id);
-    endpoint.inUse += SlotCount(1);
-    if (request.workClass == WorkClass::Long)
-        endpoint.longInUse += SlotCount(1);
-    m_dispatched.emplace(request.id, Dispatched { id, request.workClass });
-    actions.push_back(Dispatch { request.id, id });
+    auto node = m_dispatched.extract(id);
+    if (!node)
+        return std::nullopt;
+    const bool isLong = node.mapped().workClass == WorkClass::Long;
+    if (isLong)
+        --m_longInUse;
+    Endpoint* endpoint = find(node.mapped().endpoint);
+    assert(endpoint && endpoint->inUse.count() > 0);
+    endpoint->inUse -= SlotCount(1);
+    if (isLong)
+        endpoint->longInUse -= SlotCount(1);
+    return std::move(node.mapped());
 }
 
-void Pool::release(RequestId id)
+void Pool::learn(Endpoint& endpoint, const Dispatched& dispatched, const Completion& completion, TimePoint now)
 {
-    auto it = m_dispatched.find(id);
-    if (it == m_dispatched.end())
-        return;
-    auto endpoint = m_endpoints.find(it->second.endpoint);
-    if (endpoint != m_endpoints.end()) {
-        endpoint->second.inUse -= SlotCount(1);
-        if (it->second.workClass == WorkClass::Long)
-            endpoint->second.longInUse -= SlotCount(1);
+    updateTypicalTime(now);
+    if (completion.reportedInUse)
+        endpoint.reportedInUse = completion.reportedInUse;
+    if (completion.isDraining && !endpoint.isKnownLeaving) {
+        endpoint.isKnownLeaving = true;
+        countUsableSlots();
     }
-    m_dispatched.erase(it);
+    const bool isShort = dispatched.workClass == WorkClass::Short;
+    const Duration held = now - dispatched.since;
+    bool shouldEject = false;
+    switch (completion.result) {
+    case CompletionResult::Answered: {
+        Duration& mean = m_meanHeld[static_cast<std::size_t>(dispatched.workClass)];
+        const double share = mean.count() == 0 ? 1 : newestShare;
+        mean += std::chrono::duration_cast<Duration>((held - mean) * share);
+        const Duration serviceTime = completion.serviceTime.count() > 0 ? completion.serviceTime : held;
+        if (isShort)
+            shouldEject = endpoint.health.recordAnswer(serviceTime, m_typicalTime, now, m_limits.health);
+        break;
+    }
+    case CompletionResult::Refused:
+        endpoint.refusedAt = endpoint.inUse;
+        endpoint.lastRefusal = now;
+        // An endpoint that refuses because it leaves is not at fault.
+        shouldEject = !completion.isDraining && endpoint.health.recordFailure(m_limits.health);
+        break;
+    case CompletionResult::ConnectFailed:
+    case CompletionResult::Failed:
+        shouldEject = endpoint.health.recordFailure(m_limits.health);
+        break;
+    case CompletionResult::Cancelled:
+        // An endpoint that hangs never answers: its requests end when their deadlines pass.
+        if (isShort && m_typicalTime.count() > 0 && held > m_limits.health.slowFactor * m_typicalTime)
+            shouldEject = endpoint.health.recordFailure(m_limits.health);
+        break;
+    }
+    if (shouldEject)
+        eject(endpoint, now);
 }
 
-void Pool::drainQueue(DecisionContext context, PoolActions& actions)
+void Pool::eject(Endpoint& endpoint, TimePoint now)
 {
-    for (auto it = m_queue.begin(); it != m_queue.end();) {
-        auto endpoint = place(*it, context);
-        if (!endpoint) {
-            ++it;
+    std::size_t usable = 0;
+    std::size_t ejected = endpoint.health.state(now) == EndpointHealth::State::Serving ? 1 : 0;
+    for (const auto& other : m_endpoints) {
+        if (!other.isUsable())
             continue;
-        }
-        dispatch(*it, *endpoint, actions);
-        it = m_queue.erase(it);
+        ++usable;
+        ejected += other.health.state(now) == EndpointHealth::State::Serving ? 0 : 1;
     }
+    const double most = m_limits.mostEjected.value() * static_cast<double>(usable);
+    if (ejected < usable && static_cast<double>(ejected) <= most)
+        endpoint.health.eject(now, m_limits.health);
 }
 
-std::size_t Pool::queueCapacity() const
+void Pool::countUsableSlots()
 {
-    std::size_t slots = 0;
-    for (const auto& [id, endpoint] : m_endpoints)
-        slots += endpoint.declared.slots.count();
-    return slots * m_limits.queuePerSlot;
+    m_usableSlots = 0;
+    for (const auto& endpoint : m_endpoints)
+        m_usableSlots += endpoint.isUsable() ? endpoint.declared.slots.count() : 0;
+}
+
+void Pool::updateTypicalTime(TimePoint now)
+{
+    if (m_typicalTimeAt && now - *m_typicalTimeAt < typicalTimePeriod)
+        return;
+    m_typicalTimeAt = now;
+    std::vector<Duration> means;
+    for (const auto& endpoint : m_endpoints) {
+        if (endpoint.health.meanServiceTime().count() > 0)
+            means.push_back(endpoint.health.meanServiceTime());
+    }
+    if (means.empty())
+        return;
+    // The lower of the two middle ones, so that one slow endpoint of two is recognised.
+    const auto middle = means.begin() + static_cast<std::ptrdiff_t>((means.size() - 1) / 2);
+    std::nth_element(means.begin(), middle, means.end());
+    m_typicalTime = *middle;
 }
 
 } // namespace dogwoodhall
--- /dev/null
+++ b/packages/pool/src/PoolPlacement.cpp
@@ -0,0 +1,263 @@
+#include "dogwoodhall/pool/Pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr double initialColdShare = 0.1;
+// Below this weight an endpoint gets no request above its slots.
+constexpr double leastWeightForAllowance = 0.75;
+// Requests looked at in one lane per decision: those that exclude the free endpoints are passed over.
+constexpr unsigned mostPassedOver = 32;
+
+Duration scaled(Duration duration, double factor)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(duration) * factor);
+}
+
+} // namespace
+
+double Pool::coldShare(const Endpoint& endpoint, TimePoint now) const
+{
+    if (!endpoint.coldSince || now - *endpoint.coldSince >= m_limits.coldRamp)
+        return 1;
+    const double share = toSeconds(now - *endpoint.coldSince) / toSeconds(m_limits.coldRamp);
+    return std::max(initialColdShare, share);
+}
+
+std::uint64_t Pool::limitOf(const Endpoint& endpoint, TimePoint now) const
+{
+    const std::uint64_t slots = endpoint.declared.slots.count();
+    const double cold = coldShare(endpoint, now);
+    const double weight = cold * endpoint.health.weight(m_typicalTime);
+    auto limit = static_cast<std::uint64_t>(std::lround(static_cast<double>(slots) * weight));
+    limit = std::max<std::uint64_t>(limit, 1);
+    // No allowance where long work holds every slot: a short request there would wait for the long one to end.
+    if (cold >= 1 && weight >= leastWeightForAllowance && endpoint.longInUse.count() < slots)
+        limit += m_limits.allowance.count();
+    if (endpoint.refusedAt) {
+        const auto recovered = static_cast<std::uint64_t>((now - endpoint.lastRefusal) / m_limits.refusalRecovery);
+        limit = std::min(limit, std::max<std::uint64_t>(endpoint.refusedAt->count(), 1) + recovered);
+    }
+    return limit;
+}
+
+bool Pool::isExcluded(const Endpoint& endpoint, const PoolRequest& request) const
+{
+    return std::find(request.excluded.begin(), request.excluded.end(), endpoint.declared.id) != request.excluded.end();
+}
+
+bool Pool::canTake(const Endpoint& endpoint, const PoolRequest& request, bool mayUseEjected, TimePoint now) const
+{
+    if (!endpoint.isUsable() || endpoint.inUse.count() >= limitOf(endpoint, now))
+        return false;
+    const auto state = endpoint.health.state(now);
+    if (state == EndpointHealth::State::Ejected && !mayUseEjected)
+        return false;
+    if (state == EndpointHealth::State::Probing && endpoint.inUse.count() > 0 && !mayUseEjected)
+        return false;
+    if (request.workClass == WorkClass::Long
+        && (endpoint.longInUse >= m_limits.longSlotsPerEndpoint || m_longInUse >= longLimit()))
+        return false;
+    return !isExcluded(endpoint, request);
+}
+
+bool Pool::hasUsableEndpoint(const PoolRequest& request) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(),
+        [&](const Endpoint& endpoint) { return endpoint.isUsable() && !isExcluded(endpoint, request); });
+}
+
+bool Pool::hasServingEndpoint(TimePoint now) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const Endpoint& endpoint) {
+        return endpoint.isUsable() && endpoint.health.state(now) == EndpointHealth::State::Serving;
+    });
+}
+
+std::uint64_t Pool::longLimit() const
+{
+    const auto share = m_limits.longWorkShare.value() * static_cast<double>(m_usableSlots);
+    return std::max<std::uint64_t>(static_cast<std::uint64_t>(share), 1);
+}
+
+std::size_t Pool::queueCapacity(WorkClass workClass) const
+{
+    return (workClass == WorkClass::Long ? longLimit() : m_usableSlots) * m_limits.queuePerSlot;
+}
+
+Duration Pool::meanHeld(WorkClass workClass) const { return m_meanHeld[static_cast<std::size_t>(workClass)]; }
+
+// By Little's law: the pool takes one request off the queue per mean held time divided by the requests it may have at
+// its endpoints.
+Duration Pool::expectedWait(WorkClass workClass, Priority priority, TimePoint now) const
+{
+    const PoolRequest probe { RequestId(0), workClass, priority, TimePoint::max(), {} };
+    std::size_t ahead = m_queue.lane(workClass, Priority::Normal).size();
+    if (priority == Priority::Low)
+        ahead += m_queue.lane(workClass, Priority::Low).size();
+    bool isUsable = false;
+    bool hasRoom = false;
+    const bool mayUseEjected = !hasServingEndpoint(now);
+    double places = 0;
+    for (const auto& endpoint : m_endpoints) {
+        if (!endpoint.isUsable())
+            continue;
+        isUsable = true;
+        hasRoom = hasRoom || canTake(endpoint, probe, mayUseEjected, now);
+        if (mayUseEjected || endpoint.health.state(now) == EndpointHealth::State::Serving)
+            places += static_cast<double>(limitOf(endpoint, now));
+    }
+    if (!isUsable)
+        return Duration::max();
+    if (ahead == 0 && hasRoom)
+        return Duration::zero();
+    if (workClass == WorkClass::Long)
+        places = std::min(places, static_cast<double>(longLimit()));
+    else
+        places -= static_cast<double>(m_longInUse);
+    return scaled(meanHeld(workClass), static_cast<double>(ahead + 1) / std::max(places, 1.0));
+}
+
+void Pool::collectCandidates(const PoolRequest& request, bool mayUseEjected, TimePoint now)
+{
+    m_candidateIndices.clear();
+    for (std::size_t n = 0; n < m_endpoints.size(); ++n) {
+        if (canTake(m_endpoints[n], request, mayUseEjected, now))
+            m_candidateIndices.push_back(n);
+    }
+    // Assigned in place: the ids' storage is reused.
+    m_candidates.resize(m_candidateIndices.size());
+    for (std::size_t n = 0; n < m_candidateIndices.size(); ++n) {
+        const Endpoint& endpoint = m_endpoints[m_candidateIndices[n]];
+        m_candidates[n].id = endpoint.declared.id;
+        m_candidates[n].slots = endpoint.declared.slots;
+        m_candidates[n].inUse = endpoint.inUse;
+        m_candidates[n].reportedInUse = endpoint.reportedInUse;
+        m_candidates[n].weight = coldShare(endpoint, now) * endpoint.health.weight(m_typicalTime);
+    }
+}
+
+bool Pool::tryDispatch(const PoolRequest& request, DecisionContext context, PoolActions& actions)
+{
+    collectCandidates(request, !hasServingEndpoint(context.now), context.now);
+    if (m_candidates.empty())
+        return false;
+    // An endpoint due for its probe gets this request: by its weight alone it would rarely be chosen.
+    for (const std::size_t index : m_candidateIndices) {
+        Endpoint& endpoint = m_endpoints[index];
+        if (endpoint.health.state(context.now) == EndpointHealth::State::Probing && endpoint.inUse.count() == 0) {
+            dispatch(request, endpoint, context.now, actions);
+            return true;
+        }
+    }
+    const auto chosen = m_policy(m_candidates, request.workClass, context);
+    if (!chosen)
+        return false;
+    dispatch(request, m_endpoints[m_candidateIndices[*chosen]], context.now, actions);
+    return true;
+}
+
+void Pool::dispatch(const PoolRequest& request, Endpoint& endpoint, TimePoint now, PoolActions& actions)
+{
+    endpoint.inUse += SlotCount(1);
+    if (request.workClass == WorkClass::Long) {
+        endpoint.longInUse += SlotCount(1);
+        ++m_longInUse;
+    }
+    m_dispatched.emplace(request.id, Dispatched { endpoint.declared.id, request.workClass, now });
+    actions.push_back(Dispatch { request.id, endpoint.declared.id });
+}
+
+void Pool::enqueue(const PoolRequest& request, TimePoint now, PoolActions& actions)
+{
+    const auto refuse = [&](RequestId id, ErrorKind kind) { actions.push_back(Refuse { id, kind }); };
+    Duration wait = expectedWait(request.workClass, request.priority, now);
+    // The start of a long answer does not depend on how long the whole answer takes.
+    if (request.workClass == WorkClass::Short)
+        wait += meanHeld(WorkClass::Short);
+    if (request.deadline - now < wait)
+        return refuse(request.id, ErrorKind::DeadlineUnreachable);
+    const std::size_t capacity = queueCapacity(request.workClass);
+    const std::size_t waiting = m_queue.size(request.workClass);
+    if (request.priority == Priority::Low
+        && static_cast<double>(waiting) >= m_limits.lowPriorityQueueShare.value() * static_cast<double>(capacity))
+        return refuse(request.id, ErrorKind::QueueFull);
+    if (waiting >= capacity) {
+        const auto displaced = m_queue.takeNewestLow(request.workClass);
+        if (!displaced)
+            return refuse(request.id, ErrorKind::QueueFull);
+        refuse(displaced->id, ErrorKind::QueueFull);
+    }
+    m_queue.push(request);
+}
+
+bool Pool::dispatchFrom(const WaitQueue::Lane& lane, DecisionContext context, PoolActions& actions)
+{
+    unsigned passedOver = 0;
+    for (const auto& [serial, request] : lane) {
+        if (tryDispatch(request, context, actions)) {
+            m_queue.take(request.id);
+            return true;
+        }
+        // Where a request that excludes no endpoint finds no place, neither does any other of its class.
+        if (request.excluded.empty() || ++passedOver >= mostPassedOver)
+            return false;
+    }
+    return false;
+}
+
+bool Pool::dispatchNext(Priority priority, DecisionContext context, PoolActions& actions)
+{
+    const auto* first = &m_queue.lane(WorkClass::Short, priority);
+    const auto* second = &m_queue.lane(WorkClass::Long, priority);
+    if (!second->empty() && (first->empty() || second->begin()->first < first->begin()->first))
+        std::swap(first, second);
+    return dispatchFrom(*first, context, actions) || dispatchFrom(*second, context, actions);
+}
+
+void Pool::drainQueue(DecisionContext context, PoolActions& actions)
+{
+    for (const auto& request : m_queue.takeExpired(context.now))
+        actions.push_back(Refuse { request.id, ErrorKind::DeadlineUnreachable });
+    while (!m_queue.empty()
+        && (dispatchNext(Priority::Normal, context, actions) || dispatchNext(Priority::Low, context, actions))) { }
+}
+
+void Pool::refuseUnplaceable(PoolActions& actions)
+{
+    std::vector<RequestId> unplaceable;
+    for (const auto workClass : { WorkClass::Short, WorkClass::Long }) {
+        for (const auto priority : { Priority::Normal, Priority::Low }) {
+            for (const auto& [serial, request] : m_queue.lane(workClass, priority)) {
+                if (!hasUsableEndpoint(request))
+                    unplaceable.push_back(request.id);
+            }
+        }
+    }
+    for (const RequestId id : unplaceable) {
+        m_queue.take(id);
+        actions.push_back(Refuse { id, ErrorKind::NoEndpoint });
+    }
+}
+
+// Arms only for an earlier time than the timer already has: a timer that fires early re-arms itself in expire().
+void Pool::armTimer(TimePoint now, PoolActions& actions)
+{
+    auto wake = m_queue.earliestDeadline();
+    if (!wake)
+        return;
+    for (const auto& endpoint : m_endpoints) {
+        if (endpoint.isUsable() && endpoint.health.state(now) == EndpointHealth::State::Ejected)
+            wake = std::min(*wake, endpoint.health.ejectedUntil());
+    }
+    if (*wake == TimePoint::max() || (m_armedAt && *m_armedAt <= *wake))
+        return;
+    m_armedAt = wake;
+    actions.push_back(ArmTimer { *wake });
+}
+
+} // namespace dogwoodhall
