--- /dev/null
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -0,0 +1,229 @@
+#include "VirtualFleet.h"
+
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace dogwoodhall;
+using namespace std::chrono_literals;
+
+namespace {
+
+Member makeMember(const char* id, const char* dataCentre, std::uint64_t incarnation, std::uint32_t version,
+    MemberState state = MemberState::Alive)
+{
+    return { MemberId(id), DataCentreId(dataCentre), std::nullopt, { "10.0.0.1", 1 }, Incarnation(incarnation), version,
+        state, true };
+}
+
+Fleet makeFleet(const char* id = "self")
+{
+    return Fleet(makeMember(id, "dc0", 5, 0),
+        { [] {
+             return ConfigurationDigest { Revision(7), 0 };
+         },
+            [](Revision since, ByteCount) {
+                return since < Revision(7) ? std::vector { Record { RecordKey("topology"), Revision(7), false, "{}" } }
+                                           : std::vector<Record> {};
+            },
+            [](std::size_t limit) { return std::vector<PoolLoadSummary>(limit); } });
+}
+
+GossipMessage requestFrom(Member sender, std::vector<Member> members = {})
+{
+    GossipMessage message;
+    message.sender = std::move(sender);
+    message.members = std::move(members);
+    return message;
+}
+
+} // namespace
+
+struct ClaimRow {
+    std::uint64_t incarnation;
+    std::uint32_t version;
+    MemberState state;
+    bool isTaken; // Where (3, 4, Suspect) is known.
+};
+
+const ClaimRow claims[] = {
+    { 3, 4, MemberState::Alive, false }, // A suspect cannot be cleared by what it said before.
+    { 3, 4, MemberState::Leaving, false }, { 3, 4, MemberState::Suspect, false }, { 3, 4, MemberState::Gone, true },
+    { 3, 3, MemberState::Gone, false }, { 3, 5, MemberState::Alive, true }, // Refutation.
+    { 3, 5, MemberState::Leaving, true }, { 2, 9, MemberState::Alive, false }, // An earlier run.
+    { 2, 9, MemberState::Gone, false }, { 4, 0, MemberState::Alive, true }, // A restart.
+};
+
+// Guards against a late claim about an earlier run or version that undoes a newer one.
+ParameterizedTestParameters(Fleet, ordersClaims) { return rowIndices(claims); }
+
+ParameterizedTest(std::size_t* index, Fleet, ordersClaims)
+{
+    const ClaimRow& row = claims[*index];
+    auto fleet = makeFleet();
+    fleet.handle(requestFrom(makeMember("a", "dc0", 1, 0), { makeMember("b", "dc0", 3, 4, MemberState::Suspect) }),
+        TimePoint(1s));
+    const auto claim = makeMember("b", "dc0", row.incarnation, row.version, row.state);
+    fleet.handle(requestFrom(makeMember("a", "dc0", 1, 0), { claim }), TimePoint(2s));
+    cr_assert_eq(*fleet.find(MemberId("b")) == claim, row.isTaken || claim.state == MemberState::Suspect);
+}
+
+struct DoubtRow {
+    std::uint64_t incarnation;
+    std::uint32_t version;
+    MemberState state;
+    std::uint32_t answered; // Version of self after the claim; 2 before.
+};
+
+const DoubtRow doubts[] = {
+    { 5, 2, MemberState::Suspect, 3 },
+    { 5, 2, MemberState::Gone, 3 },
+    { 5, 9, MemberState::Gone, 10 },
+    { 5, 1, MemberState::Gone, 2 }, // Already refuted.
+    { 4, 9, MemberState::Gone, 2 }, // About an earlier run.
+    { 5, 4294967295, MemberState::Gone, 2 }, // Raising it would wrap round to 0.
+    { 5, 2, MemberState::Alive, 2 },
+};
+
+// Guards against a member that stays suspect because it does not answer, or answers what is settled.
+ParameterizedTestParameters(Fleet, refutesDoubts) { return rowIndices(doubts); }
+
+ParameterizedTest(std::size_t* index, Fleet, refutesDoubts)
+{
+    const DoubtRow& row = doubts[*index];
+    auto fleet = makeFleet();
+    fleet.setReady(false);
+    fleet.setReady(true);
+    const auto handled = fleet.handle(requestFrom(makeMember("a", "dc0", 1, 0),
+                                          { makeMember("self", "dc0", row.incarnation, row.version, row.state) }),
+        TimePoint(1s));
+    cr_assert_eq(fleet.self().version, row.answered);
+    cr_assert_eq(handled.reply->sender.version, row.answered);
+    cr_assert_eq(fleet.self().state, MemberState::Alive);
+}
+
+struct FailureRow {
+    unsigned failures;
+    std::chrono::milliseconds wait; // After the last one.
+    MemberState state;
+};
+
+const FailureRow failures[] = {
+    { 0, 0ms, MemberState::Alive },
+    { 1, 0ms, MemberState::Alive },
+    { 2, 0ms, MemberState::Suspect },
+    { 2, 8000ms, MemberState::Suspect },
+    { 2, 11000ms, MemberState::Gone },
+    { 0, 10000ms, MemberState::Alive },
+    { 0, 20000ms, MemberState::Suspect }, // Silent, although no exchange was reported as failed.
+    { 0, 30000ms, MemberState::Gone },
+};
+
+// Guards against homes that move for one lost message, and against a silent member that stays a home.
+ParameterizedTestParameters(Fleet, suspectsFailingMembers) { return rowIndices(failures); }
+
+ParameterizedTest(std::size_t* index, Fleet, suspectsFailingMembers)
+{
+    const FailureRow& row = failures[*index];
+    auto fleet = makeFleet();
+    RandomEngine random(1);
+    TimePoint now(1s);
+    fleet.handle(requestFrom(makeMember("a", "dc0", 1, 0)), now);
+    for (unsigned n = 0; n < row.failures; ++n) {
+        now = now + 500ms;
+        const auto actions = fleet.tick({ now, random });
+        cr_assert(std::any_of(actions.begin(), actions.end(),
+            [](const FleetAction& action) { return std::holds_alternative<Exchange>(action); }));
+        fleet.exchangeFailed(MemberId("a"), now);
+    }
+    for (const TimePoint end = now + row.wait; now < end; now = now + 500ms)
+        fleet.tick({ now, random });
+    cr_assert_eq(fleet.find(MemberId("a"))->state, row.state);
+}
+
+struct BoundRow {
+    int members;
+    int dataCentres;
+};
+
+const BoundRow bounds[] = { { 1, 1 }, { 15, 6 }, { 300, 7 }, { 3000, 7 } };
+
+// Guards against a message or a period whose cost grows with the fleet, even while every member is news.
+ParameterizedTestParameters(Fleet, boundsMessagesAndExchanges) { return rowIndices(bounds); }
+
+ParameterizedTest(std::size_t* index, Fleet, boundsMessagesAndExchanges)
+{
+    const BoundRow& row = bounds[*index];
+    auto fleet = makeFleet();
+    RandomEngine random(1);
+    for (int n = 0; n < row.members; ++n) {
+        const auto id = "entry-" + std::to_string(n);
+        const auto dataCentre = "dc" + std::to_string(n % row.dataCentres);
+        const auto handled = fleet.handle(requestFrom(makeMember(id.c_str(), dataCentre.c_str(), 1, 0)), TimePoint(1s));
+        cr_assert_leq(handled.reply->members.size(), FleetLimits().maxMemberUpdates);
+        cr_assert_lt(estimatedSize(*handled.reply).count(), 1750); // An eighth of 14 KB/s: 8 messages a second.
+    }
+    const auto actions = fleet.tick({ TimePoint(1500ms), random });
+    std::size_t exchanges = 0;
+    for (const auto& action : actions)
+        exchanges += std::holds_alternative<Exchange>(action) ? 1 : 0;
+    cr_assert_eq(exchanges, std::min(row.members, 2));
+    const auto first = std::get<Exchange>(actions.front()).member;
+    cr_assert_str_eq(fleet.find(first)->dataCentre.value().c_str(), "dc0");
+    cr_assert_leq(fleet.messageFor(first, TimePoint(1500ms)).members.size(), FleetLimits().maxMemberUpdates);
+}
+
+struct ShareRow {
+    int members;
+    int keys;
+};
+
+const ShareRow shares[] = { { 2, 6000 }, { 6, 6000 }, { 17, 17000 }, { 430, 86000 } };
+
+// Guards against a hash under which one member that comes or goes moves pools between the others.
+ParameterizedTestParameters(Rendezvous, movesOneShare) { return rowIndices(shares); }
+
+ParameterizedTest(std::size_t* index, Rendezvous, movesOneShare)
+{
+    const ShareRow& row = shares[*index];
+    std::vector<MemberId> ids;
+    for (int n = 0; n < row.members; ++n)
+        ids.push_back(VirtualFleet::idOf(static_cast<std::size_t>(n)));
+    const Rendezvous before(ids);
+    const MemberId joined("entry-joined");
+    ids.push_back(joined);
+    const Rendezvous after(ids);
+    int moved = 0;
+    for (int n = 0; n < row.keys; ++n) {
+        const std::uint64_t key = stableHash("service-" + std::to_string(n));
+        const MemberId& home = *after.winner(key);
+        cr_assert(home == *before.winner(key) || home == joined);
+        cr_assert(after.ranked(key, 2).front() == home);
+        moved += home == joined ? 1 : 0;
+    }
+    const double expected = static_cast<double>(row.keys) / (row.members + 1);
+    cr_assert_gt(moved, 0.75 * expected);
+    cr_assert_lt(moved, 1.25 * expected);
+}
+
+struct PauseRow {
+    std::chrono::milliseconds gap;
+    bool isPause;
+};
+
+const PauseRow pauses[] = { { 0ms, false }, { 500ms, false }, { 2000ms, false }, { 2001ms, true }, { 600000ms, true } };
+
+// Guards against a pause that goes unnoticed, and against an expiry on a machine that is only busy.
+ParameterizedTestParameters(PauseDetector, recognisesGaps) { return rowIndices(pauses); }
+
+ParameterizedTest(std::size_t* index, PauseDetector, recognisesGaps)
+{
+    const PauseRow& row = pauses[*index];
+    PauseDetector detector;
+    cr_assert_not(detector.observe(TimePoint(100s)));
+    const auto gap = detector.observe(TimePoint(100s) + row.gap);
+    cr_assert_eq(gap.has_value(), row.isPause);
+    cr_assert(!gap || *gap == row.gap);
+    cr_assert_not(detector.observe(TimePoint(100s) + row.gap + 1s));
+}
