Report all problems of settings and records with their places

Cause: the parsers stopped at the first problem, gave no line, accepted unknown and duplicate fields, and knew one schema version.

Change: package declarations reads JSON with comments into a tree that keeps places and duplicates, and checks it by schema: settings, service records of versions 1 and 2, topology records of versions 1 and 2, and bundles. Every problem is a Problem {file, line, column, pointer, expected, found}. TableRows.h includes criterion.h before parameterized.h, since the reverse order replaces Test() by a macro for documentation.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,31 +1,34 @@
+#include "dogwoodhall/commandline/CommandLine.h"
 #include "dogwoodhall/daemon/Daemon.h"
 #include "dogwoodhall/declarations/SettingsParser.h"
 
 #include <boost/log/utility/setup/console.hpp>
 #include <boost/program_options.hpp>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace options = boost::program_options;
 
 namespace {
 
-constexpr int badInputStatus = 2;
+int complain(const std::string& message)
+{
+    std::cerr << "dogwoodhalld: " << message << "\n";
+    return dogwoodhall::badInputStatus;
+}
 
-int runDaemon(const std::string& path)
+int runDaemon(const std::string& path, bool isCheckOnly)
 {
-    std::ifstream file(path);
-    if (!file) {
-        std::cerr << path << ": cannot be read\n";
-        return badInputStatus;
-    }
-    std::ostringstream text;
-    text << file.rdbuf();
-    auto settings = dogwoodhall::parseSettings(text.str());
+    const auto text = dogwoodhall::readFile(path);
+    if (!text)
+        return complain(text.error());
+    const auto settings = dogwoodhall::parseSettings(*text, path);
     if (!settings) {
-        std::cerr << path << ": " << settings.error() << "\n";
-        return badInputStatus;
+        std::cerr << toString(settings.error()) << "\n";
+        return dogwoodhall::badInputStatus;
+    }
+    if (isCheckOnly) {
+        std::cout << path << ": settings of " << settings->member << " are valid\n";
+        return 0;
     }
     // Standard output carries the listening addresses only.
     boost::log::add_console_log(std::clog);
@@ -37,22 +40,19 @@
 int main(int argc, char** argv)
 {
     options::options_description description("dogwoodhalld: load balancer between callers and upstreams");
-    description.add_options()("help,h", "print this help")(
-        "settings,s", options::value<std::string>(), "settings file, JSON with comments");
-    options::variables_map arguments;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), arguments);
-    } catch (const options::error& error) {
-        std::cerr << "dogwoodhalld: " << error.what() << "\n";
-        return badInputStatus;
-    }
-    if (arguments.count("help")) {
-        std::cout << description;
+    description.add_options()("help,h", "print this help")("settings,s", options::value<std::string>(),
+        "settings file, JSON with comments; docs/configuration.md describes its fields")(
+        "check", "check the settings file and exit: 0 where it is valid, 2 otherwise");
+    const auto arguments = dogwoodhall::parseCommandLine({ argv + 1, argv + argc }, description);
+    if (!arguments)
+        return complain(arguments.error());
+    if (arguments->count("help")) {
+        std::cout << description << "\nExamples:\n"
+                  << "  dogwoodhalld --settings entry.json --check\n"
+                  << "  dogwoodhalld --settings entry.json\n";
         return 0;
     }
-    if (!arguments.count("settings")) {
-        std::cerr << "dogwoodhalld: --settings FILE is required\n";
-        return badInputStatus;
-    }
-    return runDaemon(arguments["settings"].as<std::string>());
+    if (!arguments->count("settings"))
+        return complain("--settings FILE is required");
+    return runDaemon((*arguments)["settings"].as<std::string>(), arguments->count("check") > 0);
 }
--- /dev/null
+++ b/packages/declarations/include/dogwoodhall/declarations/Problem.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+// One thing wrong with a settings file or a record.
+struct Problem {
+    std::string file; // Path, or the record's key where there is no file.
+    std::size_t line = 0; // From 1; 0 where the problem has no place in the text.
+    std::size_t column = 0; // From 1, in bytes.
+    std::string pointer; // JSON pointer to the value; empty for the whole document and for syntax errors.
+    std::string expected;
+    std::string found;
+
+    friend bool operator==(const Problem&, const Problem&) = default;
+};
+
+using Problems = std::vector<Problem>;
+
+// "file:line:column: pointer: expected ..., found ...".
+std::string toString(const Problem&);
+
+// All problems, one to a line, without a line break at the end.
+std::string toString(const Problems&);
+
+} // namespace dogwoodhall
--- a/packages/declarations/include/dogwoodhall/declarations/SettingsParser.h
+++ b/packages/declarations/include/dogwoodhall/declarations/SettingsParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dogwoodhall/declarations/Problem.h"
 #include "dogwoodhall/declarations/Settings.h"
 
 #include <string>
@@ -8,7 +9,8 @@
 
 namespace dogwoodhall {
 
-// Parses a settings file: JSON with comments. The error names place, what was expected and what was found.
-tl::expected<Settings, std::string> parseSettings(std::string_view text);
+// Parses a settings file: JSON with comments, at most 64 KB. On failure gives all problems; `file` is used in them
+// only.
+tl::expected<Settings, Problems> parseSettings(std::string_view text, const std::string& file = "");
 
 } // namespace dogwoodhall
--- /dev/null
+++ b/packages/declarations/src/DeclarationFile.cpp
@@ -0,0 +1,92 @@
+#include "dogwoodhall/declarations/DeclarationFile.h"
+
+#include "Schemas.h"
+#include "dogwoodhall/declarations/SettingsParser.h"
+
+#include <algorithm>
+
+namespace dogwoodhall {
+
+namespace {
+
+// Fields that only settings have. One is enough, so that settings with a missing field are still checked as settings.
+bool isSettings(const JsonNode& node)
+{
+    const auto names = { "member", "callerAddress", "peerAddress", "adminAddress", "platformAddress" };
+    return std::any_of(names.begin(), names.end(), [&](const char* name) { return node.find(name) != nullptr; });
+}
+
+RecordKey keyOf(const JsonNode& node)
+{
+    const auto* service = node.find("service");
+    if (!service && node.find("dataCentres"))
+        return RecordKey("topology");
+    // A service without a usable id gets the message about that field; any key serves to check the rest.
+    const bool isUsable = service && service->kind == JsonNode::Kind::String && !service->text.empty();
+    return RecordKey("services/" + (isUsable ? service->text : "unnamed"));
+}
+
+bool checkSize(
+    CheckContext& context, std::size_t bytes, std::size_t maxBytes, std::size_t at, const std::string& pointer)
+{
+    if (bytes <= maxBytes)
+        return true;
+    context.report(at, pointer, "at most " + std::to_string(maxBytes) + " bytes", std::to_string(bytes) + " bytes");
+    return false;
+}
+
+void readBundle(CheckContext& context, const JsonNode& root, DeclarationFile& file)
+{
+    ObjectReader reader(context, root, "");
+    reader.object("records", Presence::Required, [&](const JsonNode& records, const std::string& pointer) {
+        ObjectReader duplicates(context, records, pointer);
+        for (const auto& [name, begin, node] : records.members) {
+            const auto recordPointer = childPointer(pointer, name);
+            if (!checkSize(context, node.end - node.begin, maxRecordBytes, node.begin, recordPointer))
+                continue;
+            file.records.push_back({ RecordKey(name), readRecord(context, RecordKey(name), node, recordPointer) });
+        }
+    });
+    reader.finish();
+}
+
+} // namespace
+
+DeclarationFile readDeclarationFile(std::string_view text, const std::string& name)
+{
+    DeclarationFile file;
+    const auto root = readJson(text, maxBundleBytes, name);
+    if (!root) {
+        file.problems.push_back(root.error());
+        return file;
+    }
+    CheckContext context(text, name);
+    const bool isBundle = root->find("records") != nullptr;
+    if (isBundle) {
+        readBundle(context, *root, file);
+    } else if (isSettings(*root)) {
+        if (checkSize(context, text.size(), maxSettingsBytes, 0, ""))
+            file.settings = readSettings(context, *root);
+    } else if (checkSize(context, text.size(), maxRecordBytes, 0, "")) {
+        const auto key = keyOf(*root);
+        file.records.push_back({ key, readRecord(context, key, *root, "") });
+    }
+    file.references = context.takeReferences();
+    file.problems = context.takeProblems();
+    return file;
+}
+
+Problems checkReferences(const std::vector<DataCentreReference>& references, const TopologyDeclaration& topology)
+{
+    Problems problems;
+    for (const auto& reference : references) {
+        const auto& known = topology.dataCentres;
+        if (std::any_of(known.begin(), known.end(), [&](const auto& it) { return it.id == reference.dataCentre; }))
+            continue;
+        problems.push_back({ reference.file, reference.line, reference.column, reference.pointer,
+            "a data centre of the topology", "\"" + reference.dataCentre.value() + "\"" });
+    }
+    return problems;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/declarations/src/JsonTreeHandler.cpp
@@ -0,0 +1,153 @@
+#include "JsonTreeHandler.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwoodhall {
+
+namespace {
+
+// Doubles hold whole numbers exactly up to this bound.
+constexpr double maxExactInteger = 9007199254740992.0;
+
+} // namespace
+
+bool JsonTreeHandler::on_key_part(Text part, std::size_t, Error&)
+{
+    m_partial.append(part.data(), part.size());
+    return true;
+}
+
+bool JsonTreeHandler::on_key(Text part, std::size_t, Error&)
+{
+    m_partial.append(part.data(), part.size());
+    skipSeparators();
+    m_open.back()->members.push_back({ std::move(m_partial), m_cursor, {} });
+    m_partial.clear();
+    skipString();
+    return true;
+}
+
+bool JsonTreeHandler::on_string_part(Text part, std::size_t, Error&)
+{
+    m_partial.append(part.data(), part.size());
+    return true;
+}
+
+bool JsonTreeHandler::on_string(Text part, std::size_t, Error&)
+{
+    m_partial.append(part.data(), part.size());
+    auto& node = append(JsonNode::Kind::String);
+    node.text = std::move(m_partial);
+    m_partial.clear();
+    skipString();
+    node.end = m_cursor;
+    return true;
+}
+
+bool JsonTreeHandler::on_int64(std::int64_t value, Text, Error&)
+{
+    auto& node = append(JsonNode::Kind::Number);
+    node.integer = value;
+    node.number = static_cast<double>(value);
+    skipLiteral();
+    node.end = m_cursor;
+    return true;
+}
+
+bool JsonTreeHandler::on_uint64(std::uint64_t value, Text text, Error& ec)
+{
+    // The parser uses uint64 only for numbers above the range of int64.
+    return on_double(static_cast<double>(value), text, ec);
+}
+
+bool JsonTreeHandler::on_double(double value, Text, Error&)
+{
+    auto& node = append(JsonNode::Kind::Number);
+    node.number = value;
+    if (std::abs(value) <= maxExactInteger && std::trunc(value) == value)
+        node.integer = static_cast<std::int64_t>(value);
+    skipLiteral();
+    node.end = m_cursor;
+    return true;
+}
+
+bool JsonTreeHandler::on_bool(bool value, Error&)
+{
+    auto& node = append(JsonNode::Kind::Boolean);
+    node.boolean = value;
+    skipLiteral();
+    node.end = m_cursor;
+    return true;
+}
+
+bool JsonTreeHandler::on_null(Error&)
+{
+    auto& node = append(JsonNode::Kind::Null);
+    skipLiteral();
+    node.end = m_cursor;
+    return true;
+}
+
+bool JsonTreeHandler::open(JsonNode::Kind kind)
+{
+    m_open.push_back(&append(kind));
+    ++m_cursor;
+    return true;
+}
+
+bool JsonTreeHandler::close()
+{
+    skipSeparators();
+    m_open.back()->end = ++m_cursor;
+    m_open.pop_back();
+    return true;
+}
+
+JsonNode& JsonTreeHandler::append(JsonNode::Kind kind)
+{
+    skipSeparators();
+    JsonNode* node = &m_root;
+    if (!m_open.empty()) {
+        auto& parent = *m_open.back();
+        node = parent.kind == JsonNode::Kind::Array ? &parent.items.emplace_back() : &parent.members.back().value;
+    }
+    node->kind = kind;
+    node->begin = m_cursor;
+    return *node;
+}
+
+void JsonTreeHandler::skipSeparators()
+{
+    while (m_cursor < m_text.size()) {
+        if (m_text[m_cursor] == '/')
+            skipComment();
+        else if (std::string_view(" \t\r\n,:").find(m_text[m_cursor]) != std::string_view::npos)
+            ++m_cursor;
+        else
+            return;
+    }
+}
+
+void JsonTreeHandler::skipComment()
+{
+    const bool isBlock = m_text.substr(m_cursor).starts_with("/*");
+    const auto end = m_text.find(isBlock ? "*/" : "\n", m_cursor + 2);
+    m_cursor = end == std::string_view::npos ? m_text.size() : end + (isBlock ? 2 : 1);
+}
+
+void JsonTreeHandler::skipString()
+{
+    for (++m_cursor; m_cursor < m_text.size() && m_text[m_cursor] != '"'; ++m_cursor) {
+        if (m_text[m_cursor] == '\\')
+            ++m_cursor;
+    }
+    ++m_cursor;
+}
+
+void JsonTreeHandler::skipLiteral()
+{
+    m_cursor = std::min(m_text.find_first_of(" \t\r\n,:]}/", m_cursor), m_text.size());
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/declarations/src/JsonTreeHandler.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "dogwoodhall/declarations/JsonDocument.h"
+
+#include <boost/json/error.hpp>
+#include <boost/json/string_view.hpp>
+#include <limits>
+
+namespace dogwoodhall {
+
+// Builds a JsonNode from the events of boost::json::basic_parser. The parser does not report offsets, so the handler
+// follows the text with a cursor of its own: the events come in the order of the tokens, and the text up to an event
+// is known to be valid.
+class JsonTreeHandler {
+public:
+    using Error = boost::json::error_code;
+    using Text = boost::json::string_view;
+
+    static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
+    static constexpr std::size_t max_array_size = max_object_size;
+    static constexpr std::size_t max_key_size = max_object_size;
+    static constexpr std::size_t max_string_size = max_object_size;
+
+    explicit JsonTreeHandler(std::string_view text)
+        : m_text(text)
+    {
+    }
+
+    JsonNode takeRoot() { return std::move(m_root); }
+
+    bool on_document_begin(Error&) { return true; }
+    bool on_document_end(Error&) { return true; }
+    bool on_object_begin(Error&) { return open(JsonNode::Kind::Object); }
+    bool on_object_end(std::size_t, Error&) { return close(); }
+    bool on_array_begin(Error&) { return open(JsonNode::Kind::Array); }
+    bool on_array_end(std::size_t, Error&) { return close(); }
+    bool on_key_part(Text, std::size_t, Error&);
+    bool on_key(Text, std::size_t, Error&);
+    bool on_string_part(Text, std::size_t, Error&);
+    bool on_string(Text, std::size_t, Error&);
+    bool on_number_part(Text, Error&) { return true; }
+    bool on_int64(std::int64_t, Text, Error&);
+    bool on_uint64(std::uint64_t, Text, Error&);
+    bool on_double(double, Text, Error&);
+    bool on_bool(bool, Error&);
+    bool on_null(Error&);
+    bool on_comment_part(Text, Error&) { return true; }
+    bool on_comment(Text, Error&) { return true; }
+
+private:
+    bool open(JsonNode::Kind);
+    bool close();
+    JsonNode& append(JsonNode::Kind);
+    void skipSeparators();
+    void skipComment();
+    void skipString();
+    void skipLiteral();
+
+    std::string_view m_text;
+    std::size_t m_cursor = 0;
+    JsonNode m_root;
+    // Open arrays and objects, outermost first. A node's address is stable while it is open, since its siblings are
+    // appended only after it is closed.
+    std::vector<JsonNode*> m_open;
+    std::string m_partial; // A key or string whose parts are still arriving.
+};
+
+} // namespace dogwoodhall
--- a/packages/declarations/src/RecordParser.cpp
+++ b/packages/declarations/src/RecordParser.cpp
@@ -1,93 +1,43 @@
 #include "dogwoodhall/declarations/RecordParser.h"
 
-#include <boost/json.hpp>
-#include <stdexcept>
+#include "Schemas.h"
 
-namespace dogwoodhall {
+#include <algorithm>
 
-namespace json = boost::json;
+namespace dogwoodhall {
 
 namespace {
 
-std::string stringAt(const json::object& object, std::string_view name)
-{
-    return json::value_to<std::string>(object.at(name));
-}
-
-EndpointDeclaration parseEndpoint(const json::object& object)
-{
-    EndpointDeclaration endpoint;
-    endpoint.id = EndpointId(stringAt(object, "id"));
-    endpoint.host = HostId(stringAt(object, "host"));
-    endpoint.dataCentre = DataCentreId(stringAt(object, "dataCentre"));
-    auto address = parseNetworkAddress(stringAt(object, "address"));
-    if (!address)
-        throw std::invalid_argument("address: expected IP:PORT");
-    endpoint.address = *address;
-    endpoint.slots = SlotCount(object.at("slots").to_number<std::uint64_t>());
-    return endpoint;
-}
+constexpr std::size_t maxLoggedProblems = 20;
 
-RuleDeclaration parseRule(const json::object& object)
-{
-    RuleDeclaration rule;
-    rule.id = RuleId(stringAt(object, "id"));
-    if (const auto* methods = object.if_contains("methods"))
-        rule.methods = json::value_to<std::vector<std::string>>(*methods);
-    if (const auto* prefix = object.if_contains("pathPrefix"))
-        rule.pathPrefix = json::value_to<std::string>(*prefix);
-    if (const auto* idempotent = object.if_contains("idempotent"))
-        rule.idempotent = idempotent->as_bool();
-    if (const auto* workClass = object.if_contains("workClass"))
-        rule.workClass = workClass->as_string() == "long" ? WorkClass::Long : WorkClass::Short;
-    if (const auto* deadline = object.if_contains("deadlineMs"))
-        rule.deadline = std::chrono::milliseconds(deadline->to_number<std::int64_t>());
-    return rule;
-}
-
-ServiceDeclaration parseService(const json::object& object)
-{
-    ServiceDeclaration service;
-    service.id = ServiceId(stringAt(object, "service"));
-    if (const auto* hostNames = object.if_contains("hostNames"))
-        service.hostNames = json::value_to<std::vector<std::string>>(*hostNames);
-    if (const auto* prefix = object.if_contains("pathPrefix"))
-        service.pathPrefix = json::value_to<std::string>(*prefix);
-    for (const auto& endpoint : object.at("endpoints").as_array())
-        service.endpoints.push_back(parseEndpoint(endpoint.as_object()));
-    if (const auto* rules = object.if_contains("rules")) {
-        for (const auto& rule : rules->as_array())
-            service.rules.push_back(parseRule(rule.as_object()));
-    }
-    return service;
-}
+} // namespace
 
-TopologyDeclaration parseTopology(const json::object& object)
+tl::expected<Declaration, Problems> checkRecord(const Record& record)
 {
-    TopologyDeclaration topology;
-    for (const auto& item : object.at("dataCentres").as_array()) {
-        const auto& dataCentre = item.as_object();
-        topology.dataCentres.push_back(
-            { DataCentreId(stringAt(dataCentre, "id")), RegionId(stringAt(dataCentre, "region")) });
-    }
-    return topology;
+    const auto node = readJson(record.value, maxRecordBytes, record.key.value());
+    if (!node)
+        return tl::unexpected(Problems { node.error() });
+    CheckContext context(record.value, record.key.value());
+    auto declaration = readRecord(context, record.key, *node, "");
+    if (!context.problems().empty())
+        return tl::unexpected(context.takeProblems());
+    return declaration;
 }
 
-} // namespace
-
 tl::expected<Declaration, std::string> parseRecord(const Record& record)
 {
-    json::parse_options options;
-    options.allow_comments = true;
-    try {
-        const auto document = json::parse(record.value, {}, options);
-        const auto& object = document.as_object();
-        if (record.key.value() == "topology")
-            return parseTopology(object);
-        return parseService(object);
-    } catch (const std::exception& error) {
-        return tl::unexpected(record.key.value() + ": " + error.what());
-    }
+    auto declaration = checkRecord(record);
+    if (declaration)
+        return std::move(*declaration);
+    auto& problems = declaration.error();
+    const std::size_t total = problems.size();
+    problems.resize(std::min(total, maxLoggedProblems));
+    std::string text = toString(problems);
+    for (auto at = text.find('\n'); at != std::string::npos; at = text.find('\n', at))
+        text.replace(at, 1, "; ");
+    if (total > maxLoggedProblems)
+        text += "; and " + std::to_string(total - maxLoggedProblems) + " more problems";
+    return tl::unexpected(std::move(text));
 }
 
 } // namespace dogwoodhall
--- /dev/null
+++ b/packages/declarations/src/TopologySchema.cpp
@@ -0,0 +1,66 @@
+#include "Schemas.h"
+#include "TextRules.h"
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr std::int64_t newestTopologyVersion = 2;
+constexpr DecimalRange delayMsRange { 0, 10'000 };
+constexpr IntegerRange linkBytesRange { 0, 100'000'000'000 };
+
+void readLinks(ObjectReader& reader, TopologyDeclaration& topology)
+{
+    if (auto delay = reader.decimal("delayWithinRegionMs", Presence::Optional, delayMsRange))
+        topology.delayWithinRegion = durationOfMilliseconds(*delay);
+    if (auto delay = reader.decimal("delayBetweenRegionsMs", Presence::Optional, delayMsRange))
+        topology.delayBetweenRegions = durationOfMilliseconds(*delay);
+    if (auto bytes = reader.integer("linkBytesPerSecond", Presence::Optional, linkBytesRange))
+        topology.linkBytesPerSecond = ByteCount(static_cast<std::uint64_t>(*bytes));
+}
+
+} // namespace
+
+TopologyDeclaration readTopology(CheckContext& context, const JsonNode& node, const std::string& pointer)
+{
+    ObjectReader reader(context, node, pointer);
+    TopologyDeclaration topology;
+    const auto version = readSchemaVersion(reader, newestTopologyVersion);
+    if (!version)
+        return topology;
+    UniqueTexts ids(context, "data centre");
+    reader.array("dataCentres", Presence::Required, [&](const JsonNode& child, const std::string& childPointer) {
+        ObjectReader item(context, child, childPointer);
+        const auto id = item.text("id", Presence::Required, idText());
+        const auto region = item.text("region", Presence::Required, idText());
+        ids.add(item.node("id"), item.pointerTo("id"));
+        item.finish();
+        topology.dataCentres.push_back({ DataCentreId(id.value_or("")), RegionId(region.value_or("")) });
+    });
+    if (*version >= 2)
+        readLinks(reader, topology);
+    else
+        reader.declareElsewhere(
+            "schemaVersion 2", { "delayWithinRegionMs", "delayBetweenRegionsMs", "linkBytesPerSecond" });
+    reader.finish();
+    return topology;
+}
+
+Declaration readRecord(CheckContext& context, const RecordKey& key, const JsonNode& node, const std::string& pointer)
+{
+    constexpr std::string_view servicePrefix = "services/";
+    const std::string_view name = key.value();
+    if (name == "topology")
+        return readTopology(context, node, pointer);
+    if (!name.starts_with(servicePrefix) || !idText().accepts(name.substr(servicePrefix.size()))) {
+        context.report(node.begin, pointer, "the key \"topology\" or \"services/<id>\"", "\"" + key.value() + "\"");
+        return {};
+    }
+    auto service = readService(context, node, pointer);
+    const auto* id = node.find("service");
+    if (id && id->kind == JsonNode::Kind::String && id->text != name.substr(servicePrefix.size()))
+        context.report(*id, childPointer(pointer, "service"), "the service of the key \"" + key.value() + "\"");
+    return service;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/declarations/tests/SettingsParserTest.cpp
@@ -0,0 +1,104 @@
+#include "dogwoodhall/declarations/SettingsParser.h"
+
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+
+using namespace dogwoodhall;
+
+namespace {
+
+// Settings that are accepted; each row replaces one part.
+const char* const goodSettings = R"({ "schemaVersion": 1, "member": "entry-1", "dataCentre": "cairo-1",
+"callerAddress": "127.0.0.1:0", "peerAddress": "127.0.0.1:0", "adminAddress": "127.0.0.1:9",
+"platformAddress": "127.0.0.1:7" })";
+
+std::string replaced(std::string text, const std::string& from, const std::string& to)
+{
+    const auto at = text.find(from);
+    cr_assert_neq(at, std::string::npos, "the settings do not hold %s", from.c_str());
+    return text.replace(at, from.size(), to);
+}
+
+} // namespace
+
+struct BadSettingsRow {
+    const char* from;
+    const char* to;
+    const char* problems;
+};
+
+const BadSettingsRow rows[] = {
+    { "\"member\": \"entry-1\",", "",
+        "s:1:1: expected field \"member\", a name of 1 to 100 letters, digits, '.', '_' or "
+        "'-', found no such field" },
+    { "\"schemaVersion\": 1", "\"schemaVersion\": 2",
+        "s:1:20: /schemaVersion: expected a whole number from 1 to 1, found 2" },
+    { "127.0.0.1:7", "localhost:7",
+        "s:3:20: /platformAddress: expected IP:PORT with a port from 1 to 65535, found \"localhost:7\"" },
+    { "127.0.0.1:7", "127.0.0.1:0",
+        "s:3:20: /platformAddress: expected IP:PORT with a port from 1 to 65535, found \"127.0.0.1:0\"" },
+    { "127.0.0.1:0", "127.0.0.1:9",
+        "s:2:79: /adminAddress: expected a unique listening address, found \"127.0.0.1:9\", which /callerAddress "
+        "already has" },
+    { " }", ", \"trafficThreads\": 0 }", "s:3:53: /trafficThreads: expected a whole number from 1 to 64, found 0" },
+    { " }", ", \"trafficThread\": 2 }",
+        "s:3:35: /trafficThread: expected a known field; the nearest is \"trafficThreads\", found unknown field "
+        "\"trafficThread\"" },
+    { " }", ", \"maxHeaderBytes\": \"16k\" }",
+        "s:3:53: /maxHeaderBytes: expected a whole number from 1024 to 1048576, found \"16k\"" },
+    { " }", ", \"slowSenderTimeoutMs\": 10 }",
+        "s:3:58: /slowSenderTimeoutMs: expected a whole number from 100 to 600000, found 10" },
+    { " }", ", \"traceSamplingPercent\": 100.5 }",
+        "s:3:59: /traceSamplingPercent: expected a number from 0 to 100, found 100.5" },
+    { " }", ", \"ticketBytes\": 999999999999999999999 }",
+        "s:3:50: /ticketBytes: expected a whole number from 0 to 134217728, found 999999999999999999999" },
+    { " }", ", }", "s:3:35: expected JSON with comments, found '}' (syntax error)" },
+};
+
+// Guards against a daemon that starts with settings other than those the operator meant.
+ParameterizedTestParameters(BadSettings, areRejectedWithAllProblems) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, BadSettings, areRejectedWithAllProblems)
+{
+    const BadSettingsRow& row = rows[*index];
+
+    const auto settings = parseSettings(replaced(goodSettings, row.from, row.to), "s");
+    cr_assert_not(settings, "row %zu is accepted", *index);
+    const std::string problems = toString(settings.error());
+    cr_assert_str_eq(problems.c_str(), row.problems);
+}
+
+// Guards against a field that is checked but not applied.
+Test(Settings, areApplied)
+{
+    auto settings = parseSettings(replaced(goodSettings, " }", R"(, "traceCollectorAddress": "127.0.0.1:4318",
+        "traceSamplingPercent": 50, "trafficThreads": 3, "maxHeaderBytes": 2048, "maxBodyBytes": 5,
+        "slowSenderTimeoutMs": 700, "measuringBytesPerSecond": 2000, "measuringCallsPerSecond": 9, "ticketBytes": 0 })"));
+    cr_assert(settings);
+    cr_assert_eq(settings->member, MemberId("entry-1"));
+    cr_assert_eq(settings->dataCentre, DataCentreId("cairo-1"));
+    cr_assert_eq(settings->adminAddress.port, 9);
+    cr_assert_eq(settings->platformAddress.port, 7);
+    cr_assert_eq(settings->traceCollector->port, 4318);
+    cr_assert_eq(settings->traceSampling, Fraction(0.5));
+    cr_assert_eq(settings->trafficThreads, 3);
+    cr_assert_eq(settings->maxHeaderBytes, ByteCount(2048));
+    cr_assert_eq(settings->maxBodyBytes, ByteCount(5));
+    cr_assert_eq(settings->slowSenderTimeout, std::chrono::milliseconds(700));
+    cr_assert_eq(settings->measuringBytesPerSecond, ByteCount(2000));
+    cr_assert_eq(settings->measuringCallsPerSecond, CallCount(9));
+    cr_assert_eq(settings->ticketBytes, ByteCount(0));
+}
+
+// Guards against an oversized settings file that is read into memory as a tree.
+Test(Settings, areLimitedInSize)
+{
+    std::string text = goodSettings;
+    text.append(64 * 1024 - text.size(), ' ');
+    cr_assert(parseSettings(text));
+    const auto settings = parseSettings(text + ' ', "s");
+    cr_assert_not(settings);
+    const std::string problems = toString(settings.error());
+    cr_assert_str_eq(problems.c_str(), "s: expected at most 65536 bytes, found 65537 bytes");
+}
--- a/tests/support/TableRows.h
+++ b/tests/support/TableRows.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <algorithm>
+// criterion.h comes first: included after parameterized.h, it redefines Test() for its documentation.
+#include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <cstddef>
 #include <numeric>
