--- /dev/null
+++ b/packages/routing/include/dogwoodhall/routing/PoolChooser.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "dogwoodhall/budget/LinkBudget.h"
+#include "dogwoodhall/configuration/TopologyDeclaration.h"
+#include "dogwoodhall/core/DecisionContext.h"
+#include "dogwoodhall/core/Ids.h"
+
+#include <optional>
+#include <vector>
+
+namespace dogwoodhall {
+
+// What a member last heard of the service's pool in one data centre.
+struct PoolState {
+    DataCentreId dataCentre;
+    Duration expectedWait {}; // Duration::max(): takes no work.
+    bool isReachable = true; // Has a live home that this member can reach.
+};
+
+struct PoolChoice {
+    DataCentreId dataCentre;
+    bool isOtherRegion = false;
+};
+
+struct SpillLimits {
+    // A pool elsewhere must be better by this much beyond the hop. Expected waits are stale, and a smaller gain is
+    // often gone when the request arrives.
+    Duration leastGain = std::chrono::milliseconds(2);
+};
+
+// Picks the data centre whose pool serves a request: the member's own, unless the expected wait there exceeds that of
+// another data centre of the region, and then of another region, by more than the round trip and the least gain.
+// Among several better ones of a region a random one is chosen, so that members with the same stale knowledge do not
+// all send to the same pool. Crossing regions takes the request's expected bytes from the link budget.
+class PoolChooser {
+public:
+    PoolChooser(TopologyDeclaration, DataCentreId own, SpillLimits = {});
+
+    // Empty where no pool is reachable, or only one in another region that the link budget does not allow.
+    std::optional<PoolChoice> choose(
+        const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext) const;
+
+private:
+    std::optional<RegionId> regionOf(const DataCentreId&) const;
+    std::optional<PoolChoice> pickBetter(
+        const std::vector<PoolState>&, bool isOtherRegion, Duration bound, RandomEngine&) const;
+
+    TopologyDeclaration m_topology;
+    DataCentreId m_own;
+    std::optional<RegionId> m_ownRegion;
+    SpillLimits m_limits;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/routing/tests/PoolChooserTest.cpp
@@ -0,0 +1,62 @@
+#include "dogwoodhall/routing/PoolChooser.h"
+
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <set>
+
+using namespace dogwoodhall;
+
+struct ChooserRow {
+    const char* guardsAgainst;
+    int waitMs[4]; // Of a1 (own) and a2 in one region, b1 and b2 in another; -1: unreachable, -2: takes no work.
+    unsigned linkBytes; // Left in the link budget; each request takes 100.
+    const char* chosen; // All that may be chosen, in order; empty: none.
+};
+
+const ChooserRow rows[] = {
+    { "leaving the own data centre without need", { 0, 0, 0, 0 }, 1000, "a1 " },
+    { "spilling for a gain smaller than the hop", { 3, 0, 0, 0 }, 1000, "a1 " },
+    { "waiting where the next data centre is idle", { 5, 0, 0, 0 }, 1000, "a2 " },
+    { "crossing regions for less than the round trip", { 25, 25, 0, 0 }, 1000, "a1 " },
+    { "waiting where only another region is idle", { 30, 30, 0, 30 }, 1000, "b1 " },
+    { "preferring another region to the next data centre", { 90, 30, 0, 0 }, 1000, "a2 " },
+    { "crossing regions beyond the link budget", { 30, 30, 0, 0 }, 50, "a1 " },
+    { "all spilling to the same pool", { 90, 90, 0, 0 }, 1000, "b1 b2 " },
+    { "an unreachable home", { -1, 50, 0, 0 }, 1000, "a2 " },
+    { "a pool that takes no work", { -2, -2, 70, -1 }, 1000, "b1 " },
+    { "a lost region reached beyond the link budget", { -1, -1, 0, 0 }, 50, "" },
+    { "a choice where nothing takes work", { -1, -2, -1, -2 }, 1000, "" },
+};
+
+ParameterizedTestParameters(PoolChooser, chooses) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, PoolChooser, chooses)
+{
+    const ChooserRow& row = rows[*index];
+    const char* names[] = { "a1", "a2", "b1", "b2" };
+    TopologyDeclaration topology;
+    std::vector<PoolState> states;
+    for (std::size_t n = 0; n < 4; ++n) {
+        topology.dataCentres.push_back({ DataCentreId(names[n]), RegionId(std::string(1, names[n][0])) });
+        const Duration wait = row.waitMs[n] == -2 ? Duration::max() : std::chrono::milliseconds(row.waitMs[n]);
+        states.push_back({ DataCentreId(names[n]), wait, row.waitMs[n] != -1 });
+    }
+    const PoolChooser chooser(topology, DataCentreId("a1"));
+    RandomEngine random(3);
+    std::set<std::string> seen;
+    for (int n = 0; n < 50; ++n) {
+        LinkBudget link(ByteCount(1000), std::chrono::seconds(1), TimePoint());
+        link.charge(ByteCount(1000 - row.linkBytes), TimePoint());
+        const auto choice = chooser.choose(states, ByteCount(100), link, { TimePoint(), random });
+        if (choice)
+            seen.insert(choice->dataCentre.value());
+        const bool isCharged = link.available(TimePoint()) < row.linkBytes;
+        cr_assert_eq(isCharged, choice && choice->isOtherRegion, "guards against %s: wrong charge", row.guardsAgainst);
+    }
+    std::string chosen;
+    for (const auto& name : seen)
+        chosen += name + " ";
+    cr_assert_str_eq(chosen.c_str(), row.chosen, "guards against %s: got \"%s\"", row.guardsAgainst, chosen.c_str());
+}
