Give the stand-ins faults that tests can set

The upstream stand-in counts a run only once the request's body has arrived whole, and appends it to a file that outlives a kill; before, a request whose body broke off counted as run. Request bodies are counted instead of kept.

--- a/tools/include/StandInServer.h
+++ b/tools/include/StandInServer.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -35,8 +36,11 @@
     std::uint64_t m_nextConnection = 1;
 };
 
-// Reads a whole body.
-asio::awaitable<std::string> readAll(ReadBody);
+// Reads a whole body. Empty where it was cut short.
+asio::awaitable<std::optional<std::string>> readAll(ReadBody);
+
+// Reads a body to its end without keeping it, and gives its size. Empty where it was cut short.
+asio::awaitable<std::optional<ByteCount>> discardAll(ReadBody);
 
 asio::awaitable<void> writeAnswer(const ResponseWriter&, unsigned status, std::string body, HeaderFields = {});
 
@@ -46,6 +50,7 @@
     std::map<std::string, std::string> parameters;
 
     std::uint64_t number(const std::string& name, std::uint64_t otherwise) const;
+    std::string text(const std::string& name) const; // Empty where absent.
 };
 
 Target parseTarget(std::string_view);
--- a/tools/src/StandInServer.cpp
+++ b/tools/src/StandInServer.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <iostream>
+#include <limits>
 #include <utility>
 
 namespace dogwoodhall {
@@ -14,6 +15,14 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 
+// Bodies are counted or are small control documents, so that the size of a body needs no bound here.
+CallerLimits unlimitedBody()
+{
+    CallerLimits limits;
+    limits.bodyBytes = ByteCount(std::numeric_limits<std::uint64_t>::max());
+    return limits;
+}
+
 } // namespace
 
 StandInServer::StandInServer(NetworkAddress address, RequestHandler handler)
@@ -39,7 +48,7 @@
         boost::system::error_code optionError;
         socket.set_option(asio::ip::tcp::no_delay(true), optionError);
         const ConnectionId id(m_nextConnection++);
-        m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), CallerLimits {}, m_handler));
+        m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), unlimitedBody(), m_handler));
         asio::co_spawn(m_io, serve(id), asio::detached);
     }
 }
@@ -50,18 +59,34 @@
     m_sessions.erase(id);
 }
 
-asio::awaitable<std::string> readAll(ReadBody readBody)
+asio::awaitable<std::optional<std::string>> readAll(ReadBody readBody)
 {
     std::string body;
     std::array<char, 16 * 1024> buf;
     while (true) {
         auto n = co_await readBody(asio::buffer(buf));
-        if (!n || *n == 0)
+        if (!n)
+            co_return std::nullopt;
+        if (*n == 0)
             co_return body;
         body.append(buf.data(), *n);
     }
 }
 
+asio::awaitable<std::optional<ByteCount>> discardAll(ReadBody readBody)
+{
+    std::uint64_t size = 0;
+    std::array<char, 16 * 1024> buf;
+    while (true) {
+        auto n = co_await readBody(asio::buffer(buf));
+        if (!n)
+            co_return std::nullopt;
+        if (*n == 0)
+            co_return ByteCount(size);
+        size += *n;
+    }
+}
+
 asio::awaitable<void> writeAnswer(const ResponseWriter& writer, unsigned status, std::string body, HeaderFields fields)
 {
     ResponseHead head;
@@ -81,6 +106,12 @@
     return it == parameters.end() ? otherwise : std::stoull(it->second);
 }
 
+std::string Target::text(const std::string& name) const
+{
+    auto it = parameters.find(name);
+    return it == parameters.end() ? std::string() : it->second;
+}
+
 Target parseTarget(std::string_view text)
 {
     Target target;
--- a/tools/src/UpstreamStandIn.cpp
+++ b/tools/src/UpstreamStandIn.cpp
@@ -5,11 +5,24 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
+#include <csignal>
+#include <fcntl.h>
 #include <iostream>
-
-// Stand-in for an upstream endpoint. The query steers each answer: delay_ms before it, bytes of body, truncate=1 to
-// break off in the middle. It runs at most --slots requests at a time and refuses the rest, and counts runs for each
-// X-Request-Id, so that a double run is seen at GET /control/runs.
+#include <unistd.h>
+
+// Stand-in for an upstream endpoint. It runs at most --slots requests at a time and refuses the rest. Each run is
+// counted for its X-Request-Id at GET /control/runs, and appended as a line to --runs-file, which outlives a kill.
+// A request runs once its body has arrived whole.
+//
+// PUT /control/mode?name=value&... sets how requests are answered until the next such call; the query of a request
+// overrides it for that request:
+//   at=<name>            the parameters of the request's own query apply only at the endpoint of this name
+//   refuse=1             refuses explicitly; draining=1 and load=<n> set the answer's header fields
+//   cold=1               answers take ten times delay_ms, and health reports "cold"
+//   fault=<what>-<when>  die, cut (the connection) or freeze (SIGSTOP); before or after the run, or mid of the body
+//   delay_ms=<n>         before the answer; pause_ms=<n> between the parts of its body
+//   bytes=<n>            of body; chunked=1 without a declared length; truncate=1 breaks off in the middle
+//   surplus=<n>          unrequested answers after the answer, surplus_delay_ms=<n> later
 
 namespace json = boost::json;
 namespace options = boost::program_options;
@@ -18,33 +31,63 @@
 
 namespace {
 
+constexpr std::size_t partBytes = 16 * 1024;
+constexpr std::uint64_t coldFactor = 10;
+constexpr std::string_view surplusAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nsurplus\n";
+
+struct UpstreamOptions {
+    NetworkAddress address;
+    std::string name;
+    std::uint64_t slots = 3;
+    std::string runsFile;
+};
+
 class UpstreamStandIn {
 public:
-    UpstreamStandIn(NetworkAddress address, std::string name, std::uint64_t slots)
-        : m_server(std::move(address),
-            [this](IncomingRequest request, ResponseWriter writer) {
-                return handle(std::move(request), std::move(writer));
-            })
-        , m_name(std::move(name))
-        , m_slots(slots)
+    explicit UpstreamStandIn(UpstreamOptions options)
+        : m_options(std::move(options))
+        , m_server(m_options.address, [this](IncomingRequest request, ResponseWriter writer) {
+            return handle(std::move(request), std::move(writer));
+        })
     {
+        if (!m_options.runsFile.empty())
+            m_runsFile = ::open(m_options.runsFile.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
     }
 
     void run() { m_server.run(); }
 
 private:
     asio::awaitable<void> handle(IncomingRequest, ResponseWriter);
-    asio::awaitable<void> serve(IncomingRequest, ResponseWriter, Target);
+    asio::awaitable<void> handleControl(const Target&, const ResponseWriter&);
+    asio::awaitable<void> serve(IncomingRequest, const ResponseWriter&, const Target&);
+    asio::awaitable<void> answer(const ResponseWriter&, const Target&, ByteCount received);
+    asio::awaitable<bool> writeParts(const ResponseWriter&, const Target&, std::uint64_t size);
+    asio::awaitable<void> pause(std::uint64_t milliseconds);
+    Target withMode(Target) const;
+    void recordRun(const HeaderFields&);
     std::string runsAsJson() const;
     std::string healthAsJson() const;
 
+    UpstreamOptions m_options;
     StandInServer m_server;
-    std::string m_name;
-    std::uint64_t m_slots;
+    int m_runsFile = -1;
+    std::map<std::string, std::string> m_mode;
     std::uint64_t m_inUse = 0;
+    std::uint64_t m_received = 0; // Requests, run or not.
     std::map<std::string, std::uint64_t> m_runs;
 };
 
+// True where the request ends here, with its connection cut. A frozen process continues after SIGCONT.
+bool faultStrikes(const Target& target, const std::string& when)
+{
+    const auto fault = target.text("fault");
+    if (fault == "die-" + when)
+        std::raise(SIGKILL);
+    if (fault == "freeze-" + when)
+        std::raise(SIGSTOP);
+    return fault == "cut-" + when;
+}
+
 std::string UpstreamStandIn::runsAsJson() const
 {
     json::object runs;
@@ -55,26 +98,76 @@
 
 std::string UpstreamStandIn::healthAsJson() const
 {
-    return json::serialize(json::object { { "state", "serving" }, { "inUse", m_inUse } });
+    const auto mode = withMode({});
+    const auto state = mode.number("draining", 0) ? "draining" : mode.number("cold", 0) ? "cold" : "serving";
+    return json::serialize(json::object { { "state", state }, { "inUse", mode.number("load", m_inUse) } });
 }
 
-asio::awaitable<void> UpstreamStandIn::handle(IncomingRequest request, ResponseWriter writer)
+Target UpstreamStandIn::withMode(Target target) const
+{
+    if (target.parameters.count("at") && target.text("at") != m_options.name)
+        target.parameters.clear();
+    target.parameters.insert(m_mode.begin(), m_mode.end());
+    return target;
+}
+
+void UpstreamStandIn::recordRun(const HeaderFields& fields)
+{
+    auto id = fields.find("X-Request-Id");
+    if (!id)
+        return;
+    ++m_runs[std::string(*id)];
+    const std::string line = std::string(*id) + "\n";
+    if (m_runsFile >= 0 && ::write(m_runsFile, line.data(), line.size()) < 0)
+        std::cerr << "upstream-standin: cannot write " << m_options.runsFile << "\n";
+}
+
+asio::awaitable<void> UpstreamStandIn::pause(std::uint64_t milliseconds)
+{
+    if (milliseconds == 0)
+        co_return;
+    asio::steady_timer timer(m_server.io(), std::chrono::milliseconds(milliseconds));
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> UpstreamStandIn::handleControl(const Target& target, const ResponseWriter& writer)
 {
-    const auto target = parseTarget(request.head.target);
     if (target.path == "/control/runs") {
         co_await writeAnswer(writer, 200, runsAsJson());
-    } else if (target.path == "/health") {
+    } else if (target.path == "/control/received") {
+        co_await writeAnswer(writer, 200, std::to_string(m_received));
+    } else if (target.path == "/control/mode") {
+        m_mode = target.parameters;
+        co_await writeAnswer(writer, 200, "ok\n");
+    } else {
+        co_await writeAnswer(writer, 404, "not found\n");
+    }
+}
+
+asio::awaitable<void> UpstreamStandIn::handle(IncomingRequest request, ResponseWriter writer)
+{
+    auto target = parseTarget(request.head.target);
+    if (target.path.starts_with("/control/")) {
+        co_await handleControl(target, writer);
+        co_return;
+    }
+    if (target.path == "/health") {
         co_await writeAnswer(writer, 200, healthAsJson());
-    } else if (m_inUse >= m_slots) {
+        co_return;
+    }
+    target = withMode(std::move(target));
+    ++m_received;
+    if (m_inUse >= m_options.slots || target.number("refuse", 0)) {
         HeaderFields refusal;
         refusal.add(std::string(fields::refused), "1");
-        co_await writeAnswer(writer, 503, "no slot\n", refusal);
-    } else {
-        co_await serve(std::move(request), std::move(writer), target);
+        co_await writeAnswer(writer, 503, "refused\n", refusal);
+        co_return;
     }
+    co_await serve(std::move(request), writer, target);
 }
 
-asio::awaitable<void> UpstreamStandIn::serve(IncomingRequest request, ResponseWriter writer, Target target)
+asio::awaitable<void> UpstreamStandIn::serve(
+    IncomingRequest request, const ResponseWriter& writer, const Target& target)
 {
     struct SlotGuard {
         std::uint64_t& inUse;
@@ -82,31 +175,59 @@
     };
     ++m_inUse;
     SlotGuard guard { m_inUse };
-    if (auto id = request.head.fields.find("X-Request-Id"))
-        ++m_runs[std::string(*id)];
-    const auto received = co_await readAll(request.readBody);
-    asio::steady_timer timer(m_server.io(), std::chrono::milliseconds(target.number("delay_ms", 0)));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    auto received = co_await discardAll(request.readBody);
+    if (!received || faultStrikes(target, "before"))
+        co_return;
+    recordRun(request.head.fields);
+    if (faultStrikes(target, "after"))
+        co_return;
+    co_await pause(target.number("delay_ms", 0) * (target.number("cold", 0) ? coldFactor : 1));
+    co_await answer(writer, target, *received);
+}
 
+asio::awaitable<void> UpstreamStandIn::answer(const ResponseWriter& writer, const Target& target, ByteCount received)
+{
+    const std::string text = m_options.name + " received " + std::to_string(received.count()) + " bytes\n";
     const auto size = target.number("bytes", 0);
-    std::string text = m_name + " received " + std::to_string(received.size()) + " bytes\n";
     ResponseHead head;
     head.status = 200;
-    head.fields.add("X-Endpoint", m_name);
-    head.fields.add(std::string(fields::load), std::to_string(m_inUse));
+    head.fields.add("X-Endpoint", m_options.name);
+    head.fields.add(std::string(fields::load), std::to_string(target.number("load", m_inUse)));
+    if (target.number("draining", 0))
+        head.fields.add(std::string(fields::draining), "1");
     head.bodyLength = { BodyLength::Kind::Exact, ByteCount(size ? size : text.size()) };
+    if (target.number("chunked", 0))
+        head.bodyLength = { BodyLength::Kind::Streamed, {} };
     if (!co_await writer.writeHead(head))
         co_return;
-    if (size)
-        text.assign(16 * 1024, 'x');
-    const auto end = target.number("truncate", 0) ? size / 2 : size;
-    for (std::uint64_t sent = 0; sent < std::max<std::uint64_t>(end, size ? 0 : 1); sent += text.size()) {
-        const std::size_t n = size ? std::min<std::uint64_t>(text.size(), end - sent) : text.size();
-        if (!co_await writer.writeBody(asio::buffer(text.data(), n)))
-            co_return;
+    if (size && !co_await writeParts(writer, target, size))
+        co_return;
+    if (!size && !co_await writer.writeBody(asio::buffer(text)))
+        co_return;
+    if (const auto surplus = target.number("surplus", 0)) {
+        co_await pause(target.number("surplus_delay_ms", 0));
+        for (std::uint64_t n = 0; n < surplus; ++n)
+            co_await writer.writeBody(asio::buffer(surplusAnswer));
+    }
+    co_await writer.finish();
+}
+
+// False where the body is to break off.
+asio::awaitable<bool> UpstreamStandIn::writeParts(
+    const ResponseWriter& writer, const Target& target, std::uint64_t size)
+{
+    const std::string part(partBytes, 'x');
+    std::uint64_t sent = 0;
+    while (sent < size) {
+        if (sent >= size / 2 && (target.number("truncate", 0) || faultStrikes(target, "mid")))
+            co_return false;
+        const auto n = std::min<std::uint64_t>(part.size(), sent < size / 2 ? size / 2 - sent : size - sent);
+        if (!co_await writer.writeBody(asio::buffer(part.data(), n)))
+            co_return false;
+        sent += n;
+        co_await pause(target.number("pause_ms", 0));
     }
-    if (!target.number("truncate", 0))
-        co_await writer.finish();
+    co_return true;
 }
 
 } // namespace
@@ -116,9 +237,10 @@
 int main(int argc, char** argv)
 {
     options::options_description description("upstream-standin");
-    description.add_options()("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address")("name",
-        options::value<std::string>()->default_value("endpoint"),
-        "name in answers")("slots", options::value<std::uint64_t>()->default_value(3), "requests run at the same time");
+    description.add_options()("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address");
+    description.add_options()("name", options::value<std::string>()->default_value("endpoint"), "name in answers");
+    description.add_options()("slots", options::value<std::uint64_t>()->default_value(3), "requests run at one time");
+    description.add_options()("runs-file", options::value<std::string>()->default_value(""), "appended at each run");
     options::variables_map arguments;
     options::store(options::parse_command_line(argc, argv, description), arguments);
     auto address = dogwoodhall::parseNetworkAddress(arguments["listen"].as<std::string>());
@@ -126,6 +248,7 @@
         std::cerr << "--listen: expected IP:PORT\n";
         return 2;
     }
-    dogwoodhall::UpstreamStandIn(*address, arguments["name"].as<std::string>(), arguments["slots"].as<std::uint64_t>())
+    dogwoodhall::UpstreamStandIn({ *address, arguments["name"].as<std::string>(),
+                                     arguments["slots"].as<std::uint64_t>(), arguments["runs-file"].as<std::string>() })
         .run();
 }
