Decide when a starting member may serve

Cause: a member was ready with whatever the platform gave it, which may be stale. Change: JoinBarrier waits for three peers' highest revisions and holds at least the highest; after 10 s of silence the platform's answer is enough.

--- /dev/null
+++ b/packages/configuration/include/dogwoodhall/configuration/JoinBarrier.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/core/Units.h"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace dogwoodhall {
+
+// Decides when a member that has just started may serve. The platform may be stale, so the member first asks peers for
+// their highest revision and catches up with the highest that it was told.
+//
+// Trade-off: where no listed peer answers for 10 s and the platform has answered, the member serves what the platform
+// gave it, which may be older than what peers that it cannot reach hold. The alternative, to wait for a peer, would
+// keep a whole data centre from starting after a power failure. The member still never goes below what it has itself
+// held, and takes the higher revision from the first peer that it hears.
+class JoinBarrier {
+public:
+    // Answers that are asked for. Peers hold the highest revision within seconds of one another, so that a few stand
+    // for all, and a mass restart costs each member the same however large the fleet is.
+    static constexpr std::size_t requiredAnswers = 3;
+    static constexpr Duration silenceLimit = std::chrono::seconds(10);
+
+    explicit JoinBarrier(TimePoint startedAt)
+        : m_startedAt(startedAt)
+    {
+    }
+
+    // The entry hosts that the host list names, without this one.
+    void setListedPeers(std::size_t count) { m_listedPeers = count; }
+    void peerAnswered(const MemberId&, Revision highest);
+    // The platform was read to its end; `highest` is its own.
+    void platformAnswered(Revision highest);
+    // The process was paused: what was learnt before is asked for again.
+    void expire(TimePoint now);
+
+    // True where a member that holds `held` may serve. Once ready, a member stays ready until expire().
+    bool isReady(Revision held, TimePoint now);
+    // The revision to reach, as far as it is known.
+    Revision target() const { return m_target; }
+
+private:
+    TimePoint m_startedAt;
+    std::optional<std::size_t> m_listedPeers; // Empty until a host list was read.
+    std::map<MemberId, Revision> m_answers;
+    bool m_hasPlatform = false;
+    Revision m_target;
+    bool m_isReady = false;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/configuration/src/JoinBarrier.cpp
@@ -0,0 +1,42 @@
+#include "dogwoodhall/configuration/JoinBarrier.h"
+
+#include <algorithm>
+
+namespace dogwoodhall {
+
+void JoinBarrier::peerAnswered(const MemberId& peer, Revision highest)
+{
+    if (m_isReady)
+        return;
+    m_answers[peer] = highest;
+    m_target = std::max(m_target, highest);
+}
+
+void JoinBarrier::platformAnswered(Revision highest)
+{
+    m_hasPlatform = true;
+    m_target = std::max(m_target, highest);
+}
+
+void JoinBarrier::expire(TimePoint now)
+{
+    m_startedAt = now;
+    m_answers.clear();
+    m_hasPlatform = false;
+    m_isReady = false;
+}
+
+bool JoinBarrier::isReady(Revision held, TimePoint now)
+{
+    if (m_isReady)
+        return true;
+    if (held == Revision() || held < m_target)
+        return false;
+    const bool hasAllAnswers = m_listedPeers && m_answers.size() >= std::min(*m_listedPeers, requiredAnswers);
+    const bool hasWaited = now - m_startedAt >= silenceLimit;
+    const bool hasSource = m_hasPlatform || !m_answers.empty();
+    m_isReady = hasSource && (hasAllAnswers || hasWaited);
+    return m_isReady;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/configuration/tests/JoinBarrierTest.cpp
@@ -0,0 +1,60 @@
+#include "dogwoodhall/configuration/JoinBarrier.h"
+
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace dogwoodhall;
+using namespace std::chrono_literals;
+
+struct JoinRow {
+    const char* name;
+    int listedPeers; // Below 0: no host list was read.
+    std::size_t answers;
+    std::uint64_t peersHighest;
+    std::uint64_t platform; // 0: did not answer.
+    std::uint64_t held;
+    std::chrono::milliseconds waited;
+    bool isReady;
+};
+
+const JoinRow joins[] = {
+    { "alone, with the platform", 0, 0, 0, 5, 5, 0ms, true },
+    { "alone, without the platform", 0, 0, 0, 0, 0, 60000ms, false },
+    { "peers and platform agree", 5, 3, 9, 9, 9, 1000ms, true },
+    { "too few peers have answered", 5, 2, 9, 9, 9, 1000ms, false },
+    { "both of two peers have answered", 2, 2, 9, 9, 9, 1000ms, true },
+    { "the platform is stale", 5, 3, 9, 7, 7, 60000ms, false },
+    { "the platform is stale and a peer has sent the rest", 5, 3, 9, 7, 9, 1000ms, true },
+    { "the platform is down and peers have sent all", 5, 3, 9, 0, 9, 1000ms, true },
+    { "the platform is down and peers hold nothing", 5, 3, 0, 0, 0, 60000ms, false },
+    { "all peers are silent, not long", 5, 0, 0, 9, 9, 9999ms, false },
+    { "all peers are silent for 10 s", 5, 0, 0, 9, 9, 10000ms, true },
+    { "all peers are silent and the platform is down", 5, 0, 0, 0, 0, 60000ms, false },
+    { "the host list is down", -1, 0, 0, 9, 9, 9999ms, false },
+    { "the host list is down for 10 s", -1, 0, 0, 9, 9, 10000ms, true },
+    { "the platform's records are not all in force yet", 0, 0, 0, 9, 8, 60000ms, false },
+};
+
+// Guards against a member that serves an older configuration than its peers, and one that never starts to serve.
+ParameterizedTestParameters(JoinBarrier, decidesReadiness) { return rowIndices(joins); }
+
+ParameterizedTest(std::size_t* index, JoinBarrier, decidesReadiness)
+{
+    const JoinRow& row = joins[*index];
+    const TimePoint start(100s);
+    JoinBarrier barrier(start);
+    if (row.listedPeers >= 0)
+        barrier.setListedPeers(static_cast<std::size_t>(row.listedPeers));
+    for (std::size_t n = 0; n < row.answers; ++n) // The last peer is the one that holds the most.
+        barrier.peerAnswered(MemberId(std::to_string(n)), Revision(n + 1 == row.answers ? row.peersHighest : 0));
+    if (row.platform)
+        barrier.platformAnswered(Revision(row.platform));
+    cr_assert_eq(barrier.isReady(Revision(row.held), start + row.waited), row.isReady, "%s", row.name);
+    if (!row.isReady)
+        return;
+    cr_assert(barrier.isReady(Revision(row.held), start + row.waited + 1h));
+    barrier.expire(start + row.waited);
+    cr_assert_not(barrier.isReady(Revision(row.held), start + row.waited) && row.listedPeers != 0);
+}
