Bound what measuring and control messages cost

Change: TokenBucket in whole nanotokens, so that rounding never exceeds the limit, and MeasuringBudget with a reserve for each category above load measurement. Counters show what was spent and refused.

--- /dev/null
+++ b/packages/budget/src/MeasuringBudget.cpp
@@ -0,0 +1,65 @@
+#include "dogwoodhall/budget/MeasuringBudget.h"
+
+#include <algorithm>
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr std::uint64_t capacityDivisor = 4;
+
+// What each category leaves to those above it, in eighths of the capacity. A quarter carries a burst of three gossip
+// messages; half is left to load measurement, since less refused some of it at a third of the budget.
+constexpr std::array<std::uint64_t, measuringCategoryCount> reservedEighths { 0, 2, 3, 4 };
+
+// The part of the capacity that a category leaves to those above it. Taken of the capacity without its last token, so
+// that a budget of few calls still serves every category.
+template <typename Amount> Amount reserveOf(MeasuringCategory category, Amount capacity)
+{
+    const std::uint64_t rest = capacity.count() - std::min<std::uint64_t>(capacity.count(), 1);
+    return Amount(rest * reservedEighths[static_cast<std::size_t>(category)] / 8);
+}
+
+MeasuringLimits capacityOf(MeasuringLimits limits)
+{
+    return { CallCount(limits.callsPerSecond.count() / capacityDivisor),
+        ByteCount(limits.bytesPerSecond.count() / capacityDivisor) };
+}
+
+} // namespace
+
+MeasuringBudget::MeasuringBudget(MeasuringLimits limits)
+    : m_capacity(capacityOf(limits))
+    , m_calls(limits.callsPerSecond - m_capacity.callsPerSecond, m_capacity.callsPerSecond)
+    , m_bytes(limits.bytesPerSecond - m_capacity.bytesPerSecond, m_capacity.bytesPerSecond)
+{
+}
+
+bool MeasuringBudget::trySpend(MeasuringCategory category, ByteCount bytes, TimePoint now)
+{
+    auto& counters = m_counters[static_cast<std::size_t>(category)];
+    const CallCount one(1);
+    const auto reservedCalls = reserveOf(category, m_capacity.callsPerSecond);
+    const auto reservedBytes = reserveOf(category, m_capacity.bytesPerSecond);
+    if (!m_calls.canTake(one, now, reservedCalls) || !m_bytes.tryTake(bytes, now, reservedBytes)) {
+        counters.refusedCalls += one;
+        counters.refusedBytes += bytes;
+        return false;
+    }
+    m_calls.tryTake(one, now, reservedCalls);
+    counters.spentCalls += one;
+    counters.spentBytes += bytes;
+    return true;
+}
+
+const MeasuringCounters& MeasuringBudget::counters(MeasuringCategory category) const
+{
+    return m_counters[static_cast<std::size_t>(category)];
+}
+
+ByteCount MeasuringBudget::largestMessage(MeasuringCategory category) const
+{
+    return m_capacity.bytesPerSecond - reserveOf(category, m_capacity.bytesPerSecond);
+}
+
+} // namespace dogwoodhall
