Refuse ambiguous requests, and answer slow ones

Beast accepts obs-fold, repeated and listed Content-Length, any Transfer-Encoding that is not chunked, missing or repeated Host, CONNECT and HTTP/1.0. The first four let two programs disagree on where a request ends. MessageRules checks them on the raw head and the parsed fields; answers of upstreams pass the same check of their length. A target in absolute form is now routed by its path and host; it was answered 404.

The timer of tcp_stream closes the socket, so a slow sender got no 408. Reads now have a timer that cancels them. A connection that ends after an answer is read from for up to 2 s, since closing it with unread bytes resets it and may discard the answer. A graceful stop serves a request that has arrived on an idle connection instead of resetting it. An answer to HEAD after an interim one is no longer taken to have a body.

--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -1,10 +1,12 @@
 #include "dogwoodhall/http/CallerSession.h"
 
 #include "BeastHeads.h"
+#include "MessageRules.h"
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,6 +23,10 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t readBytes = 4096;
+// How long a connection that ends while its caller may still be sending is read from. To close it at once would reset
+// it, which discards the answer before the caller has read it.
+constexpr std::chrono::seconds lingerTime { 2 };
 
 using RequestParser = http::request_parser<http::buffer_body>;
 
@@ -63,6 +69,7 @@
         : m_stream(std::move(socket))
         , m_limits(limits)
         , m_handler(std::move(handler))
+        , m_readTimer(m_stream.get_executor())
         , m_bodyRead(m_stream.get_executor(), asio::steady_timer::time_point::max())
     {
     }
@@ -74,6 +81,12 @@
 private:
     asio::awaitable<bool> serveOne();
     asio::awaitable<beast::error_code> readHead();
+    asio::awaitable<beast::error_code> readMore();
+    asio::awaitable<void> linger();
+    // Ends reads with a time-out after the wait. The timer of tcp_stream would close the socket instead, so that the
+    // caller could not be told.
+    void armReadTimer(Duration wait);
+    void disarmReadTimer();
     asio::awaitable<void> answerParseError(beast::error_code);
     ExchangeResult<std::size_t> readBody(asio::mutable_buffer);
     ExchangeResult<void> writeHead(const ResponseHead&);
@@ -87,6 +100,9 @@
     RequestHandler m_handler;
     beast::flat_buffer m_buffer;
     std::optional<CurrentRequest> m_current;
+    asio::steady_timer m_readTimer;
+    std::uint64_t m_readTimerNumber = 0; // Of the timer that is armed. An earlier one may have fired and be queued.
+    bool m_timedOut = false;
     asio::steady_timer m_bodyRead; // Cancelled when the request body has been read to its end.
     bool m_isIdle = true;
     bool m_isStopping = false;
@@ -100,31 +116,98 @@
     }
     beast::error_code ec;
     m_stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    if (m_current && m_current->answered)
+        co_await linger();
+    disarmReadTimer();
     m_stream.close();
+    // A time-out that is queued already runs before this object may be destroyed.
+    co_await asio::post(m_stream.get_executor(), asio::use_awaitable);
+}
+
+// Reads and discards until the caller closes its side or the time is up.
+asio::awaitable<void> CallerSession::Impl::linger()
+{
+    armReadTimer(lingerTime);
+    m_buffer.clear();
+    beast::error_code ec;
+    while (!ec) {
+        ec = co_await readMore();
+        m_buffer.clear();
+    }
 }
 
 void CallerSession::Impl::stopAfterCurrentRequest()
 {
     m_isStopping = true;
-    if (m_isIdle)
+    // A request that has arrived and is not read yet is served; to close here would reset the connection and leave its
+    // caller in doubt whether the request ran.
+    beast::error_code ec;
+    if (m_isIdle && m_stream.socket().available(ec) == 0)
         m_stream.close();
 }
 
 asio::awaitable<beast::error_code> CallerSession::Impl::readHead()
 {
     if (m_buffer.size() == 0) {
-        m_stream.expires_after(m_limits.idleTimeout);
-        auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(4096), useTuple);
-        if (ec)
+        armReadTimer(m_limits.idleTimeout);
+        if (auto ec = co_await readMore())
             co_return ec == beast::error::timeout ? asio::error::eof : ec;
-        m_buffer.commit(n);
     }
     m_isIdle = false;
-    m_stream.expires_after(m_limits.headerTimeout);
-    auto [ec, n] = co_await http::async_read_header(m_stream, m_buffer, *m_current->parser, useTuple);
+    armReadTimer(m_limits.headerTimeout);
+    auto& parser = *m_current->parser;
+    beast::error_code ec;
+    while (!parser.is_header_done()) {
+        std::string_view text(static_cast<const char*>(m_buffer.cdata().data()), m_buffer.size());
+        // Empty lines before a request line are allowed.
+        while (text.starts_with("\r\n")) {
+            m_buffer.consume(2);
+            text.remove_prefix(2);
+        }
+        if (!hasStrictLines(text.substr(0, text.find("\r\n\r\n"))))
+            co_return http::error::bad_line_ending;
+        m_buffer.consume(parser.put(m_buffer.cdata(), ec));
+        if (ec && ec != http::error::need_more)
+            co_return ec;
+        if (parser.is_header_done())
+            break;
+        if (auto readError = co_await readMore())
+            co_return readError;
+    }
+    disarmReadTimer();
+    if (!isServable(parser.get()) || !hasUnambiguousLength(parser.get()))
+        co_return http::error::bad_field;
+    co_return beast::error_code {};
+}
+
+// Reads what has arrived, beyond what the buffer holds already.
+asio::awaitable<beast::error_code> CallerSession::Impl::readMore()
+{
+    auto [ec, n] = co_await m_stream.async_read_some(m_buffer.prepare(readBytes), useTuple);
+    m_buffer.commit(n);
+    if (m_timedOut)
+        co_return beast::error::timeout;
     co_return ec;
 }
 
+void CallerSession::Impl::armReadTimer(Duration wait)
+{
+    m_timedOut = false;
+    m_readTimer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(wait));
+    m_readTimer.async_wait([this, number = ++m_readTimerNumber](beast::error_code ec) {
+        if (ec || number != m_readTimerNumber)
+            return;
+        m_timedOut = true;
+        m_stream.cancel();
+    });
+}
+
+void CallerSession::Impl::disarmReadTimer()
+{
+    ++m_readTimerNumber;
+    m_readTimer.cancel();
+}
+
 asio::awaitable<bool> CallerSession::Impl::serveOne()
 {
     m_current.emplace();
@@ -133,21 +216,27 @@
     m_current->parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes.count()));
     m_current->parser->body_limit(m_limits.bodyBytes.count());
     if (auto ec = co_await readHead()) {
-        const bool connectionEnded = ec == http::error::end_of_stream || ec == asio::error::eof
-            || ec == asio::error::operation_aborted || ec == asio::error::connection_reset;
+        const bool connectionEnded
+            = ec == asio::error::eof || ec == asio::error::operation_aborted || ec == asio::error::connection_reset;
         if (!connectionEnded)
             co_await answerParseError(ec);
         co_return false;
     }
     const auto& message = m_current->parser->get();
+    const auto target = readTarget(message);
+    if (!target) {
+        co_await answerParseError(http::error::bad_target);
+        co_return false;
+    }
     m_current->keepAlive = message.keep_alive();
     m_current->isHead = message.method() == http::verb::head;
     m_current->expectsContinue = beast::iequals(message[http::field::expect], "100-continue");
 
     IncomingRequest request;
     request.head.method = std::string(message.method_string());
-    request.head.target = std::string(message.target());
+    request.head.target = target->originForm;
     request.head.fields = fromBeast(message);
+    request.head.fields.set("Host", target->host);
     request.head.bodyLength = bodyLengthOf(*m_current->parser);
     request.readBody = [this](asio::mutable_buffer buf) { return readBody(buf); };
     co_await (m_handler(std::move(request), writer()) || waitForDisconnect());
@@ -192,15 +281,16 @@
         parser.get().body().data = buf.data();
         parser.get().body().size = buf.size();
         parser.get().body().more = true;
-        m_stream.expires_after(m_limits.headerTimeout);
-        auto [ec, n] = co_await http::async_read_some(m_stream, m_buffer, parser, useTuple);
+        armReadTimer(m_limits.headerTimeout);
+        auto [result, n] = co_await http::async_read_some(m_stream, m_buffer, parser, useTuple);
+        const auto ec = m_timedOut ? beast::error_code(beast::error::timeout) : result;
         if (ec && ec != http::error::need_buffer) {
             m_current->keepAlive = false;
             co_return tl::unexpected(ExchangeError { errorKindFor(ec), false, ec.message() });
         }
         size = buf.size() - parser.get().body().size;
     }
-    m_stream.expires_never();
+    disarmReadTimer();
     if (parser.is_done())
         m_bodyRead.cancel();
     co_return size;
@@ -227,7 +317,6 @@
     response.body().data = nullptr;
     response.body().more = true;
     m_current->serializer.emplace(response);
-    m_stream.expires_never();
     auto [ec, n] = co_await http::async_write_header(m_stream, *m_current->serializer, useTuple);
     if (ec)
         co_return tl::unexpected(ExchangeError { ErrorKind::Cancelled, false, ec.message() });
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -1,6 +1,7 @@
 #include "dogwoodhall/http/UpstreamClient.h"
 
 #include "BeastHeads.h"
+#include "MessageRules.h"
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
@@ -60,12 +61,21 @@
         return ec != asio::error::would_block;
     }
 
+    // Prepares for the next head. An answer to HEAD has no body, also where an interim answer came before it.
+    void resetParser()
+    {
+        parser.emplace();
+        parser->header_limit(responseHeaderLimit);
+        parser->body_limit(boost::none);
+        parser->skip(isHead);
+    }
+
     beast::tcp_stream stream;
     NetworkAddress address;
     beast::flat_buffer buffer;
     std::optional<ResponseParser> parser;
     std::chrono::steady_clock::time_point idleSince;
-    bool bytesSent = false; // Of the request in progress.
+    bool isHead = false; // Of the request in progress.
 };
 
 UpstreamClient::UpstreamClient(asio::any_io_executor executor, UpstreamLimits limits)
@@ -97,11 +107,8 @@
 
     Connection& connection = *m_connections.at(id);
     connection.stream.expires_at(deadline);
-    connection.bytesSent = false;
-    connection.parser.emplace();
-    connection.parser->header_limit(responseHeaderLimit);
-    connection.parser->body_limit(boost::none);
-    connection.parser->skip(request.head.method == "HEAD");
+    connection.isHead = request.head.method == "HEAD";
+    connection.resetParser();
     if (auto sent = co_await send(connection, request); !sent)
         co_return tl::unexpected(sent.error());
     auto head = co_await readHead(connection);
@@ -151,7 +158,6 @@
     message.body().more = request.head.bodyLength.kind != BodyLength::Kind::None;
     http::request_serializer<http::buffer_body> serializer(message);
 
-    connection.bytesSent = true;
     auto [headError, headBytes] = co_await http::async_write_header(connection.stream, serializer, useTuple);
     if (headError)
         co_return failure(ErrorKind::UpstreamFailed, false, headError);
@@ -178,6 +184,8 @@
         if (ec)
             co_return failure(ErrorKind::UpstreamFailed, false, ec);
         const auto& message = connection.parser->get();
+        if (!hasUnambiguousLength(message))
+            co_return failure(ErrorKind::UpstreamFailed, false, http::error::bad_field);
         // Interim answers (100 Continue, 103 Early Hints) are followed by the final one.
         if (message.result_int() >= 200) {
             ResponseHead head;
@@ -186,9 +194,7 @@
             head.bodyLength = bodyLengthOf(*connection.parser);
             co_return head;
         }
-        connection.parser.emplace();
-        connection.parser->header_limit(responseHeaderLimit);
-        connection.parser->body_limit(boost::none);
+        connection.resetParser();
     }
 }
 
