--- /dev/null
+++ b/tests/system/support/Cluster.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Process.h"
+#include "TestClient.h"
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+struct UpstreamProcess {
+    std::string name; // Also the id of its host and of its endpoint.
+    std::string dataCentre;
+    Process process;
+    NetworkAddress address;
+    bool isLeaving = false;
+};
+
+struct DaemonProcess {
+    std::string name;
+    std::string dataCentre;
+    Process process;
+    NetworkAddress caller;
+    NetworkAddress admin;
+    std::optional<NetworkAddress> peer;
+};
+
+// The platform stand-in, upstreams and daemons of one test, on ports that the kernel chooses. Its service takes every
+// path; POST is not idempotent; /download is long work.
+class Cluster {
+public:
+    class Builder;
+
+    Cluster(Cluster&&) = default;
+    ~Cluster();
+
+    DaemonProcess& daemon(std::size_t n = 0) { return m_daemons.at(n); }
+    UpstreamProcess& upstream(std::size_t n = 0) { return m_upstreams.at(n); }
+    Process& platform() { return m_platform; }
+    const NetworkAddress& caller() const { return m_daemons.front().caller; }
+
+    // Times that any upstream ran the request, killed ones included.
+    std::size_t runs(const std::string& id) const;
+    std::size_t received(std::size_t upstream) const; // Requests that reached this upstream, run or not.
+    void setMode(std::size_t upstream, const std::string& query);
+
+    Answer platformCall(const std::string& method, const std::string& target, const std::string& body = {});
+    void publishService(); // Names the upstreams that are declared.
+    void publishHosts();
+    void killPlatform() { m_platform.kill(); }
+    // Starts the platform anew at its former address, with the given state or none.
+    void restartPlatform(const std::string& state);
+    void waitReady(DaemonProcess&);
+    DaemonProcess& startDaemon(const std::string& dataCentre);
+
+    std::vector<std::string> declared; // Names of the upstreams that the service's record lists.
+
+private:
+    Cluster();
+
+    void startUpstream(const std::string& dataCentre, std::size_t slots);
+
+    std::filesystem::path m_folder;
+    Process m_platform;
+    NetworkAddress m_platformAddress;
+    std::vector<UpstreamProcess> m_upstreams;
+    std::vector<DaemonProcess> m_daemons;
+    std::size_t m_slots = 3;
+};
+
+class Cluster::Builder {
+public:
+    Builder& dataCentres(std::size_t n) { return m_dataCentres = n, *this; }
+    Builder& upstreams(std::size_t n) { return m_upstreams = n, *this; } // In each data centre.
+    Builder& daemons(std::size_t n) { return m_daemons = n, *this; } // In each data centre.
+    Builder& slots(std::size_t n) { return m_slots = n, *this; }
+
+    // Starts the processes, publishes records and host list, and waits until every daemon is ready.
+    Cluster start() const;
+
+private:
+    std::size_t m_dataCentres = 1;
+    std::size_t m_upstreams = 1;
+    std::size_t m_daemons = 1;
+    std::size_t m_slots = 3;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/tests/system/support/TestClient.cpp
@@ -0,0 +1,123 @@
+#include "TestClient.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <limits>
+#include <poll.h>
+
+namespace dogwoodhall {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::size_t readBytes = 64 * 1024;
+
+asio::ip::tcp::endpoint toEndpoint(const NetworkAddress& address)
+{
+    return { asio::ip::make_address(address.ip), address.port };
+}
+
+} // namespace
+
+TestClient::TestClient(const NetworkAddress& address, int receiveBufferBytes)
+    : m_socket(m_io)
+{
+    const auto endpoint = toEndpoint(address);
+    m_socket.open(endpoint.protocol());
+    if (receiveBufferBytes > 0)
+        m_socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes));
+    m_socket.connect(endpoint);
+    m_socket.set_option(asio::ip::tcp::no_delay(true));
+}
+
+bool TestClient::canConnect(const NetworkAddress& address)
+{
+    asio::io_context io;
+    asio::ip::tcp::socket socket(io);
+    boost::system::error_code ec;
+    socket.connect(toEndpoint(address), ec);
+    return !ec;
+}
+
+bool TestClient::send(std::string_view bytes)
+{
+    boost::system::error_code ec;
+    asio::write(m_socket, asio::buffer(bytes), ec);
+    return !ec;
+}
+
+std::string TestClient::readSome(std::size_t size)
+{
+    pollfd entry { m_socket.native_handle(), POLLIN, 0 };
+    if (::poll(&entry, 1, static_cast<int>(std::chrono::milliseconds(testDeadline).count())) <= 0)
+        return {};
+    std::string bytes(size, '\0');
+    boost::system::error_code ec;
+    bytes.resize(m_socket.read_some(asio::buffer(bytes), ec));
+    return bytes;
+}
+
+Answer TestClient::readAnswer(bool toHead)
+{
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.eager(true);
+    parser.skip(toHead);
+    boost::system::error_code ec;
+    while (!parser.is_done() && (!ec || ec == http::error::need_more)) {
+        if (m_unread.empty() || ec == http::error::need_more) {
+            const auto bytes = readSome(readBytes);
+            if (bytes.empty())
+                break;
+            m_unread += bytes;
+        }
+        m_unread.erase(0, parser.put(asio::buffer(m_unread), ec));
+    }
+    const bool endsWithConnection = parser.is_header_done() && !parser.is_done() && parser.need_eof();
+    if (endsWithConnection)
+        parser.put_eof(ec);
+    Answer answer;
+    if (!parser.is_header_done())
+        return answer;
+    answer.isWhole = parser.is_done();
+    answer.closesConnection = !parser.keep_alive();
+    answer.status = parser.get().result_int();
+    answer.body = parser.get().body();
+    answer.fields = parser.get();
+    return answer;
+}
+
+void TestClient::closeSending()
+{
+    boost::system::error_code ec;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+}
+
+void TestClient::cut()
+{
+    m_socket.set_option(asio::socket_base::linger(true, 0));
+    m_socket.close();
+}
+
+std::string TestRequest::text() const
+{
+    std::string text = method + " " + target + " HTTP/1.1\r\nHost: test\r\n" + fields;
+    if (!id.empty())
+        text += "X-Request-Id: " + id + "\r\n";
+    if (!body.empty() || method == "POST" || method == "PUT")
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    return text + "\r\n" + body;
+}
+
+Answer call(const NetworkAddress& address, const TestRequest& request)
+{
+    TestClient client(address);
+    client.send(request.text());
+    return client.readAnswer(request.method == "HEAD");
+}
+
+} // namespace dogwoodhall
