Bench placement in virtual time; judge slowness by a logarithmic mean

Cause: no figures existed for the choice of placement.

Change: bench/placementbench drives Pool, PoolChooser, LongWorkClassifier and LinkBudget against fake endpoints in virtual time. EndpointHealth keeps a geometric moving average.

--- /dev/null
+++ b/bench/ArrivalProcess.cpp
@@ -0,0 +1,82 @@
+#include "ArrivalProcess.h"
+
+#include <algorithm>
+
+namespace dogwoodhall::bench {
+
+namespace {
+
+constexpr Duration period = std::chrono::milliseconds(2000);
+constexpr Duration ramp = std::chrono::milliseconds(100);
+constexpr Duration peakEnd = std::chrono::milliseconds(600);
+
+Duration seconds(double value) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value)); }
+
+} // namespace
+
+double loadFactor(const Scenario& scenario, TimePoint time)
+{
+    if (!scenario.hasSwing)
+        return 1;
+    const Duration phase = time.sinceOrigin() % period;
+    double raised = 0;
+    if (phase < ramp)
+        raised = toSeconds(phase) / toSeconds(ramp);
+    else if (phase < peakEnd)
+        raised = 1;
+    else if (phase < peakEnd + ramp)
+        raised = toSeconds(peakEnd + ramp - phase) / toSeconds(ramp);
+    return 1 + raised * (swingFactor - 1);
+}
+
+Duration timeAtPeak(const Scenario& scenario, TimePoint from, TimePoint to)
+{
+    if (to <= from)
+        return {};
+    if (!scenario.hasSwing)
+        return to - from;
+    Duration total {};
+    for (Duration start = from.sinceOrigin() / period * period; start < to.sinceOrigin(); start += period) {
+        const Duration begin = std::max(from.sinceOrigin(), start + ramp);
+        const Duration end = std::min(to.sinceOrigin(), start + peakEnd);
+        total += std::max(Duration {}, end - begin);
+    }
+    return total;
+}
+
+ArrivalProcess::ArrivalProcess(const Deployment& deployment, const Scenario& scenario, const Options& options)
+    : m_deployment(deployment)
+    , m_scenario(scenario)
+    , m_shortSeconds(toSeconds(options.service))
+    , m_random(options.seed)
+{
+    // The load is a share of the slots' time, whatever the mix of short and long work.
+    const double meanSeconds = m_shortSeconds * (1 + scenario.longShare * (longFactor - 1));
+    const double baseRate = options.load * static_cast<double>(deployment.totalSlots()) / meanSeconds;
+    m_highestRate = baseRate * (scenario.hasSwing ? swingFactor : 1);
+}
+
+Arrival ArrivalProcess::next()
+{
+    const double highestFactor = m_scenario.hasSwing ? swingFactor : 1;
+    std::exponential_distribution<double> gap(m_highestRate);
+    do {
+        m_now = m_now + seconds(gap(m_random));
+    } while (uniform() * highestFactor > loadFactor(m_scenario, m_now));
+    const std::size_t host = drawHost();
+    const bool isLong = uniform() < m_scenario.longShare;
+    // Half of the service time is fixed and half is exponential: a coefficient of variation of one half.
+    const double factor = 0.5 + std::exponential_distribution<double>(2)(m_random);
+    return { m_now, host, isLong, seconds(m_shortSeconds * factor * (isLong ? longFactor : 1)) };
+}
+
+std::size_t ArrivalProcess::drawHost()
+{
+    const auto endpoint = std::uniform_int_distribution<std::size_t>(0, m_deployment.endpoints - 1)(m_random);
+    const std::size_t dataCentre = m_deployment.dataCentreOfEndpoint(endpoint);
+    const std::size_t hosts
+        = (m_deployment.entryHosts - dataCentre + m_deployment.dataCentres - 1) / m_deployment.dataCentres;
+    return dataCentre + m_deployment.dataCentres * std::uniform_int_distribution<std::size_t>(0, hosts - 1)(m_random);
+}
+
+} // namespace dogwoodhall::bench
--- a/packages/pool/include/dogwoodhall/pool/EndpointHealth.h
+++ b/packages/pool/include/dogwoodhall/pool/EndpointHealth.h
@@ -37,7 +37,7 @@
     static constexpr double minimumWeight = 0.1;
 
 private:
-    Duration m_meanServiceTime {};
+    Duration m_meanServiceTime {}; // Geometric moving average.
     unsigned m_samples = 0;
     unsigned m_failuresInRow = 0;
     double m_failureShare = 0;
--- a/packages/pool/src/EndpointHealth.cpp
+++ b/packages/pool/src/EndpointHealth.cpp
@@ -1,6 +1,7 @@
 #include "dogwoodhall/pool/EndpointHealth.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dogwoodhall {
 
@@ -12,9 +13,13 @@
 // Up to this multiple of the median, the spread of ordinary service times explains the difference.
 constexpr double toleratedSlowness = 2;
 
+// A mean of logarithms: one long request that is not known as such moves an arithmetic mean so far that the endpoint
+// would look slow.
 Duration moveTowards(Duration mean, Duration sample)
 {
-    return mean + std::chrono::duration_cast<Duration>((sample - mean) * newestShare);
+    const double ratio = static_cast<double>(std::max<std::int64_t>(sample.count(), 1))
+        / static_cast<double>(std::max<std::int64_t>(mean.count(), 1));
+    return Duration(std::llround(static_cast<double>(mean.count()) * std::pow(ratio, newestShare)));
 }
 
 } // namespace
