Cross regions on fresh waits only, and retry refusals elsewhere

Cause: at the start of a demand swing members still held short waits of other regions, crossed to them and queued there again; a hot region refused requests although the others were idle.

Change: a wait of another region older than 100 ms allows only one trial request per 200 ms and member. PoolChooser::chooseAfterRefusal() sends a refused request on to a pool with at most half of the own pool's wait.

--- a/bench/ArrivalProcess.cpp
+++ b/bench/ArrivalProcess.cpp
@@ -10,6 +10,10 @@
 constexpr Duration ramp = std::chrono::milliseconds(100);
 constexpr Duration peakEnd = std::chrono::milliseconds(600);
 
+// Of arrivals in the other regions, kept where the first region is hot: with a third of the slots it then has about 1.5
+// times its share of the load.
+constexpr double coolShare = 0.5;
+
 Duration seconds(double value) { return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value)); }
 
 } // namespace
@@ -72,8 +76,14 @@
 
 std::size_t ArrivalProcess::drawHost()
 {
-    const auto endpoint = std::uniform_int_distribution<std::size_t>(0, m_deployment.endpoints - 1)(m_random);
-    const std::size_t dataCentre = m_deployment.dataCentreOfEndpoint(endpoint);
+    std::size_t dataCentre = 0;
+    double share = 1;
+    do {
+        const auto endpoint = std::uniform_int_distribution<std::size_t>(0, m_deployment.endpoints - 1)(m_random);
+        dataCentre = m_deployment.dataCentreOfEndpoint(endpoint);
+        if (m_scenario.hasHotRegion)
+            share = Deployment::regionOf(dataCentre) == 0 ? 1 : coolShare;
+    } while (share < 1 && uniform() > share);
     const std::size_t hosts
         = (m_deployment.entryHosts - dataCentre + m_deployment.dataCentres - 1) / m_deployment.dataCentres;
     return dataCentre + m_deployment.dataCentres * std::uniform_int_distribution<std::size_t>(0, hosts - 1)(m_random);
--- a/bench/HomePlacement.cpp
+++ b/bench/HomePlacement.cpp
@@ -25,6 +25,8 @@
 const ServiceId service("service");
 const RuleId rule("rule");
 
+ByteCount bytesOf(const Arrival& arrival) { return arrival.isLong ? longBytes : shortBytes; }
+
 std::string nameOf(std::size_t index) { return std::to_string(index); }
 
 } // namespace
@@ -56,7 +58,7 @@
         LinkBudget(m_topology.linkBytesPerSecond, std::chrono::seconds(1), m_world.now()), LongWorkClassifier(), {},
         std::vector<TimePoint>(deployment.dataCentres), {}, false };
     for (std::size_t n = 0; n < deployment.dataCentres; ++n)
-        entry.states.push_back({ DataCentreId(nameOf(n)), {}, true });
+        entry.states.push_back({ DataCentreId(nameOf(n)), {}, true, {} });
     entry.forwarded.resize(deployment.dataCentres);
     return entry;
 }
@@ -152,20 +154,34 @@
 {
     const Arrival& arrival = m_world.request(index).arrival;
     Entry& entry = m_entries[arrival.host];
-    const std::size_t own = dataCentreOf(index);
-    const Duration silence = silentPeriods * m_world.scenario().reportPeriod;
-    for (std::size_t n = 0; n < entry.states.size(); ++n) {
-        if (n != own && m_world.now() - entry.heardAt[n] > silence)
-            entry.states[n].isReachable = false;
-    }
     if (entry.isHomeSilent)
         return m_fallback.submit(index);
-    const auto choice
-        = entry.chooser.choose(entry.states, arrival.isLong ? longBytes : shortBytes, entry.link, context());
+    updateAges(entry, dataCentreOf(index));
+    const auto choice = entry.chooser.choose(entry.states, bytesOf(arrival), entry.link, context());
     if (choice)
         forward(index, std::stoul(choice->dataCentre.value()));
 }
 
+void HomePlacement::retryAfterRefusal(RequestIndex index)
+{
+    const Arrival& arrival = m_world.request(index).arrival;
+    Entry& entry = m_entries[arrival.host];
+    updateAges(entry, dataCentreOf(index));
+    const auto choice = entry.chooser.chooseAfterRefusal(entry.states, bytesOf(arrival), entry.link, context());
+    if (choice)
+        forward(index, std::stoul(choice->dataCentre.value()));
+}
+
+void HomePlacement::updateAges(Entry& entry, std::size_t own) const
+{
+    const Duration silence = silentPeriods * m_world.scenario().reportPeriod;
+    for (std::size_t n = 0; n < entry.states.size(); ++n) {
+        entry.states[n].age = m_world.now() - entry.heardAt[n];
+        if (n != own && entry.states[n].age > silence)
+            entry.states[n].isReachable = false;
+    }
+}
+
 void HomePlacement::forward(RequestIndex index, std::size_t dataCentre)
 {
     const Arrival& arrival = m_world.request(index).arrival;
@@ -271,7 +287,7 @@
     Home& home = m_homes[dataCentre];
     TimePoint& toldAt = home.toldAt[m_world.request(index).arrival.host];
     std::optional<Duration> wait;
-    if (m_world.now() - toldAt >= piggybackPeriod) {
+    if (outcome.result == JobResult::Refused || m_world.now() - toldAt >= piggybackPeriod) {
         toldAt = m_world.now();
         wait = home.pool->expectedWait(m_world.now());
         m_world.chargeMeasuring(home.host, 0, piggybackBytes);
@@ -290,8 +306,10 @@
     if (wait)
         hear(arrival.host, dataCentre, *wait);
     if (outcome.result == JobResult::Served)
-        entry.classifier.record(service, rule, arrival.isLong ? "/packs" : "/previews", outcome.ended - outcome.started,
-            arrival.isLong ? longBytes : shortBytes);
+        entry.classifier.record(
+            service, rule, arrival.isLong ? "/packs" : "/previews", outcome.ended - outcome.started, bytesOf(arrival));
+    if (outcome.result == JobResult::Refused && dataCentre == dataCentreOf(index))
+        return retryAfterRefusal(index);
     m_world.served(index, outcome);
 }
 
--- a/bench/HomePlacement.h
+++ b/bench/HomePlacement.h
@@ -52,6 +52,8 @@
     void exchangeWaits(std::size_t dataCentre);
     void hear(std::size_t host, std::size_t dataCentre, Duration wait);
 
+    void retryAfterRefusal(RequestIndex);
+    void updateAges(Entry&, std::size_t own) const;
     void forward(RequestIndex, std::size_t dataCentre);
     void admit(RequestIndex, std::size_t dataCentre, WorkClass, std::vector<EndpointId> excluded);
     void perform(std::size_t dataCentre, const PoolActions&);
--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -60,9 +60,12 @@
     slow.hasSlowEndpoint = true;
     Scenario lost { "member-lost" };
     lost.losesMember = true;
+    Scenario hot { "hot-region" };
+    hot.hasHotRegion = true;
     Scenario split { "region-split" };
+    split.hasHotRegion = true;
     split.splitsRegion = true;
-    all.insert(all.end(), { slow, lost, split });
+    all.insert(all.end(), { slow, lost, hot, split });
     for (const auto& [name, period] :
         { std::pair { "stale-0.1s", 100 }, { "stale-1s", 1000 }, { "stale-10s", 10000 } }) {
         Scenario stale { name, true };
--- a/bench/Scenario.h
+++ b/bench/Scenario.h
@@ -42,6 +42,7 @@
     bool isLongDeclared = false;
     bool hasSlowEndpoint = false; // One endpoint is ten times slower in the middle half of the run.
     bool losesMember = false; // A home is lost at 40% of the run.
+    bool hasHotRegion = false; // The first region has 1.5 times its share of the load.
     bool splitsRegion = false; // The first region is cut off from 40% to 70% of the run.
     Duration reportPeriod = std::chrono::milliseconds(500);
 };
--- a/packages/routing/include/dogwoodhall/routing/PoolChooser.h
+++ b/packages/routing/include/dogwoodhall/routing/PoolChooser.h
@@ -15,6 +15,7 @@
     DataCentreId dataCentre;
     Duration expectedWait {}; // Duration::max(): takes no work.
     bool isReachable = true; // Has a live home that this member can reach.
+    Duration age {}; // Of expectedWait.
 };
 
 struct PoolChoice {
@@ -26,6 +27,11 @@
     // A pool elsewhere must be better by this much beyond the hop. Expected waits are stale, and a smaller gain is
     // often gone when the request arrives.
     Duration leastGain = std::chrono::milliseconds(2);
+    // A wait in another region that was heard of longer ago is stale: only a trial request may act on it, at most one
+    // in each trialPeriod, whose answer brings a fresh one. A demand swing reaches all regions within 100 ms; without
+    // this rule members crossed regions on waits from before the swing and queued there again.
+    Duration freshFor = std::chrono::milliseconds(100);
+    Duration trialPeriod = std::chrono::milliseconds(200);
 };
 
 // Picks the data centre whose pool serves a request: the member's own, unless the expected wait there exceeds that of
@@ -38,17 +44,26 @@
 
     // Empty where no pool is reachable, or only one in another region that the link budget does not allow.
     std::optional<PoolChoice> choose(
-        const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext) const;
+        const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext);
+    // Where to send a request that the own pool refused, with proof that it did not run: a pool with at most half of
+    // the own pool's expected wait, so that a swing in all regions does not make each request try all of them.
+    std::optional<PoolChoice> chooseAfterRefusal(
+        const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext);
 
 private:
     std::optional<RegionId> regionOf(const DataCentreId&) const;
-    std::optional<PoolChoice> pickBetter(
-        const std::vector<PoolState>&, bool isOtherRegion, Duration bound, RandomEngine&) const;
+    const PoolState* ownState(const std::vector<PoolState>&) const;
+    // A pool elsewhere whose wait is at most `within` its region or `across` regions; charges the link for the latter.
+    std::optional<PoolChoice> chooseElsewhere(const std::vector<PoolState>&, Duration within, Duration across,
+        ByteCount expectedBytes, LinkBudget&, DecisionContext);
+    std::optional<PoolChoice> pick(
+        const std::vector<PoolState>&, bool isOtherRegion, Duration longestWait, Duration oldest, RandomEngine&) const;
 
     TopologyDeclaration m_topology;
     DataCentreId m_own;
     std::optional<RegionId> m_ownRegion;
     SpillLimits m_limits;
+    std::optional<TimePoint> m_lastTrial;
 };
 
 } // namespace dogwoodhall
--- a/packages/routing/src/PoolChooser.cpp
+++ b/packages/routing/src/PoolChooser.cpp
@@ -20,24 +20,55 @@
 }
 
 std::optional<PoolChoice> PoolChooser::choose(
-    const std::vector<PoolState>& states, ByteCount expectedBytes, LinkBudget& link, DecisionContext context) const
+    const std::vector<PoolState>& states, ByteCount expectedBytes, LinkBudget& link, DecisionContext context)
 {
-    const auto own
-        = std::find_if(states.begin(), states.end(), [&](const PoolState& state) { return state.dataCentre == m_own; });
-    const bool ownTakesWork = own != states.end() && takesWork(*own);
-    const Duration bound = ownTakesWork ? own->expectedWait - m_limits.leastGain : Duration::max();
-
-    std::optional<PoolChoice> best;
-    if (bound > Duration::zero())
-        best = pickBetter(states, false, bound, context.random);
-    if (!best && bound > Duration::zero()) {
-        best = pickBetter(states, true, bound, context.random);
-        if (best && !link.tryTake(expectedBytes, context.now))
-            best.reset();
+    const PoolState* own = ownState(states);
+    Duration within = Duration::max();
+    Duration across = Duration::max();
+    if (own) {
+        within = own->expectedWait - m_limits.leastGain - 2 * m_topology.delayWithinRegion;
+        across = own->expectedWait - m_limits.leastGain - 2 * m_topology.delayBetweenRegions;
     }
-    if (!best && ownTakesWork)
-        return PoolChoice { m_own, false };
-    return best;
+    const auto elsewhere = chooseElsewhere(states, within, across, expectedBytes, link, context);
+    return !elsewhere && own ? PoolChoice { m_own, false } : elsewhere;
+}
+
+std::optional<PoolChoice> PoolChooser::chooseAfterRefusal(
+    const std::vector<PoolState>& states, ByteCount expectedBytes, LinkBudget& link, DecisionContext context)
+{
+    const PoolState* own = ownState(states);
+    const Duration longestWait = own ? own->expectedWait / 2 : Duration::max();
+    return chooseElsewhere(states, longestWait, longestWait, expectedBytes, link, context);
+}
+
+const PoolState* PoolChooser::ownState(const std::vector<PoolState>& states) const
+{
+    const auto own = std::find_if(states.begin(), states.end(),
+        [&](const PoolState& state) { return state.dataCentre == m_own && takesWork(state); });
+    return own == states.end() ? nullptr : &*own;
+}
+
+std::optional<PoolChoice> PoolChooser::chooseElsewhere(const std::vector<PoolState>& states, Duration within,
+    Duration across, ByteCount expectedBytes, LinkBudget& link, DecisionContext context)
+{
+    if (within < Duration::zero())
+        return std::nullopt;
+    if (const auto inRegion = pick(states, false, within, Duration::max(), context.random))
+        return inRegion;
+    if (across < Duration::zero())
+        return std::nullopt;
+    // Where nothing takes work nearby, stale knowledge is better than none.
+    const bool hasChoice = across != Duration::max();
+    auto picked = pick(states, true, across, hasChoice ? m_limits.freshFor : Duration::max(), context.random);
+    const bool mayTry = !m_lastTrial || context.now - *m_lastTrial >= m_limits.trialPeriod;
+    const bool isTrial = !picked && mayTry;
+    if (isTrial)
+        picked = pick(states, true, across, Duration::max(), context.random);
+    if (!picked || !link.tryTake(expectedBytes, context.now))
+        return std::nullopt;
+    if (isTrial)
+        m_lastTrial = context.now;
+    return picked;
 }
 
 std::optional<RegionId> PoolChooser::regionOf(const DataCentreId& id) const
@@ -50,20 +81,19 @@
 }
 
 // A data centre that the topology does not name counts as one of another region.
-std::optional<PoolChoice> PoolChooser::pickBetter(
-    const std::vector<PoolState>& states, bool isOtherRegion, Duration bound, RandomEngine& random) const
+std::optional<PoolChoice> PoolChooser::pick(const std::vector<PoolState>& states, bool isOtherRegion,
+    Duration longestWait, Duration oldest, RandomEngine& random) const
 {
-    const Duration roundTrip = 2 * (isOtherRegion ? m_topology.delayBetweenRegions : m_topology.delayWithinRegion);
     std::optional<PoolChoice> picked;
-    std::size_t better = 0;
+    std::size_t suitable = 0;
     for (const auto& state : states) {
         if (state.dataCentre == m_own || !takesWork(state))
             continue;
         const auto region = regionOf(state.dataCentre);
         const bool isElsewhere = !region || region != m_ownRegion;
-        if (isElsewhere != isOtherRegion || state.expectedWait >= bound - roundTrip)
+        if (isElsewhere != isOtherRegion || state.expectedWait > longestWait || state.age > oldest)
             continue;
-        if (std::uniform_int_distribution<std::size_t>(0, better++)(random) == 0)
+        if (std::uniform_int_distribution<std::size_t>(0, suitable++)(random) == 0)
             picked = PoolChoice { state.dataCentre, isOtherRegion };
     }
     return picked;
--- a/packages/routing/tests/PoolChooserTest.cpp
+++ b/packages/routing/tests/PoolChooserTest.cpp
@@ -41,14 +41,14 @@
     for (std::size_t n = 0; n < 4; ++n) {
         topology.dataCentres.push_back({ DataCentreId(names[n]), RegionId(std::string(1, names[n][0])) });
         const Duration wait = row.waitMs[n] == -2 ? Duration::max() : std::chrono::milliseconds(row.waitMs[n]);
-        states.push_back({ DataCentreId(names[n]), wait, row.waitMs[n] != -1 });
+        states.push_back({ DataCentreId(names[n]), wait, row.waitMs[n] != -1, {} });
     }
-    const PoolChooser chooser(topology, DataCentreId("a1"));
     RandomEngine random(3);
     std::set<std::string> seen;
     for (int n = 0; n < 50; ++n) {
         LinkBudget link(ByteCount(1000), std::chrono::seconds(1), TimePoint());
         link.charge(ByteCount(1000 - row.linkBytes), TimePoint());
+        PoolChooser chooser(topology, DataCentreId("a1"));
         const auto choice = chooser.choose(states, ByteCount(100), link, { TimePoint(), random });
         if (choice)
             seen.insert(choice->dataCentre.value());
@@ -60,3 +60,47 @@
         chosen += name + " ";
     cr_assert_str_eq(chosen.c_str(), row.chosen, "guards against %s: got \"%s\"", row.guardsAgainst, chosen.c_str());
 }
+
+struct StaleRow {
+    const char* guardsAgainst;
+    int ownWaitMs;
+    int otherWaitMs; // Of the only other pool, in another region.
+    unsigned ageMs;
+    bool isAfterRefusal;
+    unsigned crossings; // Of 10 requests, 50 ms apart.
+};
+
+const StaleRow staleRows[] = {
+    { "waiting where a fresh wait in another region is short", 90, 0, 50, false, 10 },
+    { "all members crossing regions on a stale wait", 90, 0, 300, false, 3 },
+    { "never learning that another region is idle", 90, 0, 5000, false, 3 },
+    { "retrying everywhere during a swing", 30, 20, 50, true, 0 },
+    { "refusing while another region is idle", 30, 0, 50, true, 10 },
+    { "retrying on a stale wait", 30, 0, 300, true, 3 },
+    { "a lost own data centre served by trials only", -1, 0, 300, false, 10 },
+};
+
+ParameterizedTestParameters(PoolChooser, mindsTheAgeOfWaits) { return rowIndices(staleRows); }
+
+ParameterizedTest(std::size_t* index, PoolChooser, mindsTheAgeOfWaits)
+{
+    const StaleRow& row = staleRows[*index];
+    using std::chrono::milliseconds;
+    TopologyDeclaration topology;
+    topology.dataCentres = { { DataCentreId("a1"), RegionId("a") }, { DataCentreId("b1"), RegionId("b") } };
+    const std::vector<PoolState> states {
+        { DataCentreId("a1"), milliseconds(row.ownWaitMs), row.ownWaitMs >= 0, {} },
+        { DataCentreId("b1"), milliseconds(row.otherWaitMs), true, milliseconds(row.ageMs) },
+    };
+    PoolChooser chooser(topology, DataCentreId("a1"));
+    LinkBudget link(ByteCount(1'000'000), std::chrono::seconds(1), TimePoint());
+    RandomEngine random(3);
+    unsigned crossings = 0;
+    for (unsigned n = 0; n < 10; ++n) {
+        const DecisionContext context { TimePoint(milliseconds(50 * n)), random };
+        const auto choice = row.isAfterRefusal ? chooser.chooseAfterRefusal(states, ByteCount(1), link, context)
+                                               : chooser.choose(states, ByteCount(1), link, context);
+        crossings += choice && choice->isOtherRegion ? 1 : 0;
+    }
+    cr_assert_eq(crossings, row.crossings, "guards against %s: got %u", row.guardsAgainst, crossings);
+}
