Add dogwoodhallctl and worked examples of both deployments

Cause: an operator without a colleague had no way to check a change before publishing it, or to ask what it does.

Change: package ctl with check, diff, explain, status, drain and completion. examples/ holds settings and records of both deployments in schema version 2 and a record of version 1; CTest checks them with dogwoodhallctl. clang-tidy's naming check is off for the event functions that boost::json::basic_parser prescribes.

--- /dev/null
+++ b/packages/ctl/include/dogwoodhall/ctl/ChangeReport.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "dogwoodhall/configuration/ServiceDeclaration.h"
+#include "dogwoodhall/configuration/TopologyDeclaration.h"
+
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+// One difference between two configurations.
+struct Change {
+    std::string kind; // "service", "endpoint", "rule", "limits" or "topology".
+    std::string service; // Empty for the topology.
+    std::string id; // Of the endpoint, rule or data centre; empty otherwise.
+    std::string sentence; // What changes and what that does.
+};
+
+// Both lists in order of their ids.
+std::vector<Change> describeChanges(
+    const std::vector<ServiceDeclaration>& before, const std::vector<ServiceDeclaration>& after);
+std::vector<Change> describeChanges(const TopologyDeclaration& before, const TopologyDeclaration& after);
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/ctl/src/ChangeReport.cpp
@@ -0,0 +1,263 @@
+#include "dogwoodhall/ctl/ChangeReport.h"
+
+#include "FieldChanges.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace dogwoodhall {
+
+namespace {
+
+std::uint64_t slotsOf(const ServiceDeclaration& service)
+{
+    std::uint64_t slots = 0;
+    for (const auto& endpoint : service.endpoints)
+        slots += endpoint.slots.count();
+    return slots;
+}
+
+std::string capacityOf(const ServiceDeclaration& service)
+{
+    std::set<DataCentreId> dataCentres;
+    for (const auto& endpoint : service.endpoints)
+        dataCentres.insert(endpoint.dataCentre);
+    return std::to_string(service.endpoints.size()) + " endpoints with " + std::to_string(slotsOf(service))
+        + " slots in " + std::to_string(dataCentres.size()) + " data centres";
+}
+
+std::string rampSentence(const ServiceDeclaration& service)
+{
+    if (service.limits.coldRamp == Duration {})
+        return "It receives its full share at once.";
+    return "It receives its full share after " + toText(service.limits.coldRamp) + ".";
+}
+
+template <typename Item> const Item* findById(const std::vector<Item>& items, const Item& wanted)
+{
+    auto it = std::find_if(items.begin(), items.end(), [&](const auto& item) { return item.id == wanted.id; });
+    return it == items.end() ? nullptr : &*it;
+}
+
+// Calls `removed`, `added` or `changed` for each item of one list that the other does not hold in the same form.
+template <typename Item> struct Visitors {
+    std::function<void(const Item&)> removed;
+    std::function<void(const Item&)> added;
+    std::function<void(const Item&, const Item&)> changed;
+};
+
+template <typename Item>
+void compareLists(const std::vector<Item>& before, const std::vector<Item>& after, const Visitors<Item>& visitors)
+{
+    for (const auto& item : before) {
+        if (!findById(after, item))
+            visitors.removed(item);
+    }
+    for (const auto& item : after) {
+        const auto* old = findById(before, item);
+        if (!old)
+            visitors.added(item);
+        else if (!(*old == item))
+            visitors.changed(*old, item);
+    }
+}
+
+// The changes of one service that exists before and after.
+class ServiceChanges {
+public:
+    ServiceChanges(const ServiceDeclaration& before, const ServiceDeclaration& after, std::vector<Change>& changes)
+        : m_before(before)
+        , m_after(after)
+        , m_changes(changes)
+        , m_name(" of service " + after.id.value())
+    {
+    }
+
+    void describe()
+    {
+        describeService();
+        describeLimits();
+        describeEndpoints();
+        describeRules();
+    }
+
+private:
+    void add(const std::string& kind, const std::string& id, const std::string& sentence)
+    {
+        m_changes.push_back({ kind, m_after.id.value(), id, sentence });
+    }
+
+    void describeService()
+    {
+        FieldChanges fields;
+        fields.compare("hostNames", m_before.hostNames, m_after.hostNames)
+            .compare("pathPrefix", m_before.pathPrefix, m_after.pathPrefix);
+        if (!fields.empty()) {
+            add("service", "",
+                "Service " + m_after.id.value() + " matches other requests: " + fields.text()
+                    + ". Requests that it no longer matches go to another matching service or are answered 404.");
+        }
+        if (slotsOf(m_before) != slotsOf(m_after)) {
+            add("service", "",
+                "Service " + m_after.id.value() + " can run " + std::to_string(slotsOf(m_after))
+                    + " requests at the same time instead of " + std::to_string(slotsOf(m_before)) + ".");
+        }
+    }
+
+    void describeLimits()
+    {
+        FieldChanges fields;
+        const auto &old = m_before.limits, &now = m_after.limits;
+        fields.compare("queuePerSlot", std::uint64_t { old.queuePerSlot }, std::uint64_t { now.queuePerSlot })
+            .compare("longWorkSharePercent", old.longWorkShare, now.longWorkShare)
+            .compare("retrySharePercent", old.retryShare, now.retryShare)
+            .compare("coldRampMs", old.coldRamp, now.coldRamp);
+        if (!fields.empty()) {
+            add("limits", "",
+                "The limits" + m_name + " change: " + fields.text()
+                    + ". They apply to requests that arrive from then on.");
+        }
+    }
+
+    void describeEndpoints()
+    {
+        compareLists<EndpointDeclaration>(m_before.endpoints, m_after.endpoints,
+            { [this](const auto& old) {
+                 add("endpoint", old.id.value(),
+                     "Endpoint " + old.id.value() + m_name + " in " + old.dataCentre.value()
+                         + " is removed. It receives no new requests; requests in flight finish.");
+             },
+                [this](const auto& now) {
+                    add("endpoint", now.id.value(),
+                        "Endpoint " + now.id.value() + m_name + " is added in " + now.dataCentre.value() + " with "
+                            + toText(now.slots.count()) + " slots. " + rampSentence(m_after));
+                },
+                [this](const auto& old, const auto& now) { describeEndpoint(old, now); } });
+    }
+
+    void describeEndpoint(const EndpointDeclaration& old, const EndpointDeclaration& now)
+    {
+        FieldChanges fields;
+        fields.compare("host", old.host.value(), now.host.value())
+            .compare("dataCentre", old.dataCentre.value(), now.dataCentre.value())
+            .compare("address", old.address, now.address)
+            .compare("slots", old.slots.count(), now.slots.count())
+            .compare("maxConnections", std::uint64_t { old.maxConnections }, std::uint64_t { now.maxConnections });
+        std::string effect = " Requests in flight finish.";
+        if (!(old.address == now.address))
+            effect = " New requests go to the new address; requests in flight finish at the old one.";
+        add("endpoint", now.id.value(),
+            "Endpoint " + now.id.value() + m_name + " changes: " + fields.text() + "." + effect);
+    }
+
+    void describeRules()
+    {
+        compareLists<RuleDeclaration>(m_before.rules, m_after.rules,
+            { [this](const auto& old) {
+                 add("rule", old.id.value(),
+                     "Rule " + old.id.value() + m_name
+                         + " is removed. Its requests meet a later matching rule, or the defaults where there is "
+                           "none.");
+             },
+                [this](const auto& now) {
+                    add("rule", now.id.value(),
+                        "Rule " + now.id.value() + m_name + " is added for methods " + toText(now.methods) + " under "
+                            + now.pathPrefix + ". It applies where no rule before it matches.");
+                },
+                [this](const auto& old, const auto& now) { describeRule(old, now); } });
+        describeRuleOrder();
+    }
+
+    void describeRule(const RuleDeclaration& old, const RuleDeclaration& now)
+    {
+        FieldChanges fields;
+        fields.compare("methods", old.methods, now.methods)
+            .compare("pathPrefix", old.pathPrefix, now.pathPrefix)
+            .compare("idempotent", old.idempotent, now.idempotent)
+            .compare("workClass", old.workClass, now.workClass)
+            .compare("priority", old.priority, now.priority)
+            .compare("deadlineMs", old.deadline, now.deadline);
+        std::string effect;
+        if (old.idempotent != now.idempotent) {
+            effect = !now.idempotent ? " Only GET, HEAD and OPTIONS requests may be retried and hedged."
+                : *now.idempotent    ? " Requests may be retried and hedged, so that one may run more than once."
+                                     : " Requests are executed at most once.";
+        }
+        add("rule", now.id.value(), "Rule " + now.id.value() + m_name + " changes: " + fields.text() + "." + effect);
+    }
+
+    void describeRuleOrder()
+    {
+        std::vector<std::string> before, after;
+        for (const auto& rule : m_before.rules) {
+            if (findById(m_after.rules, rule))
+                before.push_back(rule.id.value());
+        }
+        for (const auto& rule : m_after.rules) {
+            if (findById(m_before.rules, rule))
+                after.push_back(rule.id.value());
+        }
+        if (before != after) {
+            add("rule", "",
+                "The rules" + m_name + " are tried in another order: " + toText(after) + " instead of " + toText(before)
+                    + ". The first match applies.");
+        }
+    }
+
+    const ServiceDeclaration& m_before;
+    const ServiceDeclaration& m_after;
+    std::vector<Change>& m_changes;
+    std::string m_name;
+};
+
+} // namespace
+
+std::vector<Change> describeChanges(
+    const std::vector<ServiceDeclaration>& before, const std::vector<ServiceDeclaration>& after)
+{
+    std::vector<Change> changes;
+    compareLists<ServiceDeclaration>(before, after,
+        { [&](const auto& old) {
+             changes.push_back({ "service", old.id.value(), "",
+                 "Service " + old.id.value() + " with " + capacityOf(old)
+                     + " is removed. Its requests go to another matching service or are answered 404; requests in "
+                       "flight"
+                       " finish." });
+         },
+            [&](const auto& now) {
+                changes.push_back({ "service", now.id.value(), "",
+                    "Service " + now.id.value() + " is added: requests for host names " + toText(now.hostNames)
+                        + " under " + now.pathPrefix + " go to " + capacityOf(now) + "." });
+            },
+            [&](const auto& old, const auto& now) { ServiceChanges(old, now, changes).describe(); } });
+    return changes;
+}
+
+std::vector<Change> describeChanges(const TopologyDeclaration& before, const TopologyDeclaration& after)
+{
+    std::vector<Change> changes;
+    const auto add = [&](const std::string& id, const std::string& sentence) {
+        changes.push_back({ "topology", "", id, sentence });
+    };
+    compareLists<DataCentreDeclaration>(before.dataCentres, after.dataCentres,
+        { [&](const auto& old) { add(old.id.value(), "Data centre " + old.id.value() + " is removed."); },
+            [&](const auto& now) {
+                add(now.id.value(),
+                    "Data centre " + now.id.value() + " is added in region " + now.region.value() + ".");
+            },
+            [&](const auto& old, const auto& now) {
+                add(now.id.value(),
+                    "Data centre " + now.id.value() + " moves from region " + old.region.value() + " to "
+                        + now.region.value() + ".");
+            } });
+    FieldChanges fields;
+    fields.compare("delayWithinRegionMs", before.delayWithinRegion, after.delayWithinRegion)
+        .compare("delayBetweenRegionsMs", before.delayBetweenRegions, after.delayBetweenRegions)
+        .compare("linkBytesPerSecond", before.linkBytesPerSecond.count(), after.linkBytesPerSecond.count());
+    if (!fields.empty())
+        add("", "The links change: " + fields.text() + ". The choice of another data centre follows the new values.");
+    return changes;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/ctl/src/InputFiles.cpp
@@ -0,0 +1,103 @@
+#include "dogwoodhall/ctl/InputFiles.h"
+
+#include "dogwoodhall/commandline/CommandLine.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <map>
+#include <ostream>
+
+namespace dogwoodhall {
+
+namespace json = boost::json;
+
+namespace {
+
+bool shareHostName(const ServiceDeclaration& a, const ServiceDeclaration& b)
+{
+    if (a.hostNames.empty() || b.hostNames.empty())
+        return true;
+    return std::any_of(a.hostNames.begin(), a.hostNames.end(),
+        [&](const auto& name) { return std::find(b.hostNames.begin(), b.hostNames.end(), name) != b.hostNames.end(); });
+}
+
+// Two services that match the same requests: only the one with the lower id would receive any.
+void checkOverlaps(const std::map<RecordKey, std::string>& files, InputFiles& input)
+{
+    const auto& services = input.services;
+    for (std::size_t n = 0; n < services.size(); ++n) {
+        for (std::size_t earlier = 0; earlier < n; ++earlier) {
+            if (services[n].pathPrefix != services[earlier].pathPrefix
+                || !shareHostName(services[n], services[earlier]))
+                continue;
+            const auto file = files.find(RecordKey("services/" + services[n].id.value()));
+            input.problems.push_back({ file == files.end() ? "" : file->second, 0, 0, "",
+                "services with different host names or path prefixes",
+                "services " + services[earlier].id.value() + " and " + services[n].id.value()
+                    + " with the same host name and path prefix " + services[n].pathPrefix });
+        }
+    }
+}
+
+void addRecords(
+    DeclarationFile& file, const std::string& path, std::map<RecordKey, std::string>& files, InputFiles& input)
+{
+    for (auto& [key, declaration] : file.records) {
+        const auto [it, isNew] = files.emplace(key, path);
+        if (!isNew && it->second != path) {
+            input.problems.push_back(
+                { path, 0, 0, "", "each record in one file", key.value() + ", which " + it->second + " already has" });
+        }
+        if (auto* service = std::get_if<ServiceDeclaration>(&declaration))
+            input.services.push_back(std::move(*service));
+        else
+            input.topology = std::get<TopologyDeclaration>(std::move(declaration));
+    }
+}
+
+} // namespace
+
+InputFiles readInputFiles(const std::vector<std::string>& paths)
+{
+    InputFiles input;
+    std::map<RecordKey, std::string> files;
+    std::vector<DataCentreReference> references;
+    for (const auto& path : paths) {
+        const auto text = readFile(path);
+        if (!text) {
+            input.problems.push_back({ path, 0, 0, "", "a readable file", text.error() });
+            continue;
+        }
+        auto file = readDeclarationFile(*text, path);
+        std::move(file.problems.begin(), file.problems.end(), std::back_inserter(input.problems));
+        std::move(file.references.begin(), file.references.end(), std::back_inserter(references));
+        if (file.settings)
+            input.settings.push_back(std::move(*file.settings));
+        addRecords(file, path, files, input);
+    }
+    std::sort(input.services.begin(), input.services.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
+    if (input.topology) {
+        auto dangling = checkReferences(references, *input.topology);
+        std::move(dangling.begin(), dangling.end(), std::back_inserter(input.problems));
+    }
+    if (input.problems.empty())
+        checkOverlaps(files, input);
+    return input;
+}
+
+void printProblems(const Problems& problems, bool asJson, std::ostream& out)
+{
+    if (!asJson) {
+        if (!problems.empty())
+            out << toString(problems) << "\n";
+        return;
+    }
+    json::array list;
+    for (const auto& problem : problems) {
+        list.push_back(json::object { { "file", problem.file }, { "line", problem.line }, { "column", problem.column },
+            { "pointer", problem.pointer }, { "expected", problem.expected }, { "found", problem.found } });
+    }
+    out << json::object { { "valid", problems.empty() }, { "problems", std::move(list) } } << "\n";
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/ctl/tests/AdminClientTest.cpp
@@ -0,0 +1,98 @@
+#include "dogwoodhall/ctl/AdminClient.h"
+#include "dogwoodhall/ctl/Command.h"
+
+#include "TableRows.h"
+
+#include <boost/asio.hpp>
+#include <criterion/criterion.h>
+#include <sstream>
+#include <thread>
+
+using namespace dogwoodhall;
+
+namespace asio = boost::asio;
+
+namespace {
+
+// An operators' port that gives one answer, accepts `furtherConnections` more, and then refuses all.
+class OneAnswerServer {
+public:
+    OneAnswerServer(std::string answer, int furtherConnections)
+        : m_acceptor(m_io, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_port(m_acceptor.local_endpoint().port())
+        , m_thread([this, answer = std::move(answer), furtherConnections] { serve(answer, furtherConnections); })
+    {
+    }
+    ~OneAnswerServer() { m_thread.join(); }
+
+    std::uint16_t port() const { return m_port; }
+
+private:
+    void serve(const std::string& answer, int furtherConnections)
+    {
+        boost::system::error_code ec;
+        auto socket = m_acceptor.accept();
+        std::string request;
+        asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", ec);
+        if (furtherConnections == 0)
+            m_acceptor.close();
+        asio::write(socket, asio::buffer(answer), ec);
+        socket.close();
+        for (int n = 0; n < furtherConnections; ++n)
+            m_acceptor.accept().close();
+        m_acceptor.close(ec);
+    }
+
+    asio::io_context m_io;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::uint16_t m_port;
+    std::thread m_thread;
+};
+
+} // namespace
+
+struct AdminRow {
+    const char* command;
+    const char* answer;
+    int furtherConnections;
+    int status;
+    const char* text; // Part of the output or of the error output.
+};
+
+const AdminRow rows[] = {
+    { "status", "HTTP/1.1 200 OK\r\nContent-Length: 32\r\n\r\n{\"pools\":[{\"id\":\"a@c\",\"queued\":3}]}", 0, 1,
+        "the answer is not JSON" },
+    { "status", "HTTP/1.1 200 OK\r\nContent-Length: 35\r\n\r\n{\"pools\":[{\"id\":\"a@c\",\"queued\":3}]}", 0, 0,
+        "pools.0.id: a@c\npools.0.queued: 3\n" },
+    { "status --json", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"a\": 1 }", 0, 0, "{\"a\":1}\n" },
+    { "status", "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", 0, 1,
+        "GET /status was answered with status 404" },
+    { "status", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{", 0, 1, "no complete answer" },
+    { "status", "nonsense\r\n\r\n", 0, 1, "no complete answer" },
+    { "drain", "HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\ndraining\n", 2, 0, "has stopped" },
+    { "drain --json", "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", 0, 0, "{\"stopped\":true}" },
+    { "drain", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", 0, 1, "answered with status 500" },
+    { "drain --wait-seconds 1", "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", 8, 1, "is still draining" },
+};
+
+// Guards against a drain that is reported as ended while the process runs, and against an answer that is misread.
+ParameterizedTestParameters(AdminCommands, followTheProcess) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, AdminCommands, followTheProcess)
+{
+    const AdminRow& row = rows[*index];
+    std::ostringstream out, err;
+    int status = 0;
+    {
+        OneAnswerServer server(row.answer, row.furtherConnections);
+        std::istringstream words(row.command);
+        std::vector<std::string> arguments { std::istream_iterator<std::string>(words), {} };
+        arguments.insert(arguments.begin() + 1, { "--admin", "127.0.0.1:" + std::to_string(server.port()) });
+        status = runProgram(arguments, out, err);
+        // Lets a server that still waits for connections end.
+        AdminClient({ "127.0.0.1", server.port() }).waitUntilStopped(Duration {});
+    }
+    const std::string text = out.str() + err.str();
+    cr_expect_eq(status, row.status, "row %zu: status %d", *index, status);
+    cr_expect_neq(text.find(row.text), std::string::npos, "row %zu: %s", *index, text.c_str());
+}
--- a/packages/declarations/src/JsonTreeHandler.h
+++ b/packages/declarations/src/JsonTreeHandler.h
@@ -16,6 +16,8 @@
     using Error = boost::json::error_code;
     using Text = boost::json::string_view;
 
+    // basic_parser prescribes the names of the limits and of the event functions.
+    // NOLINTBEGIN(readability-identifier-naming)
     static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
     static constexpr std::size_t max_array_size = max_object_size;
     static constexpr std::size_t max_key_size = max_object_size;
@@ -46,6 +48,7 @@
     bool on_null(Error&);
     bool on_comment_part(Text, Error&) { return true; }
     bool on_comment(Text, Error&) { return true; }
+    // NOLINTEND(readability-identifier-naming)
 
 private:
     bool open(JsonNode::Kind);
