--- a/packages/declarations/src/JsonTreeHandler.h
+++ b/packages/declarations/src/JsonTreeHandler.h
@@ -16,6 +16,8 @@
     using Error = boost::json::error_code;
     using Text = boost::json::string_view;
 
+    // basic_parser prescribes the names of the limits and of the event functions.
+    // NOLINTBEGIN(readability-identifier-naming)
     static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
     static constexpr std::size_t max_array_size = max_object_size;
     static constexpr std::size_t max_key_size = max_object_size;
@@ -28,6 +30,9 @@
 
     JsonNode takeRoot() { return std::move(m_root); }
 
+    // Offset of the second byte of the comment, after the last token, that is not one.
+    std::size_t findMalformedComment();
+
     bool on_document_begin(Error&) { return true; }
     bool on_document_end(Error&) { return true; }
     bool on_object_begin(Error&) { return open(JsonNode::Kind::Object); }
@@ -46,13 +51,14 @@
     bool on_null(Error&);
     bool on_comment_part(Text, Error&) { return true; }
     bool on_comment(Text, Error&) { return true; }
+    // NOLINTEND(readability-identifier-naming)
 
 private:
     bool open(JsonNode::Kind);
     bool close();
     JsonNode& append(JsonNode::Kind);
     void skipSeparators();
-    void skipComment();
+    bool skipComment();
     void skipString();
     void skipLiteral();
 
