--- /dev/null
+++ b/tests/system/OutcomeTest.cpp
@@ -0,0 +1,176 @@
+#include "Cluster.h"
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <csignal>
+
+using namespace dogwoodhall;
+
+namespace {
+
+const std::string shortDeadline = "Dogwoodhall-Deadline-Ms: 400\r\n";
+
+// What happens at u0; u1 is sound.
+struct Fault {
+    std::string mode; // PUT to u0 before the requests.
+    int signal = 0; // Sent to u0 before the requests.
+    std::string fields = {}; // Of each request.
+    bool continues = false; // u0 gets SIGCONT after the requests, and runs late what it received.
+};
+
+void apply(Cluster& cluster, const Fault& fault)
+{
+    if (!fault.mode.empty())
+        cluster.setMode(0, fault.mode);
+    if (fault.signal)
+        cluster.upstream(0).process.signal(fault.signal);
+}
+
+// Lets a frozen upstream finish: it has run all it holds when no request is left at it.
+void resume(Cluster& cluster, const Fault& fault)
+{
+    if (!fault.continues)
+        return;
+    cluster.upstream(0).process.signal(SIGCONT);
+    cr_assert(eventually([&] {
+        const auto health = call(cluster.upstream(0).address, { "GET", "/health", {}, {}, {} });
+        return health.body.find("\"inUse\":0") != std::string::npos;
+    }));
+}
+
+} // namespace
+
+struct OutcomeRow {
+    const char* name;
+    Fault fault;
+    bool idempotentSucceeds; // Every idempotent request gets 200, by retry at u1 where need be.
+    bool otherSucceeds; // The same for requests that are not idempotent: the fault proves that nothing ran.
+};
+
+const OutcomeRow rows[] = {
+    { "sound", { "" }, true, true },
+    { "refuses", { "refuse=1" }, true, true },
+    { "connect refused", { "", SIGKILL }, true, true },
+    { "killed before the run", { "fault=die-before" }, true, false },
+    { "killed after the run", { "fault=die-after" }, true, false },
+    { "connection cut before the run", { "fault=cut-before" }, true, false },
+    { "connection cut after the run", { "fault=cut-after" }, true, false },
+    { "frozen from the start", { "", SIGSTOP, shortDeadline, true }, false, false },
+    { "frozen before the run", { "fault=freeze-before", 0, shortDeadline, true }, false, false },
+    { "frozen after the run", { "fault=freeze-after", 0, shortDeadline, true }, false, false },
+    { "slower than the deadline", { "delay_ms=1000", 0, shortDeadline }, false, false },
+    { "refuses while draining", { "refuse=1&draining=1" }, true, true },
+};
+
+struct Sent {
+    std::string id;
+    Answer answer;
+};
+
+// Sends requests until u0 has met several of them or is dead; the pool may choose either upstream.
+std::vector<Sent> sendAll(Cluster& cluster, const OutcomeRow& row, const std::string& method)
+{
+    std::vector<Sent> sent;
+    for (int n = 0; n < 12; ++n) {
+        const auto id = method + "-" + std::to_string(n);
+        const std::string body = method == "POST" ? "order" : "";
+        sent.push_back({ id, call(cluster.caller(), { method, "/a", row.fault.fields, body, id }) });
+    }
+    return sent;
+}
+
+// Guards against a request that is run twice or reported as not run although it ran, and against idempotent requests
+// that fail where another upstream could have served them.
+ParameterizedTestParameters(Outcome, holdsUnderFaults) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, Outcome, holdsUnderFaults, .timeout = 120)
+{
+    const auto& row = rows[*index];
+    for (const std::string method : { "GET", "POST" }) {
+        auto cluster = Cluster::Builder().upstreams(2).start();
+        apply(cluster, row.fault);
+        const auto sent = sendAll(cluster, row, method);
+        resume(cluster, row.fault);
+        for (const auto& [id, answer] : sent) {
+            const auto runs = cluster.runs(id);
+            const auto outcome = answer.field("Dogwoodhall-Outcome");
+            cr_assert(answer.isWhole, "%s: %s was not answered", row.name, id.c_str());
+            cr_assert(answer.status == 200 || !outcome.empty(), "%s: %s has no outcome", row.name, id.c_str());
+            cr_assert(outcome != "not-run" || runs == 0, "%s: %s ran %zu times", row.name, id.c_str(), runs);
+            cr_assert(answer.status != 200 || runs >= 1, "%s: %s did not run", row.name, id.c_str());
+            cr_assert(method == "GET" || runs <= 1, "%s: %s ran %zu times", row.name, id.c_str(), runs);
+            if (method == "GET" ? row.idempotentSucceeds : row.otherSucceeds)
+                cr_assert_eq(answer.status, 200, "%s: %s: status %u", row.name, id.c_str(), answer.status);
+        }
+    }
+}
+
+struct NowhereRow {
+    const char* name;
+    Fault fault;
+    const char* outcome;
+    std::vector<const char*> errors;
+};
+
+const NowhereRow nowhereRows[] = {
+    { "refuses", { "refuse=1" }, "not-run", { "upstream-refused", "no-endpoint" } },
+    { "connect refused", { "", SIGKILL }, "not-run", { "upstream-failed", "no-endpoint" } },
+    { "killed before the run", { "fault=die-before" }, "unknown", { "upstream-failed" } },
+    { "killed after the run", { "fault=die-after" }, "unknown", { "upstream-failed" } },
+    { "connection cut before the run", { "fault=cut-before" }, "unknown", { "upstream-failed" } },
+    { "connection cut after the run", { "fault=cut-after" }, "unknown", { "upstream-failed" } },
+    { "slower than the deadline", { "delay_ms=1000", 0, shortDeadline }, "unknown", { "deadline-exceeded" } },
+    { "frozen before the run", { "fault=freeze-before", 0, shortDeadline, true }, "unknown", { "deadline-exceeded" } },
+};
+
+// Guards against a wrong error kind or outcome where the only upstream fails.
+ParameterizedTestParameters(Outcome, isStatedWhereNothingIsLeft) { return rowIndices(nowhereRows); }
+
+ParameterizedTest(std::size_t* index, Outcome, isStatedWhereNothingIsLeft, .timeout = 60)
+{
+    const auto& row = nowhereRows[*index];
+    auto cluster = Cluster::Builder().start();
+    apply(cluster, row.fault);
+    const auto answer = call(cluster.caller(), { "POST", "/a", row.fault.fields, "order", "only" });
+    resume(cluster, row.fault);
+    const auto outcome = answer.field("Dogwoodhall-Outcome");
+    const auto error = answer.field("Dogwoodhall-Error");
+    cr_assert_eq(outcome, row.outcome, "%s: %s, %s", row.name, error.c_str(), outcome.c_str());
+    cr_assert(
+        std::find(row.errors.begin(), row.errors.end(), error) != row.errors.end(), "%s: %s", row.name, error.c_str());
+    cr_assert(cluster.runs("only") <= (outcome == "not-run" ? 0 : 1), "%s", row.name);
+}
+
+struct QueuedRow {
+    const char* name;
+    const char* method;
+};
+
+const QueuedRow queuedRows[] = {
+    { "idempotent", "GET" },
+    { "not idempotent", "POST" },
+};
+
+// Guards against a run, or a late second run, of a request whose caller has gone while it waited in the queue.
+ParameterizedTestParameters(Outcome, queuedRequestOfAGoneCallerIsNotRun) { return rowIndices(queuedRows); }
+
+ParameterizedTest(std::size_t* index, Outcome, queuedRequestOfAGoneCallerIsNotRun, .timeout = 60)
+{
+    const auto& row = queuedRows[*index];
+    auto cluster = Cluster::Builder().slots(1).start();
+    // One slot and the allowance of one above it.
+    TestClient first(cluster.caller());
+    TestClient second(cluster.caller());
+    first.send(TestRequest { "POST", "/a?delay_ms=800", {}, "order", "first" }.text());
+    second.send(TestRequest { "POST", "/a?delay_ms=800", {}, "order", "second" }.text());
+    cr_assert(eventually([&] { return cluster.received(0) >= 2; }));
+    TestClient gone(cluster.caller());
+    gone.send(TestRequest { row.method, "/a", {}, {}, "gone" }.text());
+    gone.cut();
+    first.readAnswer();
+    second.readAnswer();
+    cr_assert_eq(call(cluster.caller(), { "POST", "/a", {}, "order", "last" }).status, 200);
+    cr_assert_eq(cluster.runs("gone"), 0, "%s", row.name);
+    cr_assert_eq(cluster.runs("last"), 1);
+}
--- a/tests/system/support/TestClient.cpp
+++ b/tests/system/support/TestClient.cpp
@@ -77,6 +77,8 @@
         }
         m_unread.erase(0, parser.put(asio::buffer(m_unread), ec));
     }
+    if (!parser.is_done())
+        m_unread.clear(); // Of a part of the answer that the parser could not use.
     const bool endsWithConnection = parser.is_header_done() && !parser.is_done() && parser.need_eof();
     if (endsWithConnection)
         parser.put_eof(ec);
--- a/tools/src/UpstreamStandIn.cpp
+++ b/tools/src/UpstreamStandIn.cpp
@@ -19,7 +19,8 @@
 //   at=<name>            the parameters of the request's own query apply only at the endpoint of this name
 //   refuse=1             refuses explicitly; draining=1 and load=<n> set the answer's header fields
 //   cold=1               answers take ten times delay_ms, and health reports "cold"
-//   fault=<what>-<when>  die, cut (the connection) or freeze (SIGSTOP); before or after the run, or mid of the body
+//   fault=<what>-<when>  die, cut (the connection) or freeze (SIGSTOP, only once); before or after the run, or mid of
+//                        the body
 //   delay_ms=<n>         before the answer; pause_ms=<n> between the parts of its body
 //   bytes=<n>            of body; chunked=1 without a declared length; truncate=1 breaks off in the middle
 //   surplus=<n>          unrequested answers after the answer, surplus_delay_ms=<n> later
@@ -64,6 +65,8 @@
     asio::awaitable<bool> writeParts(const ResponseWriter&, const Target&, std::uint64_t size);
     asio::awaitable<void> pause(std::uint64_t milliseconds);
     Target withMode(Target) const;
+    // True where the request ends here, with its connection cut.
+    bool faultStrikes(const Target&, const std::string& when);
     void recordRun(const HeaderFields&);
     std::string runsAsJson() const;
     std::string healthAsJson() const;
@@ -72,18 +75,18 @@
     StandInServer m_server;
     int m_runsFile = -1;
     std::map<std::string, std::string> m_mode;
+    bool m_hasFrozen = false;
     std::uint64_t m_inUse = 0;
     std::uint64_t m_received = 0; // Requests, run or not.
     std::map<std::string, std::uint64_t> m_runs;
 };
 
-// True where the request ends here, with its connection cut. A frozen process continues after SIGCONT.
-bool faultStrikes(const Target& target, const std::string& when)
+bool UpstreamStandIn::faultStrikes(const Target& target, const std::string& when)
 {
     const auto fault = target.text("fault");
     if (fault == "die-" + when)
         std::raise(SIGKILL);
-    if (fault == "freeze-" + when)
+    if (fault == "freeze-" + when && !std::exchange(m_hasFrozen, true))
         std::raise(SIGSTOP);
     return fault == "cut-" + when;
 }
