Test proofs, malformed peers and broken answers of peer connections

A wrong proof makes a request run twice, and bad input must close a stream or connection only. The tests write HTTP/2 by hand on raw sockets. Faults are now counted when nghttp2 reports them to the other side (RST_STREAM or GOAWAY), since its invalid-frame callback misses some.

--- a/packages/peer/include/dogwoodhall/peer/PeerLimits.h
+++ b/packages/peer/include/dogwoodhall/peer/PeerLimits.h
@@ -33,7 +33,8 @@
 struct PeerCounters {
     std::atomic<std::uint64_t> connectionsOpened { 0 };
     std::atomic<std::uint64_t> addressesRejected { 0 };
-    std::atomic<std::uint64_t> protocolErrors { 0 }; // Malformed frames and messages.
+    std::atomic<std::uint64_t> protocolErrors { 0 }; // Malformed frames and messages, and data beyond a window.
+    std::atomic<std::uint64_t> streamsRefused { 0 }; // Above the limit, or during shutdown.
     std::atomic<std::uint64_t> oversizedHeads { 0 };
     std::atomic<std::uint64_t> silentConnections { 0 }; // Closed because a PING was not answered.
 };
--- a/packages/peer/src/PeerServer.cpp
+++ b/packages/peer/src/PeerServer.cpp
@@ -160,7 +160,7 @@
     ResponseWriter writer;
     writer.writeHead = [session, id](const ResponseHead& head) { return session->submitResponse(id, head); };
     writer.writeBody = [session, id](asio::const_buffer buf) { return session->writeBody(id, buf); };
-    writer.finish = [session, id]() -> ExchangeResult<void> { co_return session->finishBody(id); };
+    writer.finish = [session, id] { return session->finish(id); };
     co_await self->m_handler(std::move(request), std::move(writer));
 }
 
--- a/packages/peer/src/PeerSession.h
+++ b/packages/peer/src/PeerSession.h
@@ -69,6 +69,7 @@
     // Completes when all bytes are queued or sent.
     ExchangeResult<void> writeBody(StreamId, asio::const_buffer);
     tl::expected<void, ExchangeError> finishBody(StreamId);
+    ExchangeResult<void> finish(StreamId); // The same, as ResponseWriter needs it.
 
     // Forgets the stream and resets it with the code unless it is closed.
     void release(StreamId, std::uint32_t code);
--- a/packages/peer/src/SessionCallbacks.cpp
+++ b/packages/peer/src/SessionCallbacks.cpp
@@ -19,6 +19,14 @@
     return frame->hd.type == NGHTTP2_HEADERS && frame->headers.cat == NGHTTP2_HCAT_REQUEST;
 }
 
+// nghttp2 answers a fault of the other side by a reset or a GOAWAY with one of these codes, which this side does not
+// send otherwise.
+bool reportsFault(std::uint32_t code)
+{
+    return code != NGHTTP2_NO_ERROR && code != NGHTTP2_INTERNAL_ERROR && code != NGHTTP2_CANCEL
+        && code != NGHTTP2_REFUSED_STREAM;
+}
+
 } // namespace
 
 nghttp2_session* SessionCallbacks::open(PeerSession& session)
@@ -30,7 +38,6 @@
     nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, onBeginHeaders);
     nghttp2_session_callbacks_set_on_header_callback(callbacks, onHeader);
     nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, onFrameReceived);
-    nghttp2_session_callbacks_set_on_invalid_frame_recv_callback(callbacks, onInvalidFrame);
     nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, onData);
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, onStreamClosed);
     nghttp2_session_callbacks_set_before_frame_send_callback(callbacks, onBeforeFrameSent);
@@ -118,15 +125,6 @@
     return 0;
 }
 
-int SessionCallbacks::onInvalidFrame(nghttp2_session*, const nghttp2_frame*, int error, void* user)
-{
-    PeerSession& session = sessionOf(user);
-    ++session.m_diagnostics->counters.protocolErrors;
-    session.m_diagnostics->report(
-        "Received an invalid frame from " + session.m_remote + ": " + nghttp2_strerror(error));
-    return 0;
-}
-
 int SessionCallbacks::onData(
     nghttp2_session* raw, std::uint8_t, std::int32_t id, const std::uint8_t* data, std::size_t n, void* user)
 {
@@ -157,8 +155,24 @@
     return 0;
 }
 
+void SessionCallbacks::countFault(PeerSession& session, std::string_view action, std::uint32_t code)
+{
+    PeerDiagnostics& diagnostics = *session.m_diagnostics;
+    if (code == NGHTTP2_REFUSED_STREAM)
+        ++diagnostics.counters.streamsRefused;
+    else if (reportsFault(code))
+        ++diagnostics.counters.protocolErrors;
+    else
+        return;
+    diagnostics.report(std::string(action) + session.m_remote + ": " + nghttp2_http2_strerror(code));
+}
+
 int SessionCallbacks::onFrameSent(nghttp2_session* raw, const nghttp2_frame* frame, void* user)
 {
+    if (frame->hd.type == NGHTTP2_RST_STREAM)
+        countFault(sessionOf(user), "Reset a stream of ", frame->rst_stream.error_code);
+    else if (frame->hd.type == NGHTTP2_GOAWAY)
+        countFault(sessionOf(user), "Closed the connection with ", frame->goaway.error_code);
     if ((frame->hd.type != NGHTTP2_HEADERS && frame->hd.type != NGHTTP2_DATA) || !endsStream(frame))
         return 0;
     PeerSession& session = sessionOf(user);
--- a/packages/peer/src/SessionStreams.cpp
+++ b/packages/peer/src/SessionStreams.cpp
@@ -278,6 +278,8 @@
     return {};
 }
 
+ExchangeResult<void> PeerSession::finish(StreamId id) { co_return finishBody(id); }
+
 ByteCount PeerSession::bufferedBytes() const
 {
     std::uint64_t n = 0;
--- a/packages/peer/tests/PeerExchangeTest.cpp
+++ b/packages/peer/tests/PeerExchangeTest.cpp
@@ -36,10 +36,9 @@
 RequestHandler checkAndAnswer(const BodyRow& row)
 {
     return [&row](IncomingRequest request, ResponseWriter writer) -> asio::awaitable<void> {
-        cr_assert_str_eq(request.head.target.c_str(), "/forward?a=1");
-        cr_assert_str_eq(request.head.method.c_str(), "POST");
+        cr_assert(request.head.target == "/forward?a=1" && request.head.method == "POST");
         cr_assert_eq(request.head.bodyLength.kind, row.requestKind);
-        cr_assert_str_eq(std::string(request.head.fields.find("Dogwoodhall-Ticket").value_or("")).c_str(), "T-1");
+        cr_assert(request.head.fields.find("Dogwoodhall-Ticket") == "T-1");
         cr_assert_not(request.head.fields.find("Connection"));
         const ReadOutcome body = co_await readAll(request.readBody, 1);
         cr_assert(body.matches && !body.error);
@@ -54,14 +53,14 @@
         "/forward?a=1", { row.requestKind, ByteCount(row.requestBytes) }, patternBody(row.requestBytes, 1));
     request.head.fields.add("Dogwoodhall-Ticket", "T-1");
     request.head.fields.add("Connection", "close");
-    auto response = co_await pair.client.exchange(pair.address, std::move(request), farDeadline());
+    auto response = co_await pair.client->exchange(pair.address, std::move(request), farDeadline());
     cr_assert(response, "%s", response ? "" : response.error().detail.c_str());
     cr_assert_eq(response->head.status, 200);
     cr_assert_eq(response->head.bodyLength.kind, row.responseKind);
     const ReadOutcome body = co_await readAll(response->readBody, 2);
     cr_assert(body.matches && !body.error);
     cr_assert_eq(body.bytes, row.responseBytes);
-    cr_assert_eq(pair.client.openConnections(), 1);
+    cr_assert_eq(pair.client->openConnections(), 1);
 }
 
 // Guards against bodies that are lost, reordered or cut, and heads that change on the way.
--- a/packages/peer/tests/PeerFixture.h
+++ b/packages/peer/tests/PeerFixture.h
@@ -13,7 +13,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <optional>
 #include <string>
+#include <utility>
 
 namespace dogwoodhall {
 
@@ -130,15 +132,24 @@
 // A client and a server in one io_context.
 struct PeerPair {
     explicit PeerPair(RequestHandler handler, PeerLimits limits = {}, AcceptsAddress accepts = acceptAll)
-        : server(io.get_executor(), limits, std::move(handler), std::move(accepts))
-        , client(io.get_executor(), limits)
-        , address(*server.listen({ "127.0.0.1", 0 }))
+        : server(std::in_place, io.get_executor(), limits, std::move(handler), std::move(accepts))
+        , client(std::in_place, io.get_executor(), limits)
+        , address(*server->listen({ "127.0.0.1", 0 }))
     {
     }
 
+    // Lets the coroutines of closed connections end.
+    ~PeerPair()
+    {
+        client.reset();
+        server.reset();
+        io.restart();
+        io.run_for(testTimeout);
+    }
+
     asio::io_context io;
-    PeerServer server;
-    PeerClient client;
+    std::optional<PeerServer> server;
+    std::optional<PeerClient> client;
     NetworkAddress address;
 };
 
--- /dev/null
+++ b/packages/peer/tests/PeerServerTest.cpp
@@ -0,0 +1,236 @@
+#include "RawPeer.h"
+#include "TableRows.h"
+
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <criterion/parameterized.h>
+#include <random>
+#include <stdexcept>
+
+using namespace dogwoodhall;
+using asio::experimental::awaitable_operators::operator||;
+
+namespace {
+
+// Runs until it is cancelled; counts its runs and their ends.
+RequestHandler waitForever(std::size_t& started, std::size_t& ended)
+{
+    return [&](IncomingRequest, ResponseWriter) -> asio::awaitable<void> {
+        struct CountEnd {
+            std::size_t& ended;
+            ~CountEnd() { ++ended; }
+        } countEnd { ended };
+        ++started;
+        co_await sleepFor(2 * testTimeout);
+    };
+}
+
+std::string randomBytes(unsigned seed, std::size_t n)
+{
+    std::string bytes;
+    std::minstd_rand random(seed);
+    for (std::size_t k = 0; k < n; ++k)
+        bytes += static_cast<char>(random() >> 8);
+    return bytes;
+}
+
+std::string manyRequests(std::uint32_t n)
+{
+    std::string bytes;
+    for (std::uint32_t k = 0; k < n; ++k)
+        bytes += raw::request(2 * k + 1, raw::endStream);
+    return bytes;
+}
+
+std::string start() { return std::string(raw::preface) + raw::settings(); }
+
+enum class Closes { Connection, Stream, Nothing };
+
+} // namespace
+
+struct MalformedRow {
+    const char* name;
+    std::string (*bytes)();
+    Closes closes;
+    std::uint32_t code; // Of the RST_STREAM for the last stream.
+    std::size_t handlersRun;
+    std::uint64_t protocolErrors;
+};
+
+const MalformedRow malformedRows[] = {
+    { "random bytes", [] { return randomBytes(1, 5000); }, Closes::Connection, 0, 0, 1 },
+    { "HTTP/1.1", [] { return std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n"); }, Closes::Connection, 0, 0, 1 },
+    { "random bytes after the preface", [] { return start() + randomBytes(2, 5000); }, Closes::Connection, 0, 0, 1 },
+    { "frame above the size limit", [] { return start() + raw::data(1, 40000); }, Closes::Connection, 0, 0, 1 },
+    { "DATA on a stream never opened", [] { return start() + raw::data(1, 10); }, Closes::Connection, 0, 0, 1 },
+    { "broken header compression", [] { return start() + raw::request(1, 1, std::string(10, '\xff')); },
+        Closes::Connection, 0, 0, 1 },
+    { "request without a path", [] { return start() + raw::request(1, 1, "\x83\x86" + raw::field(":authority", "a")); },
+        Closes::Stream, 1, 0, 1 },
+    { "oversized head",
+        [] { return start() + raw::request(1, raw::endStream, raw::postRoot + raw::oversizedFields()); },
+        Closes::Stream, 2, 0, 0 },
+    { "DATA beyond the window",
+        [] {
+            std::string bytes = start() + raw::request(1, 0);
+            for (int k = 0; k < 5; ++k)
+                bytes += raw::data(1, 16384);
+            return bytes;
+        },
+        Closes::Stream, 3, 1, 1 },
+    { "body longer than its content-length",
+        [] {
+            return start() + raw::request(1, 0, raw::postRoot + raw::field("content-length", "5")) + raw::data(1, 6);
+        },
+        Closes::Stream, 1, 1, 1 },
+    { "more streams than allowed", [] { return start() + manyRequests(5); }, Closes::Stream, 7, 4, 0 },
+    { "truncated frame", [] { return start() + raw::request(1, 1).substr(0, 12); }, Closes::Nothing, 0, 0, 0 },
+};
+
+asio::awaitable<void> checkMalformed(PeerPair& pair, const MalformedRow& row)
+{
+    asio::ip::tcp::socket socket(pair.io);
+    co_await socket.async_connect({ asio::ip::make_address(pair.address.ip), pair.address.port }, asio::use_awaitable);
+    co_await raw::send(socket, row.bytes());
+    const std::uint32_t lastStream = row.handlersRun == 4 ? 9 : 1;
+    if (row.closes == Closes::Connection) {
+        cr_assert_not(co_await raw::readUntil(socket, raw::Data, 99), "%s", row.name);
+    } else if (row.closes == Closes::Stream) {
+        auto frame = co_await raw::readUntil(socket, raw::RstStream, lastStream);
+        cr_assert(frame, "%s", row.name);
+        cr_assert(frame->payload == raw::number(row.code, 4), "%s", row.name);
+    }
+    cr_assert_eq(pair.server->counters().protocolErrors.load(), row.protocolErrors, "%s", row.name);
+    socket.close();
+    while (pair.server->openConnections() > 0 || pair.server->runningStreams() > 0)
+        co_await sleepFor(std::chrono::milliseconds(1));
+}
+
+// Guards against input that stops the process, runs a handler it must not run, or leaves a handler behind.
+ParameterizedTestParameters(PeerServer, closesMalformedStreamOrConnection) { return rowIndices(malformedRows); }
+
+ParameterizedTest(std::size_t* index, PeerServer, closesMalformedStreamOrConnection)
+{
+    std::size_t started = 0;
+    std::size_t ended = 0;
+    PeerLimits limits;
+    limits.concurrentStreams = 4;
+    PeerPair pair(waitForever(started, ended), limits);
+    runTest(pair.io, checkMalformed(pair, malformedRows[*index]));
+    cr_assert_eq(started, malformedRows[*index].handlersRun);
+    cr_assert_eq(ended, started);
+}
+
+struct BrokenAnswerRow {
+    const char* name;
+    std::size_t declared; // 0: no declared length.
+    std::size_t written;
+    bool writesHead;
+    bool finishes;
+    bool throws;
+    std::size_t received; // Of the body, at most.
+};
+
+const BrokenAnswerRow brokenAnswerRows[] = {
+    { "returns at once", 0, 0, false, false, false, 0 },
+    { "throws at once", 0, 0, false, false, true, 0 },
+    { "finishes without a head", 0, 0, false, true, false, 0 },
+    { "head only", 0, 0, true, false, false, 0 },
+    { "cut body", 0, 1000, true, false, false, 1000 },
+    { "cut body by an exception", 0, 1000, true, false, true, 1000 },
+    { "shorter than declared", 2000, 1000, true, true, false, 1000 },
+    { "longer than declared", 500, 1000, true, true, false, 500 },
+    { "whole, not finished", 1000, 1000, true, false, false, 1000 },
+};
+
+RequestHandler breakAnswer(const BrokenAnswerRow& row)
+{
+    return [&row](IncomingRequest, ResponseWriter writer) -> asio::awaitable<void> {
+        ResponseHead head;
+        head.status = 200;
+        head.bodyLength = row.declared ? exactly(row.declared) : streamed();
+        if (row.writesHead)
+            co_await writer.writeHead(head);
+        const std::string body(row.written, 'a');
+        if (row.written > 0)
+            co_await writer.writeBody(asio::buffer(body));
+        if (row.finishes)
+            cr_assert_not(co_await writer.finish(), "%s", row.name);
+        if (row.throws)
+            throw std::runtime_error("broken handler");
+    };
+}
+
+asio::awaitable<void> checkBrokenAnswer(PeerPair& pair, const BrokenAnswerRow& row)
+{
+    auto response = co_await pair.client->exchange(pair.address, makeGet("/"), farDeadline());
+    if (!response) {
+        cr_assert_not(response.error().provenNotRun, "%s", row.name);
+        co_return;
+    }
+    const ReadOutcome body = co_await readAll(response->readBody, 0);
+    cr_assert(body.error, "%s", row.name);
+    cr_assert_leq(body.bytes, row.received, "%s", row.name);
+}
+
+// Guards against a part of an answer that its reader takes for the whole.
+ParameterizedTestParameters(PeerServer, resetsUnfinishedAnswer) { return rowIndices(brokenAnswerRows); }
+
+ParameterizedTest(std::size_t* index, PeerServer, resetsUnfinishedAnswer)
+{
+    PeerPair pair(breakAnswer(brokenAnswerRows[*index]));
+    runTest(pair.io, checkBrokenAnswer(pair, brokenAnswerRows[*index]));
+}
+
+enum class ClientEnds { ByDeadline, ByCancellation, ByClosing };
+
+struct GoneRow {
+    const char* name;
+    ClientEnds how;
+    bool sendsBody;
+};
+
+const GoneRow goneRows[] = {
+    { "deadline", ClientEnds::ByDeadline, false },
+    { "deadline while the body is sent", ClientEnds::ByDeadline, true },
+    { "cancelled", ClientEnds::ByCancellation, false },
+    { "cancelled while the body is sent", ClientEnds::ByCancellation, true },
+    { "client closed", ClientEnds::ByClosing, false },
+};
+
+asio::awaitable<void> exchangeForGood(PeerPair& pair, const GoneRow& row)
+{
+    OutgoingRequest request = row.sendsBody ? makeRequest("/", streamed(), patternBody(1 << 30, 0)) : makeGet("/");
+    const auto deadline = row.how == ClientEnds::ByDeadline
+        ? std::chrono::steady_clock::now() + std::chrono::milliseconds(50)
+        : farDeadline();
+    auto response = co_await pair.client->exchange(pair.address, std::move(request), deadline);
+    cr_assert_not(response, "%s", row.name);
+}
+
+asio::awaitable<void> checkGone(PeerPair& pair, const GoneRow& row, std::size_t& started, std::size_t& ended)
+{
+    asio::co_spawn(pair.io,
+        exchangeForGood(pair, row)
+            || sleepFor(row.how == ClientEnds::ByCancellation ? std::chrono::milliseconds(50) : 2 * testTimeout),
+        asio::detached);
+    while (started == 0)
+        co_await sleepFor(std::chrono::milliseconds(1));
+    if (row.how == ClientEnds::ByClosing)
+        pair.client.reset();
+    while (ended == 0 || pair.server->runningStreams() > 0)
+        co_await sleepFor(std::chrono::milliseconds(1));
+    if (row.how != ClientEnds::ByClosing)
+        cr_assert_eq(pair.client->openConnections(), 1, "%s", row.name);
+    cr_assert_eq(pair.server->bufferedBytes().count(), 0, "%s", row.name);
+}
+
+// Guards against work that goes on for a caller that has gone away.
+ParameterizedTestParameters(PeerServer, cancelsHandlerOfGoneClient) { return rowIndices(goneRows); }
+
+ParameterizedTest(std::size_t* index, PeerServer, cancelsHandlerOfGoneClient)
+{
+    std::size_t started = 0;
+    std::size_t ended = 0;
+    PeerPair pair(waitForever(started, ended));
+    runTest(pair.io, checkGone(pair, goneRows[*index], started, ended));
+}
