--- a/packages/peer/src/PeerSession.cpp
+++ b/packages/peer/src/PeerSession.cpp
@@ -99,8 +99,8 @@
 void PeerSession::failStreams(std::string_view reason)
 {
     std::vector<StreamId> ids;
-    for (auto& [id, stream] : m_streams) {
-        closeStream(*stream, NGHTTP2_INTERNAL_ERROR, reason);
+    for (const auto& [id, stream] : m_streams) {
+        closeStream(id, NGHTTP2_INTERNAL_ERROR, reason);
         ids.push_back(id);
     }
     for (StreamId id : ids)
--- a/packages/peer/src/PeerSession.h
+++ b/packages/peer/src/PeerSession.h
@@ -93,7 +93,8 @@
     void wake();
     PeerStream& addStream(StreamId);
     void resetStream(StreamId, std::uint32_t code);
-    void closeStream(PeerStream&, std::uint32_t code, std::string_view reason);
+    void closeStream(StreamId, std::uint32_t code, std::string_view reason);
+    void cancelHandler(StreamId);
     void failStreams(std::string_view reason);
     void eraseIfDone(StreamId);
     ExchangeError failure(const PeerStream&) const;
--- a/packages/peer/src/SessionCallbacks.cpp
+++ b/packages/peer/src/SessionCallbacks.cpp
@@ -139,8 +139,8 @@
 int SessionCallbacks::onStreamClosed(nghttp2_session*, std::int32_t id, std::uint32_t code, void* user)
 {
     PeerSession& session = sessionOf(user);
-    if (PeerStream* stream = session.find(StreamId(id))) {
-        session.closeStream(*stream, code, nghttp2_http2_strerror(code));
+    if (session.find(StreamId(id))) {
+        session.closeStream(StreamId(id), code, nghttp2_http2_strerror(code));
         session.eraseIfDone(StreamId(id));
     }
     return 0;
@@ -191,8 +191,9 @@
     PeerSession& session = sessionOf(user);
     if (frame->hd.type != NGHTTP2_HEADERS)
         return 0;
-    if (PeerStream* stream = session.find(StreamId(frame->hd.stream_id)))
-        session.closeStream(*stream, NGHTTP2_INTERNAL_ERROR, nghttp2_strerror(error));
+    const StreamId id(frame->hd.stream_id);
+    if (session.find(id))
+        session.closeStream(id, NGHTTP2_INTERNAL_ERROR, nghttp2_strerror(error));
     return 0;
 }
 
--- a/packages/peer/src/SessionStreams.cpp
+++ b/packages/peer/src/SessionStreams.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
@@ -40,16 +41,26 @@
     wake();
 }
 
-void PeerSession::closeStream(PeerStream& stream, std::uint32_t code, std::string_view reason)
+void PeerSession::closeStream(StreamId id, std::uint32_t code, std::string_view reason)
 {
+    PeerStream& stream = *m_streams.at(id);
     if (std::exchange(stream.closed, true))
         return;
     stream.closeCode = code;
     stream.closeReason = reason;
     stream.changed.cancel();
     stream.writable.cancel();
+    // Outside the executor, emit() would leave a pointer to the signal in a posted function, where the stream may be
+    // gone when that runs.
     if (stream.handlerRunning && !stream.endSent)
-        stream.cancelHandler.emit(asio::cancellation_type::terminal);
+        asio::dispatch(m_socket.get_executor(), [self = shared_from_this(), id] { self->cancelHandler(id); });
+}
+
+void PeerSession::cancelHandler(StreamId id)
+{
+    PeerStream* stream = find(id);
+    if (stream && stream->handlerRunning)
+        stream->cancelHandler.emit(asio::cancellation_type::terminal);
 }
 
 void PeerSession::eraseIfDone(StreamId id)
