--- a/packages/peer/src/PeerSession.h
+++ b/packages/peer/src/PeerSession.h
@@ -69,6 +69,7 @@
     // Completes when all bytes are queued or sent.
     ExchangeResult<void> writeBody(StreamId, asio::const_buffer);
     tl::expected<void, ExchangeError> finishBody(StreamId);
+    ExchangeResult<void> finish(StreamId); // The same, as ResponseWriter needs it.
 
     // Forgets the stream and resets it with the code unless it is closed.
     void release(StreamId, std::uint32_t code);
@@ -92,7 +93,8 @@
     void wake();
     PeerStream& addStream(StreamId);
     void resetStream(StreamId, std::uint32_t code);
-    void closeStream(PeerStream&, std::uint32_t code, std::string_view reason);
+    void closeStream(StreamId, std::uint32_t code, std::string_view reason);
+    void cancelHandler(StreamId);
     void failStreams(std::string_view reason);
     void eraseIfDone(StreamId);
     ExchangeError failure(const PeerStream&) const;
