Bound the values in a record, so that a bad one cannot exhaust memory

Cause: a record of 1 MB that holds only "1,1,1" was read into a tree and a list of problems; dogwoodhallctl check used 248 MB for it, and a daemon has 128 MB.

Change: a text may hold one value for each 10 bytes of its size limit, 104,857 for a record. dogwoodhallctl applies the daemon's limit to each record of a bundle too.

--- a/packages/declarations/include/dogwoodhall/declarations/JsonDocument.h
+++ b/packages/declarations/include/dogwoodhall/declarations/JsonDocument.h
@@ -48,8 +48,12 @@
 // Deeper documents are rejected, so that no input can exhaust the stack. Records use 5 levels, bundles 7.
 inline constexpr std::size_t maxJsonDepth = 16;
 
-// Reads JSON with comments. A text that is larger than `maxBytes`, nested too deeply or malformed is one problem, with
-// line and column.
+// A text may hold one value for each 10 bytes of its limit. A value takes about 140 bytes of memory, so that a record
+// of 1 MB of "1,1,1" would take more than the 128 MB that a daemon has. The smallest endpoint has 5 values in 53 bytes.
+inline constexpr std::size_t minJsonBytesPerValue = 10;
+
+// Reads JSON with comments. A text that is larger than `maxBytes`, holds too many values for that limit, is nested too
+// deeply or malformed is one problem, with line and column.
 tl::expected<JsonNode, Problem> readJson(std::string_view text, std::size_t maxBytes, const std::string& file);
 
 // Lines and columns of a text, from 1.
--- a/packages/declarations/src/DeclarationFile.cpp
+++ b/packages/declarations/src/DeclarationFile.cpp
@@ -26,13 +26,30 @@
     return RecordKey("services/" + (isUsable ? service->text : "unnamed"));
 }
 
+std::size_t countValues(const JsonNode& node)
+{
+    std::size_t count = 1;
+    for (const auto& item : node.items)
+        count += countValues(item);
+    for (const auto& member : node.members)
+        count += countValues(member.value);
+    return count;
+}
+
+// The limits that a daemon applies to the value alone. `bytes` may exceed the node, by comments around it.
 bool checkSize(
-    CheckContext& context, std::size_t bytes, std::size_t maxBytes, std::size_t at, const std::string& pointer)
+    CheckContext& context, const JsonNode& node, std::size_t bytes, std::size_t maxBytes, const std::string& pointer)
 {
-    if (bytes <= maxBytes)
-        return true;
-    context.report(at, pointer, "at most " + std::to_string(maxBytes) + " bytes", std::to_string(bytes) + " bytes");
-    return false;
+    const std::size_t values = countValues(node);
+    const std::size_t maxValues = maxBytes / minJsonBytesPerValue;
+    if (bytes > maxBytes) {
+        context.report(
+            node.begin, pointer, "at most " + std::to_string(maxBytes) + " bytes", std::to_string(bytes) + " bytes");
+    } else if (values > maxValues) {
+        context.report(node.begin, pointer, "at most " + std::to_string(maxValues) + " values",
+            std::to_string(values) + " values");
+    }
+    return bytes <= maxBytes && values <= maxValues;
 }
 
 void readBundle(CheckContext& context, const JsonNode& root, DeclarationFile& file)
@@ -42,7 +59,7 @@
         ObjectReader duplicates(context, records, pointer);
         for (const auto& [name, begin, node] : records.members) {
             const auto recordPointer = childPointer(pointer, name);
-            if (!checkSize(context, node.end - node.begin, maxRecordBytes, node.begin, recordPointer))
+            if (!checkSize(context, node, node.end - node.begin, maxRecordBytes, recordPointer))
                 continue;
             file.records.push_back({ RecordKey(name), readRecord(context, RecordKey(name), node, recordPointer) });
         }
@@ -65,9 +82,9 @@
     if (isBundle) {
         readBundle(context, *root, file);
     } else if (isSettings(*root)) {
-        if (checkSize(context, text.size(), maxSettingsBytes, 0, ""))
+        if (checkSize(context, *root, text.size(), maxSettingsBytes, ""))
             file.settings = readSettings(context, *root);
-    } else if (checkSize(context, text.size(), maxRecordBytes, 0, "")) {
+    } else if (checkSize(context, *root, text.size(), maxRecordBytes, "")) {
         const auto key = keyOf(*root);
         file.records.push_back({ key, readRecord(context, key, *root, "") });
     }
--- a/packages/declarations/src/JsonDocument.cpp
+++ b/packages/declarations/src/JsonDocument.cpp
@@ -22,13 +22,17 @@
     return std::string("byte 0x") + digits[byte >> 4] + digits[byte & 15];
 }
 
-Problem toProblem(json::error_code ec, std::string_view text, std::size_t offset, const std::string& file)
+Problem toProblem(
+    json::error_code ec, std::string_view text, std::size_t offset, std::size_t maxBytes, const std::string& file)
 {
     const auto position = LineTable(text).at(offset);
     Problem problem { file, position.line, position.column, "", "JSON with comments", "" };
     if (ec == json::error::too_deep) {
         problem.expected = "at most " + std::to_string(maxJsonDepth) + " levels of nesting";
         problem.found = "a deeper level";
+    } else if (ec == JsonTreeHandler::tooManyValues) {
+        problem.expected = "at most " + std::to_string(maxBytes / minJsonBytesPerValue) + " values";
+        problem.found = "more";
     } else {
         problem.found = ec == json::error::incomplete ? "the end of the text"
                                                       : quoteByte(text, offset) + " (" + ec.message() + ")";
@@ -53,7 +57,7 @@
     json::parse_options options;
     options.allow_comments = true;
     options.max_depth = maxJsonDepth;
-    json::basic_parser<JsonTreeHandler> parser(options, text);
+    json::basic_parser<JsonTreeHandler> parser(options, text, maxBytes / minJsonBytesPerValue);
     json::error_code ec;
     std::size_t parsed = parser.write_some(false, text.data(), text.size(), ec);
     // After a malformed comment before a value, Boost 1.81 gives an offset outside the text.
@@ -64,7 +68,7 @@
     if (!ec && parsed < text.size())
         ec = json::error::extra_data;
     if (ec)
-        return tl::unexpected(toProblem(ec, text, parsed, file));
+        return tl::unexpected(toProblem(ec, text, parsed, maxBytes, file));
     return parser.handler().takeRoot();
 }
 
--- a/packages/declarations/src/JsonTreeHandler.cpp
+++ b/packages/declarations/src/JsonTreeHandler.cpp
@@ -34,24 +34,28 @@
     return true;
 }
 
-bool JsonTreeHandler::on_string(Text part, std::size_t, Error&)
+bool JsonTreeHandler::on_string(Text part, std::size_t, Error& ec)
 {
     m_partial.append(part.data(), part.size());
-    auto& node = append(JsonNode::Kind::String);
-    node.text = std::move(m_partial);
+    auto* node = append(JsonNode::Kind::String, ec);
+    if (!node)
+        return false;
+    node->text = std::move(m_partial);
     m_partial.clear();
     skipString();
-    node.end = m_cursor;
+    node->end = m_cursor;
     return true;
 }
 
-bool JsonTreeHandler::on_int64(std::int64_t value, Text, Error&)
+bool JsonTreeHandler::on_int64(std::int64_t value, Text, Error& ec)
 {
-    auto& node = append(JsonNode::Kind::Number);
-    node.integer = value;
-    node.number = static_cast<double>(value);
+    auto* node = append(JsonNode::Kind::Number, ec);
+    if (!node)
+        return false;
+    node->integer = value;
+    node->number = static_cast<double>(value);
     skipLiteral();
-    node.end = m_cursor;
+    node->end = m_cursor;
     return true;
 }
 
@@ -61,37 +65,46 @@
     return on_double(static_cast<double>(value), text, ec);
 }
 
-bool JsonTreeHandler::on_double(double value, Text, Error&)
+bool JsonTreeHandler::on_double(double value, Text, Error& ec)
 {
-    auto& node = append(JsonNode::Kind::Number);
-    node.number = value;
+    auto* node = append(JsonNode::Kind::Number, ec);
+    if (!node)
+        return false;
+    node->number = value;
     if (std::abs(value) <= maxExactInteger && std::trunc(value) == value)
-        node.integer = static_cast<std::int64_t>(value);
+        node->integer = static_cast<std::int64_t>(value);
     skipLiteral();
-    node.end = m_cursor;
+    node->end = m_cursor;
     return true;
 }
 
-bool JsonTreeHandler::on_bool(bool value, Error&)
+bool JsonTreeHandler::on_bool(bool value, Error& ec)
 {
-    auto& node = append(JsonNode::Kind::Boolean);
-    node.boolean = value;
+    auto* node = append(JsonNode::Kind::Boolean, ec);
+    if (!node)
+        return false;
+    node->boolean = value;
     skipLiteral();
-    node.end = m_cursor;
+    node->end = m_cursor;
     return true;
 }
 
-bool JsonTreeHandler::on_null(Error&)
+bool JsonTreeHandler::on_null(Error& ec)
 {
-    auto& node = append(JsonNode::Kind::Null);
+    auto* node = append(JsonNode::Kind::Null, ec);
+    if (!node)
+        return false;
     skipLiteral();
-    node.end = m_cursor;
+    node->end = m_cursor;
     return true;
 }
 
-bool JsonTreeHandler::open(JsonNode::Kind kind)
+bool JsonTreeHandler::open(JsonNode::Kind kind, Error& ec)
 {
-    m_open.push_back(&append(kind));
+    auto* node = append(kind, ec);
+    if (!node)
+        return false;
+    m_open.push_back(node);
     ++m_cursor;
     return true;
 }
@@ -104,8 +117,13 @@
     return true;
 }
 
-JsonNode& JsonTreeHandler::append(JsonNode::Kind kind)
+JsonNode* JsonTreeHandler::append(JsonNode::Kind kind, Error& ec)
 {
+    if (m_valuesLeft == 0) {
+        ec = tooManyValues;
+        return nullptr;
+    }
+    --m_valuesLeft;
     skipSeparators();
     JsonNode* node = &m_root;
     if (!m_open.empty()) {
@@ -114,7 +132,7 @@
     }
     node->kind = kind;
     node->begin = m_cursor;
-    return *node;
+    return node;
 }
 
 std::size_t JsonTreeHandler::findMalformedComment()
--- a/packages/declarations/src/JsonTreeHandler.h
+++ b/packages/declarations/src/JsonTreeHandler.h
@@ -16,6 +16,9 @@
     using Error = boost::json::error_code;
     using Text = boost::json::string_view;
 
+    // Reported by the handler for too many values; basic_parser itself reports it only for max_array_size.
+    static constexpr auto tooManyValues = boost::json::error::array_too_large;
+
     // basic_parser prescribes the names of the limits and of the event functions.
     // NOLINTBEGIN(readability-identifier-naming)
     static constexpr std::size_t max_object_size = std::numeric_limits<std::size_t>::max();
@@ -23,8 +26,9 @@
     static constexpr std::size_t max_key_size = max_object_size;
     static constexpr std::size_t max_string_size = max_object_size;
 
-    explicit JsonTreeHandler(std::string_view text)
+    JsonTreeHandler(std::string_view text, std::size_t maxValues)
         : m_text(text)
+        , m_valuesLeft(maxValues)
     {
     }
 
@@ -35,9 +39,9 @@
 
     bool on_document_begin(Error&) { return true; }
     bool on_document_end(Error&) { return true; }
-    bool on_object_begin(Error&) { return open(JsonNode::Kind::Object); }
+    bool on_object_begin(Error& ec) { return open(JsonNode::Kind::Object, ec); }
     bool on_object_end(std::size_t, Error&) { return close(); }
-    bool on_array_begin(Error&) { return open(JsonNode::Kind::Array); }
+    bool on_array_begin(Error& ec) { return open(JsonNode::Kind::Array, ec); }
     bool on_array_end(std::size_t, Error&) { return close(); }
     bool on_key_part(Text, std::size_t, Error&);
     bool on_key(Text, std::size_t, Error&);
@@ -54,15 +58,17 @@
     // NOLINTEND(readability-identifier-naming)
 
 private:
-    bool open(JsonNode::Kind);
+    bool open(JsonNode::Kind, Error&);
     bool close();
-    JsonNode& append(JsonNode::Kind);
+    // Null, with the error set, where the text holds too many values.
+    JsonNode* append(JsonNode::Kind, Error&);
     void skipSeparators();
     bool skipComment();
     void skipString();
     void skipLiteral();
 
     std::string_view m_text;
+    std::size_t m_valuesLeft;
     std::size_t m_cursor = 0;
     JsonNode m_root;
     // Open arrays and objects, outermost first. A node's address is stable while it is open, since its siblings are
--- a/packages/declarations/tests/DeclarationFileTest.cpp
+++ b/packages/declarations/tests/DeclarationFileTest.cpp
@@ -48,3 +48,21 @@
     cr_assert_eq(file.records.size(), row.records);
     cr_assert_eq(file.settings.has_value(), row.hasSettings);
 }
+
+// Guards against a file that passes the operator's check and is then rejected by every daemon for its size.
+Test(DeclarationFileSize, isThatOfTheDaemon)
+{
+    std::string values;
+    for (int n = 0; n < 104'860; ++n)
+        values += n ? ",1" : "1";
+    for (const auto& [text, pointer] : { std::pair { "[" + values + "]", "" },
+             std::pair { "{\"records\": {\"topology\": [" + values + "]}}", "/records/topology" } }) {
+        const auto file = readDeclarationFile(text, "f");
+        cr_assert_eq(file.problems.size(), 1);
+        cr_assert_str_eq(file.problems[0].pointer.c_str(), pointer);
+        cr_assert_str_eq(file.problems[0].expected.c_str(), "at most 104857 values");
+    }
+    const auto file = readDeclarationFile("{\"member\": \"m\"}" + std::string(64 * 1024, ' '), "f");
+    cr_assert_eq(file.problems.size(), 1);
+    cr_assert_str_eq(file.problems[0].expected.c_str(), "at most 65536 bytes");
+}
--- a/packages/declarations/tests/RecordMeaningTest.cpp
+++ b/packages/declarations/tests/RecordMeaningTest.cpp
@@ -126,6 +126,18 @@
     cr_assert_str_eq(declaration.error().c_str(), "topology: expected at most 1048576 bytes, found 1048577 bytes");
 }
 
+// Guards against a record whose values take more memory than the daemon has.
+Test(RecordValues, areLimited)
+{
+    Record record { RecordKey("topology"), Revision(1), false, "[" };
+    for (int n = 0; n < 104'857; ++n)
+        record.value += n ? ",1" : "1";
+    record.value += "]";
+    const auto declaration = parseRecord(record);
+    cr_assert_not(declaration);
+    cr_assert_str_eq(declaration.error().c_str(), "topology:1:209715: expected at most 104857 values, found more");
+}
+
 // Guards against a log line as long as the record: a log line names 20 problems and counts the others.
 Test(RecordLogLine, isBounded)
 {
