--- a/packages/peer/tests/PeerFixture.h
+++ b/packages/peer/tests/PeerFixture.h
@@ -13,6 +13,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -44,6 +45,12 @@
     co_await timer.async_wait(useTuple);
 }
 
+inline asio::awaitable<void> waitUntil(std::function<bool()> condition)
+{
+    while (!condition())
+        co_await sleepFor(std::chrono::milliseconds(1));
+}
+
 // The byte at a position of a test body; differs between bodies with different seeds.
 inline char patternByte(std::size_t position, unsigned seed)
 {
--- a/packages/peer/tests/PeerFlowTest.cpp
+++ b/packages/peer/tests/PeerFlowTest.cpp
@@ -161,8 +161,7 @@
         asio::co_spawn(pair.io, readWhole(pair, 150000 + 7 * k, whole), asio::detached);
         co_await abandonLater(pair, 1000000 + k);
     }
-    while (whole < rounds)
-        co_await sleepFor(std::chrono::milliseconds(1));
+    co_await waitUntil([&] { return whole >= rounds; });
     // Data of abandoned streams has given its window back: another large body still passes.
     co_await readWhole(pair, large, whole);
     cr_assert_eq(pair.client->openConnections(), 1);
@@ -212,8 +211,7 @@
     const ReadOutcome body = co_await readAll(running->readBody, static_cast<unsigned>(large));
     cr_assert(!body.error && body.matches);
     cr_assert_eq(body.bytes, large);
-    while (!done || pair.client->openConnections() > 0)
-        co_await sleepFor(std::chrono::milliseconds(1));
+    co_await waitUntil([&] { return done && pair.client->openConnections() == 0; });
     cr_assert_eq(pair.server->openConnections(), 0);
 }
 
@@ -232,8 +230,7 @@
         cr_assert_eq((co_await readAll(response->readBody, 0)).bytes, 0);
         pair.server.emplace(pair.io.get_executor(), PeerLimits {}, answerEmpty, acceptAll);
         cr_assert(pair.server->listen(pair.address));
-        while (pair.client->openConnections() > 0)
-            co_await sleepFor(std::chrono::milliseconds(1));
+        co_await waitUntil([&] { return pair.client->openConnections() == 0; });
     }
     cr_assert_eq(pair.client->counters().connectionsOpened.load(), 3);
     // Another traffic thread's server on the same port.
--- a/packages/peer/tests/PeerProofTest.cpp
+++ b/packages/peer/tests/PeerProofTest.cpp
@@ -152,8 +152,7 @@
     auto sendSecond = [&] { asio::co_spawn(io, sendOne(2), asio::detached); };
     asio::co_spawn(io, serveOneOfTwo(acceptor, sendSecond), asio::detached);
     asio::co_spawn(io, sendOne(1), asio::detached);
-    while (errors.size() < 2)
-        co_await sleepFor(std::chrono::milliseconds(5));
+    co_await waitUntil([&] { return errors.size() == 2; });
     cr_assert_not(errors[1].provenNotRun);
     cr_assert(errors[2].provenNotRun);
 }
--- a/packages/peer/tests/PeerServerTest.cpp
+++ b/packages/peer/tests/PeerServerTest.cpp
@@ -101,8 +101,7 @@
     }
     cr_assert_eq(pair.server->counters().protocolErrors.load(), row.protocolErrors, "%s", row.name);
     socket.close();
-    while (pair.server->openConnections() > 0 || pair.server->runningStreams() > 0)
-        co_await sleepFor(std::chrono::milliseconds(1));
+    co_await waitUntil([&] { return pair.server->openConnections() == 0 && pair.server->runningStreams() == 0; });
 }
 
 // Guards against input that stops the process, runs a handler it must not run, or leaves a handler behind.
@@ -213,12 +212,10 @@
         exchangeForGood(pair, row)
             || sleepFor(row.how == ClientEnds::ByCancellation ? std::chrono::milliseconds(50) : 2 * testTimeout),
         asio::detached);
-    while (started == 0)
-        co_await sleepFor(std::chrono::milliseconds(1));
+    co_await waitUntil([&] { return started > 0; });
     if (row.how == ClientEnds::ByClosing)
         pair.client.reset();
-    while (ended == 0 || pair.server->runningStreams() > 0)
-        co_await sleepFor(std::chrono::milliseconds(1));
+    co_await waitUntil([&] { return ended > 0 && pair.server->runningStreams() == 0; });
     if (row.how != ClientEnds::ByClosing)
         cr_assert_eq(pair.client->openConnections(), 1, "%s", row.name);
     cr_assert_eq(pair.server->bufferedBytes().count(), 0, "%s", row.name);
