--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "dogwoodhall/daemon/AnswerRelay.h"
+#include "dogwoodhall/daemon/ForwardEnvelope.h"
+#include "dogwoodhall/daemon/PoolDirectory.h"
+#include "dogwoodhall/daemon/RequestWork.h"
+#include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/routing/LongWorkClassifier.h"
+
+#include <map>
+#include <variant>
+
+namespace dogwoodhall {
+
+// The request is finished: answered whole, broken visibly, or answered with an error.
+struct Finished { };
+// The pool refused the request, which reached no upstream.
+struct TurnedAway {
+    ErrorKind kind;
+};
+using AttemptResult = std::variant<Finished, TurnedAway, AttemptFailure>;
+
+// Makes one attempt of a request: at an endpoint with a slot from a pool of this process, through the pool's home on
+// another member, or at an endpoint with a permit from that home.
+class AttemptRunner {
+public:
+    AttemptRunner(TrafficServices&, PoolDirectory&, LongWorkClassifier&);
+
+    void apply(SnapshotPointer);
+
+    asio::awaitable<AttemptResult> attempt(RequestWork&, const ResponseWriter&);
+
+    // Holds a slot for a request of another member, until its stream is reset: the answer names the endpoint.
+    asio::awaitable<void> grantPermit(const RequestWork&, const ResponseWriter&);
+
+private:
+    const PoolHome* homeFor(const RequestWork&) const;
+    asio::awaitable<AttemptResult> direct(RequestWork&, const ResponseWriter&);
+    asio::awaitable<AttemptResult> viaHome(RequestWork&, const ResponseWriter&, PoolHome);
+    asio::awaitable<AttemptResult> withPermit(RequestWork&, const ResponseWriter&, PoolHome);
+    asio::awaitable<AttemptResult> runAt(RequestWork&, const ResponseWriter&, EndpointId, Completion&);
+    asio::awaitable<AttemptResult> relayFromUpstream(
+        RequestWork&, const ResponseWriter&, IncomingResponse&, RequestTrace::Hop&, Completion&);
+    asio::awaitable<AttemptResult> relayFromHome(RequestWork&, const ResponseWriter&, IncomingResponse&);
+    void addLoadFields(const RequestWork&, HeaderFields&);
+    void recordRelay(RequestWork&, const RelayOutcome&, Duration serviceTime);
+    OutgoingRequest outgoing(RequestWork&, const RequestTrace::Hop&, bool withBody) const;
+    AttemptResult homeFailed(RequestWork&, const PoolHome&, const ExchangeError&);
+    const EndpointDeclaration* endpoint(const ServiceId&, const EndpointId&) const;
+
+    TrafficServices& m_services;
+    PoolDirectory& m_pools;
+    LongWorkClassifier& m_classifier;
+    SnapshotPointer m_snapshot;
+    std::map<MemberId, TimePoint> m_bypassUntil; // Homes that did not answer lately.
+};
+
+} // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
@@ -1,59 +1,95 @@
 #pragma once
 
+#include "dogwoodhall/budget/MeasuringBudget.h"
+#include "dogwoodhall/budget/TokenBucket.h"
 #include "dogwoodhall/configuration/ConfigurationInForce.h"
-#include "dogwoodhall/daemon/PlatformClient.h"
+#include "dogwoodhall/configuration/JoinBarrier.h"
+#include "dogwoodhall/daemon/DaemonMetrics.h"
+#include "dogwoodhall/daemon/GossipDriver.h"
+#include "dogwoodhall/daemon/HealthProber.h"
+#include "dogwoodhall/daemon/OperatorServer.h"
+#include "dogwoodhall/daemon/PlatformWatcher.h"
 #include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/daemon/SpanExporter.h"
 #include "dogwoodhall/declarations/Settings.h"
-#include "dogwoodhall/http/CallerSession.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <functional>
+#include <map>
 #include <memory>
-#include <unordered_map>
+#include <optional>
 
 namespace dogwoodhall {
 
-// The control thread's state: the configuration in force, the host list and the operators' port. Publishes snapshots.
-// Runs on the thread that calls run().
+// The control thread's state: the configuration in force, the fleet, the host list and the operators' port. Publishes
+// snapshots. Runs on the thread that calls run(); io() is for posting to it.
 class ControlThread {
 public:
     struct Hooks {
         std::function<void(SnapshotPointer)> publish;
         std::function<void()> beginDrain; // Start the graceful stop.
         std::function<void()> stopNow; // The forced stop.
+        std::function<std::string()> metricsText;
+        std::function<std::size_t()> requestsRunning;
+        std::function<void(const ProbeTarget&, const HealthReport&)> reportHealth; // To the pool's thread.
+        std::function<void(const std::vector<PoolLoadSummary>&)> observeLoads; // To all traffic threads.
     };
 
-    ControlThread(const Settings&, Hooks);
+    ControlThread(const Settings&, Incarnation, DaemonMetrics&, Hooks);
+    ~ControlThread();
 
+    // Binds the operators' port.
     NetworkAddress listen();
+    // Starts gossip and the platform watch, once the peer port is bound.
+    void start(const NetworkAddress& peerAddress);
     void run() { m_io.run(); }
     void stop() { m_io.stop(); }
 
     asio::io_context& io() { return m_io; }
     void setDraining();
+    void addSpan(Span span) { m_spans.add(std::move(span)); }
+    // Load of pools of this process, for gossip.
+    void setOwnLoads(const std::vector<PoolLoadSummary>&);
+    void reportSilentMember(const MemberId& member) { m_gossip->reportSilent(member); }
+    // A peer's gossip request, and the reply to it.
+    tl::expected<std::string, std::string> answerGossip(std::string_view request);
 
 private:
-    asio::awaitable<void> watchRecords();
-    asio::awaitable<void> watchHosts();
-    asio::awaitable<void> acceptOperators();
-    asio::awaitable<void> serveOperator(ConnectionId);
-    asio::awaitable<void> handleOperator(IncomingRequest, ResponseWriter);
-    asio::awaitable<void> pause(Duration);
-    void accept(const RecordBatch&);
+    void acceptRecords(const std::vector<Record>&);
+    void acceptHosts(const HostList&);
+    std::vector<ListedHost> listedEntryHosts() const;
+    void updateReadiness();
     void publish();
+    void addHomes(Snapshot&) const;
+    std::string statusJson() const;
+    std::vector<ProbeTarget> probeTargets() const;
+    std::vector<PoolLoadSummary> ownLoads(std::size_t most);
+    bool pay(MeasuringCategory, ByteCount);
+    bool payGossip(const GossipMessage&, ByteCount encoded);
 
     Settings m_settings;
+    Incarnation m_incarnation;
+    DaemonMetrics& m_metrics;
     Hooks m_hooks;
     asio::io_context m_io { 1 };
-    asio::ip::tcp::acceptor m_acceptor;
-    PlatformClient m_records;
-    PlatformClient m_hostLists;
     ConfigurationInForce m_configuration;
     HostList m_hosts;
+    JoinBarrier m_joinBarrier;
+    MeasuringBudget m_budget;
+    TokenBucket<ByteCount> m_recordBytes; // For records sent to peers.
+    struct OwnLoad {
+        PoolLoadSummary load;
+        TimePoint measuredAt;
+    };
+    std::map<PoolId, OwnLoad> m_ownLoads;
+    PoolId m_lastSentLoad; // Where the last message's loads ended.
+    std::unique_ptr<GossipDriver> m_gossip; // From start() on.
+    PlatformWatcher m_platform;
+    OperatorServer m_operators;
+    SpanExporter m_spans;
+    HealthProber m_prober;
+    bool m_isReady = false;
     bool m_isDraining = false;
-    std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_operators;
-    std::uint64_t m_nextConnection = 1;
 };
 
 } // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "dogwoodhall/core/ErrorKind.h"
+#include "dogwoodhall/telemetry/MetricsRegistry.h"
+
+#include <array>
+
+namespace dogwoodhall {
+
+// Every metric of the daemon. Names, units and meanings are listed in docs/operations.md.
+struct DaemonMetrics {
+    explicit DaemonMetrics(MetricsRegistry&);
+
+    Counter& error(ErrorKind kind) { return *errors[static_cast<std::size_t>(kind)]; }
+
+    Counter& requests;
+    Counter& relayed; // Answered whole with the upstream's own answer.
+    Counter& broken; // Cut off towards the caller after the answer had begun.
+    std::array<Counter*, errorKindCount> errors {};
+    Counter& retries;
+    Counter& forwarded; // Sent to a pool's home on another entry host.
+    Counter& bypassedHomes; // Placed here because the pool's home did not answer.
+    Counter& permits; // Long requests sent to their endpoint with a permit from the pool's home.
+    Counter& spilled; // Sent to a pool of another data centre.
+    Counter& ticketsIssued;
+    Counter& ticketReplays;
+    Counter& configurationRevision;
+    Counter& recordsRejected;
+    Counter& platformReads;
+    Counter& platformFailures;
+    Counter& membersAlive;
+    Counter& gossipExchanges;
+    Counter& gossipFailures;
+    Counter& controlBytes;
+    Counter& measuringDenied; // Messages not sent because the measuring budget was spent.
+    Counter& wakeUps; // Pauses of the process that were detected.
+    Counter& spansDropped;
+    Counter& peerProtocolErrors;
+    Histogram& addedLatency; // Time to the start of the answer, without the upstream's share.
+    Histogram& queueWait;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "dogwoodhall/daemon/DaemonMetrics.h"
+#include "dogwoodhall/exchange/Exchange.h"
+#include "dogwoodhall/fleet/Fleet.h"
+#include "dogwoodhall/peer/PeerClient.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <string>
+
+namespace dogwoodhall {
+
+// Request target of a gossip exchange on a peer stream.
+inline constexpr std::string_view gossipTarget = "/control";
+
+// Carries the fleet's exchanges over peer streams, on the control thread.
+class GossipDriver {
+public:
+    struct Hooks {
+        std::function<void()> membersChanged;
+        std::function<void(const std::vector<Record>&)> offerRecords;
+        std::function<void(const std::vector<PoolLoadSummary>&)> observeLoads;
+        std::function<void(Duration gap)> stateExpired;
+        // Pays for a message before it is sent; false where the measuring budget is spent.
+        std::function<bool(const GossipMessage&, ByteCount encoded)> pay;
+        // A peer's answer to this member's own request arrived.
+        std::function<void(const GossipMessage&)> peerAnswered;
+        // Called once in each period.
+        std::function<void()> ticked;
+    };
+
+    GossipDriver(asio::io_context&, Member self, Fleet::Hooks, Hooks, DaemonMetrics&);
+
+    // Ticks until the event loop ends.
+    asio::awaitable<void> run();
+
+    // The reply to a peer's request, or the reason why it is malformed.
+    tl::expected<std::string, std::string> answer(std::string_view request);
+
+    void reportSilent(const MemberId&);
+    void perform(std::vector<FleetAction>);
+
+    Fleet& fleet() { return m_fleet; }
+    const Fleet& fleet() const { return m_fleet; }
+
+private:
+    asio::awaitable<void> exchange(Exchange);
+    ExchangeResult<std::string> send(const NetworkAddress&, std::string message);
+
+    asio::io_context& m_io;
+    Hooks m_hooks;
+    DaemonMetrics& m_metrics;
+    PeerClient m_peers;
+    Fleet m_fleet;
+    RandomEngine m_random;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/PoolDirectory.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "dogwoodhall/budget/LinkBudget.h"
+#include "dogwoodhall/daemon/LoadTable.h"
+#include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/routing/PoolChooser.h"
+
+#include <optional>
+
+namespace dogwoodhall {
+
+// Picks the pool for a request by what this traffic thread knows of the pools' loads, within its share of the link
+// budget.
+class PoolDirectory {
+public:
+    // `linkShare` is this thread's share of the process's link budget.
+    PoolDirectory(TrafficServices&, Fraction linkShare);
+
+    void apply(SnapshotPointer);
+
+    std::optional<PoolId> choose(const ServiceId&, WorkClass);
+    // A pool for a request that `refused` turned away with proof that it did not run.
+    std::optional<PoolId> chooseAfterRefusal(const PoolId& refused, WorkClass);
+    // Corrects the charge for an answer from another region once its size is known.
+    void recordBytes(const PoolId&, WorkClass, ByteCount);
+
+    LoadTable& loads() { return m_loads; }
+
+private:
+    std::vector<PoolState> statesOf(const ServiceId&, TimePoint now) const;
+    bool isOtherRegion(const DataCentreId&) const;
+    std::optional<PoolId> toPool(const ServiceId&, const std::optional<PoolChoice>&);
+
+    TrafficServices& m_services;
+    Fraction m_linkShare;
+    SnapshotPointer m_snapshot;
+    LoadTable m_loads;
+    PoolChooser m_chooser;
+    LinkBudget m_links;
+};
+
+} // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/PoolShard.h
+++ b/packages/daemon/include/dogwoodhall/daemon/PoolShard.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "dogwoodhall/core/RandomEngine.h"
+#include "dogwoodhall/daemon/HealthProber.h"
 #include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/fleet/GossipMessage.h"
 #include "dogwoodhall/pool/Pool.h"
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +28,9 @@
     void admit(const PoolId&, const PoolRequest&, Reply);
     void complete(const PoolId&, RequestId, const Completion&);
     void cancel(const PoolId&, RequestId);
+    // Load of the pools that have been used here.
+    std::vector<PoolLoadSummary> loads() const;
+    void observeHealth(const ProbeTarget&, const HealthReport&);
 
 private:
     struct Entry {
--- a/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
@@ -1,44 +1,45 @@
 #pragma once
 
 #include "dogwoodhall/budget/RetryBudget.h"
-#include "dogwoodhall/daemon/SlotGateway.h"
-#include "dogwoodhall/daemon/Snapshot.h"
-#include "dogwoodhall/exchange/Exchange.h"
-#include "dogwoodhall/exchange/ReplayableBody.h"
-#include "dogwoodhall/http/UpstreamClient.h"
-#include "dogwoodhall/request/RequestLifecycle.h"
+#include "dogwoodhall/daemon/AttemptRunner.h"
 
 #include <map>
 
 namespace dogwoodhall {
 
-// Serves a request from its route to the end of its answer: waits for a slot, sends it, repeats it where that is
-// allowed, and relays the answer. One for each traffic thread.
+// Serves a request from its route to the end of its answer, repeating it where that is allowed. One for each traffic
+// thread.
 class RequestRunner {
 public:
-    RequestRunner(SlotGateway&, UpstreamClient&, DataCentreId own);
+    // `trafficThreads` share the process's link budget.
+    RequestRunner(TrafficServices&, std::uint32_t trafficThreads);
 
-    void apply(SnapshotPointer snapshot) { m_snapshot = std::move(snapshot); }
+    void apply(SnapshotPointer);
 
-    asio::awaitable<void> run(IncomingRequest, ResponseWriter);
+    // A request from a caller.
+    asio::awaitable<void> run(IncomingRequest, const ResponseWriter&);
+    // A request that another member forwarded to this one as its pool's home, or its wish for a permit.
+    asio::awaitable<void> runForwarded(IncomingRequest, const ForwardEnvelope&, const ResponseWriter&);
 
-private:
-    struct Attempt;
-    struct Work;
+    std::size_t running() const { return m_running; }
+    LoadTable& loads() { return m_pools.loads(); }
 
-    asio::awaitable<void> runAttempts(Work&, const ResponseWriter&);
-    asio::awaitable<std::optional<AttemptFailure>> attempt(Work&, const ResponseWriter&);
-    asio::awaitable<std::optional<AttemptFailure>> relay(IncomingResponse&, Attempt&, const ResponseWriter&);
+private:
+    asio::awaitable<void> runAttempts(RequestWork&, const ResponseWriter&);
     std::optional<Route> route(const RequestHead&) const;
-    std::optional<PoolId> choosePool(const Route&) const;
-    const EndpointDeclaration* endpoint(const ServiceId&, const EndpointId&) const;
+    // Moves a request that its pool turned away to another pool; false where none is better.
+    bool spill(RequestWork&);
+    asio::awaitable<void> answer(RequestWork&, const ResponseWriter&, AnswerWithError);
     RetryBudget& retryBudget(const ServiceId&);
+    asio::awaitable<void> refuse(const ResponseWriter&, ErrorKind);
 
-    SlotGateway& m_slots;
-    UpstreamClient& m_upstreams;
-    DataCentreId m_dataCentre;
+    TrafficServices& m_services;
+    PoolDirectory m_pools;
+    LongWorkClassifier m_classifier;
+    AttemptRunner m_attempts;
     SnapshotPointer m_snapshot;
     std::map<ServiceId, RetryBudget> m_retryBudgets;
+    std::size_t m_running = 0;
 };
 
 } // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
+++ b/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
@@ -2,21 +2,40 @@
 
 #include "dogwoodhall/configuration/TopologyDeclaration.h"
 #include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/core/NetworkAddress.h"
 #include "dogwoodhall/routing/RouteTable.h"
 
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace dogwoodhall {
 
+// The member that keeps a pool's queue and counts its slots.
+struct PoolHome {
+    MemberId member;
+    NetworkAddress peerAddress;
+};
+
 // What the control thread publishes to the traffic threads. Immutable.
 struct Snapshot {
     Revision revision;
     RouteTable routes;
     TopologyDeclaration topology;
     std::map<HostId, bool> leavingUpstreamHosts; // From the host list; true while leaving.
-    bool isReady = false; // A configuration is in force.
+    // Pools whose home is another member. A pool that is not listed is placed by this process.
+    std::unordered_map<PoolId, PoolHome> remoteHomes;
+    struct ServicePool {
+        DataCentreId dataCentre;
+        bool isReachable = true; // Has a live home, or belongs to this data centre.
+    };
+    std::map<ServiceId, std::vector<ServicePool>> poolsOf;
+    std::map<MemberId, PoolHome> members; // Other members that are heard of, by id.
+    std::set<std::string> memberIps; // Addresses from which peers may connect.
+    bool isReady = false;
     bool isDraining = false;
 };
 
--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/TrafficServices.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/core/RandomEngine.h"
+#include "dogwoodhall/daemon/DaemonMetrics.h"
+#include "dogwoodhall/daemon/RequestTrace.h"
+#include "dogwoodhall/daemon/SlotGateway.h"
+#include "dogwoodhall/http/UpstreamClient.h"
+#include "dogwoodhall/peer/PeerClient.h"
+
+#include <functional>
+
+namespace dogwoodhall {
+
+// What the parts of one traffic thread share. All of it belongs to that thread, except for the metrics.
+struct TrafficServices {
+    asio::io_context& io;
+    SlotGateway& slots;
+    UpstreamClient& upstreams;
+    PeerClient& peers;
+    DaemonMetrics& metrics;
+    RandomEngine& random;
+    SpanSink spans;
+    MemberId member;
+    DataCentreId dataCentre;
+    Fraction traceSampling;
+    // Tells the control thread that a home did not answer.
+    std::function<void(const MemberId&)> reportSilentMember;
+};
+
+} // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
@@ -1,7 +1,11 @@
 #pragma once
 
 #include "dogwoodhall/daemon/RequestRunner.h"
+#include "dogwoodhall/daemon/TicketService.h"
+#include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/fleet/PauseDetector.h"
 #include "dogwoodhall/http/CallerSession.h"
+#include "dogwoodhall/peer/PeerServer.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -11,30 +15,53 @@
 
 namespace dogwoodhall {
 
-// One traffic thread: its event loop, caller connections, requests, upstream connections and share of the pools.
-// start(), post() and join() are for other threads; everything else runs on this one.
+// One traffic thread: its event loop, caller connections, peer streams, requests, upstream connections and share of the
+// pools. start(), post(), join() and requestsRunning() are for other threads; everything else runs on this one.
 class TrafficThread {
 public:
+    // Asks the control thread for the reply to a peer's gossip request.
+    using AnswerGossip = std::function<asio::awaitable<tl::expected<std::string, std::string>>(std::string)>;
+
     struct Options {
         std::uint32_t index = 0;
+        MemberId member;
         DataCentreId dataCentre;
         NetworkAddress callerAddress;
+        NetworkAddress peerAddress;
         CallerLimits callerLimits;
         UpstreamLimits upstreamLimits;
+        PeerLimits peerLimits;
+        Fraction traceSampling;
         std::uint64_t seed = 0;
         PostToShard postToShard;
+        SpanSink spans;
+        std::function<void(const MemberId&)> reportSilentMember;
+        AnswerGossip answerGossip;
+        // Tells the control thread and the other traffic threads the load of this thread's pools.
+        std::function<void(std::vector<PoolLoadSummary>)> shareLoads;
+        std::uint32_t trafficThreads = 1;
     };
 
-    explicit TrafficThread(Options);
+    TrafficThread(Options, DaemonMetrics&);
     ~TrafficThread();
 
-    // Binds the caller port; gives the address bound, with the kernel's choice where the port was 0.
-    NetworkAddress listen();
+    struct Bound {
+        NetworkAddress caller;
+        NetworkAddress peer;
+    };
+    // Binds the caller and peer ports; gives the addresses bound, with the kernel's choice where a port was 0.
+    Bound listen();
+    // The process's ticket ledger; to be set before start().
+    void setTicketDesk(TicketDesk& desk) { m_tickets.setDesk(desk); }
     void start();
     void join();
 
     void post(std::function<void(TrafficThread&)>);
+    std::size_t requestsRunning() const { return m_requestsRunning.load(std::memory_order_relaxed); }
+    asio::io_context& io() { return m_io; }
+
     void apply(SnapshotPointer);
+    void observeLoads(const std::vector<PoolLoadSummary>&);
 
     // Stops accepting, ends idle connections, and calls `done` when the last request has been answered.
     void drain(std::function<void()> done);
@@ -46,19 +73,35 @@
 private:
     asio::awaitable<void> accept();
     asio::awaitable<void> serve(ConnectionId);
+    asio::awaitable<void> heartbeat();
+    asio::awaitable<void> finishDrain();
+    asio::awaitable<void> handleCaller(IncomingRequest, ResponseWriter);
+    asio::awaitable<void> handlePeer(IncomingRequest, ResponseWriter);
+    asio::awaitable<void> handleGossip(IncomingRequest, ResponseWriter);
+    void observePauses();
     void checkDrained();
 
     Options m_options;
+    DaemonMetrics& m_metrics;
     asio::io_context m_io { 1 };
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     asio::ip::tcp::acceptor m_acceptor;
+    RandomEngine m_random;
     PoolShard m_shard;
     SlotGateway m_slots;
     UpstreamClient m_upstreams;
+    PeerClient m_peers;
+    TrafficServices m_services;
     RequestRunner m_runner;
+    TicketService m_tickets;
+    SnapshotPointer m_snapshot;
+    PauseDetector m_pauses;
     std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
     std::uint64_t m_nextConnection = 1;
+    PeerServer m_peerServer;
+    bool m_peersDrained = false;
     std::function<void()> m_drained;
+    std::atomic<std::size_t> m_requestsRunning { 0 };
     std::thread m_thread;
 };
 
--- /dev/null
+++ b/packages/daemon/src/AnswerRelay.cpp
@@ -0,0 +1,64 @@
+#include "dogwoodhall/daemon/AnswerRelay.h"
+
+#include <vector>
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr std::size_t relayBufferBytes = 16 * 1024;
+
+class AbandonGuard {
+public:
+    explicit AbandonGuard(IncomingResponse& response)
+        : m_response(response)
+    {
+    }
+    AbandonGuard(const AbandonGuard&) = delete;
+    AbandonGuard& operator=(const AbandonGuard&) = delete;
+    ~AbandonGuard()
+    {
+        if (m_isArmed)
+            m_response.abandon();
+    }
+    void disarm() { m_isArmed = false; }
+
+private:
+    IncomingResponse& m_response;
+    bool m_isArmed = true;
+};
+
+} // namespace
+
+asio::awaitable<RelayOutcome> relayAnswer(
+    IncomingResponse& response, const ResponseWriter& writer, const std::function<void()>& headWritten)
+{
+    AbandonGuard guard(response);
+    RelayOutcome outcome;
+    auto head = co_await writer.writeHead(response.head);
+    if (!head)
+        co_return outcome;
+    headWritten();
+    std::vector<char> buf(relayBufferBytes);
+    while (true) {
+        auto n = co_await response.readBody(asio::buffer(buf));
+        if (!n || *n == 0)
+            guard.disarm();
+        if (!n) {
+            outcome.result = RelayResult::SourceFailed;
+            co_return outcome;
+        }
+        if (*n == 0)
+            break;
+        auto written = co_await writer.writeBody(asio::buffer(buf.data(), *n));
+        if (!written)
+            co_return outcome;
+        outcome.bytes += ByteCount(*n);
+    }
+    auto finished = co_await writer.finish();
+    if (finished)
+        outcome.result = RelayResult::Whole;
+    co_return outcome;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -0,0 +1,305 @@
+#include "dogwoodhall/daemon/AttemptRunner.h"
+
+#include "dogwoodhall/daemon/HeaderValues.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace {
+
+// A home that failed is tried again after this time; the fleet's gossip removes it for longer where it is gone.
+constexpr Duration homeBypassTime = std::chrono::seconds(1);
+constexpr std::string_view permitEndpointField = "Dogwoodhall-Endpoint";
+constexpr std::string_view upstreamTimeField = "Dogwoodhall-Upstream-Time-Us";
+constexpr std::string_view expectedWaitField = "Dogwoodhall-Expected-Wait-Us";
+
+bool isRefusal(const ResponseHead& head) { return head.status == 503 && head.fields.find(fields::refused) == "1"; }
+
+Duration timeLeft(const RequestWork& work)
+{
+    return std::max<Duration>(std::chrono::milliseconds(1), work.deadline - monotonicNow());
+}
+
+CompletionResult toCompletionResult(RelayResult result)
+{
+    switch (result) {
+    case RelayResult::Whole:
+        return CompletionResult::Answered;
+    case RelayResult::SourceFailed:
+        return CompletionResult::Failed;
+    case RelayResult::ReceiverFailed:
+        break;
+    }
+    return CompletionResult::Cancelled;
+}
+
+AttemptFailure toFailure(const ExchangeError& error, bool reachedUpstream)
+{
+    return { error.kind, error.provenNotRun, true, reachedUpstream };
+}
+
+} // namespace
+
+AttemptRunner::AttemptRunner(TrafficServices& services, PoolDirectory& pools, LongWorkClassifier& classifier)
+    : m_services(services)
+    , m_pools(pools)
+    , m_classifier(classifier)
+    , m_snapshot(std::make_shared<Snapshot>())
+{
+}
+
+void AttemptRunner::apply(SnapshotPointer snapshot)
+{
+    m_snapshot = std::move(snapshot);
+    std::erase_if(m_bypassUntil, [now = monotonicNow()](const auto& item) { return item.second <= now; });
+}
+
+asio::awaitable<AttemptResult> AttemptRunner::attempt(RequestWork& work, const ResponseWriter& writer)
+{
+    const PoolHome* home = homeFor(work);
+    if (!home)
+        return direct(work, writer);
+    if (work.workClass == WorkClass::Long && work.pool.dataCentre == m_services.dataCentre)
+        return withPermit(work, writer, *home);
+    return viaHome(work, writer, *home);
+}
+
+const PoolHome* AttemptRunner::homeFor(const RequestWork& work) const
+{
+    if (!work.mayUseHome)
+        return nullptr;
+    auto it = m_snapshot->remoteHomes.find(work.pool);
+    if (it == m_snapshot->remoteHomes.end())
+        return nullptr;
+    auto bypass = m_bypassUntil.find(it->second.member);
+    if (bypass != m_bypassUntil.end() && bypass->second > monotonicNow())
+        return nullptr;
+    return &it->second;
+}
+
+asio::awaitable<AttemptResult> AttemptRunner::direct(RequestWork& work, const ResponseWriter& writer)
+{
+    RequestTrace::Hop queueHop(work.trace, "queue", work.entryHop.id());
+    const TimePoint queuedAt = monotonicNow();
+    PoolRequest wanted { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+    auto lease = co_await m_services.slots.acquire(work.pool, wanted);
+    m_services.metrics.queueWait.observe(monotonicNow() - queuedAt);
+    if (!lease) {
+        queueHop.fail(answerFor(lease.error()).name);
+        co_return TurnedAway { lease.error() };
+    }
+    queueHop.note("endpoint", lease->endpoint().value());
+    queueHop.end();
+    Completion completion { CompletionResult::Cancelled, {}, {}, false };
+    const TimePoint startedAt = monotonicNow();
+    auto result = co_await runAt(work, writer, lease->endpoint(), completion);
+    completion.serviceTime = monotonicNow() - startedAt;
+    lease->complete(completion);
+    co_return result;
+}
+
+asio::awaitable<AttemptResult> AttemptRunner::runAt(
+    RequestWork& work, const ResponseWriter& writer, EndpointId id, Completion& completion)
+{
+    work.excluded.push_back(id);
+    const auto* declared = endpoint(work.route.service, id);
+    if (!declared || monotonicNow() >= work.deadline) {
+        const auto kind = declared ? ErrorKind::DeadlineExceeded : ErrorKind::NoEndpoint;
+        work.lifecycle.attemptStarted();
+        co_return AttemptFailure { kind, true, true, false };
+    }
+    RequestTrace::Hop hop(work.trace, "upstream", work.entryHop.id());
+    hop.note("endpoint", id.value());
+    work.lifecycle.attemptStarted();
+    const TimePoint sentAt = monotonicNow();
+    auto response = co_await m_services.upstreams.exchange(
+        declared->address, outgoing(work, hop, true), toSteadyClock(work.deadline));
+    work.upstreamTime += monotonicNow() - sentAt;
+    if (!response) {
+        const auto& error = response.error();
+        hop.fail(answerFor(error.kind).name);
+        completion.result = error.provenNotRun ? CompletionResult::ConnectFailed : CompletionResult::Failed;
+        co_return toFailure(error, !error.provenNotRun);
+    }
+    co_return co_await relayFromUpstream(work, writer, *response, hop, completion);
+}
+
+asio::awaitable<AttemptResult> AttemptRunner::relayFromUpstream(RequestWork& work, const ResponseWriter& writer,
+    IncomingResponse& response, RequestTrace::Hop& hop, Completion& completion)
+{
+    auto& headerFields = response.head.fields;
+    completion.reportedInUse = slotField(headerFields, fields::load);
+    completion.isDraining = headerFields.find(fields::draining) == "1";
+    if (isRefusal(response.head)) {
+        response.abandon();
+        hop.fail("upstream-refused");
+        completion.result = CompletionResult::Refused;
+        co_return AttemptFailure { ErrorKind::UpstreamRefused, true, true, true };
+    }
+    // Only the daemon may say these of an answer.
+    headerFields.remove(fields::error);
+    headerFields.remove(fields::outcome);
+    if (work.isForwarded)
+        addLoadFields(work, headerFields);
+    const TimePoint startedAt = monotonicNow();
+    const auto relayed = co_await relayAnswer(response, writer,
+        [&] { m_services.metrics.addedLatency.observe(monotonicNow() - work.receivedAt - work.upstreamTime); });
+    completion.result = toCompletionResult(relayed.result);
+    if (relayed.result != RelayResult::Whole)
+        hop.fail("broken");
+    recordRelay(work, relayed, work.upstreamTime + (monotonicNow() - startedAt));
+    co_return Finished {};
+}
+
+void AttemptRunner::recordRelay(RequestWork& work, const RelayOutcome& relayed, Duration serviceTime)
+{
+    work.isAnswered = relayed.result == RelayResult::Whole;
+    (work.isAnswered ? m_services.metrics.relayed : m_services.metrics.broken).add();
+    if (work.isAnswered)
+        m_classifier.record(work.route.service, work.route.rule, pathOf(work.head.target), serviceTime, relayed.bytes);
+    if (!work.isForwarded)
+        m_pools.recordBytes(work.pool, work.workClass, relayed.bytes);
+}
+
+// What the entry member cannot see: the pool's load, and the upstream's share of the time.
+void AttemptRunner::addLoadFields(const RequestWork& work, HeaderFields& headerFields)
+{
+    setMicroseconds(headerFields, upstreamTimeField, work.upstreamTime);
+    if (auto load = m_pools.loads().find(work.pool))
+        setMicroseconds(headerFields, expectedWaitField, load->expectedWait);
+}
+
+asio::awaitable<AttemptResult> AttemptRunner::viaHome(RequestWork& work, const ResponseWriter& writer, PoolHome home)
+{
+    RequestTrace::Hop hop(work.trace, "peer", work.entryHop.id());
+    hop.note("home", home.member.value());
+    m_services.metrics.forwarded.add();
+    auto request = outgoing(work, hop, true);
+    writeEnvelope({ ForwardEnvelope::Purpose::Forward, work.pool, work.route }, request.head.fields);
+    work.lifecycle.attemptStarted();
+    auto response
+        = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
+    if (!response) {
+        hop.fail(answerFor(response.error().kind).name);
+        co_return homeFailed(work, home, response.error());
+    }
+    const auto kind = errorKindFromName(response->head.fields.find(fields::error).value_or(""));
+    if (!kind)
+        co_return co_await relayFromHome(work, writer, *response);
+    const bool isNotRun = response->head.fields.find(fields::outcome) == toString(Outcome::NotRun);
+    response->abandon();
+    hop.fail(answerFor(*kind).name);
+    if (isNotRun && *kind == ErrorKind::Draining)
+        co_return homeFailed(work, home, { *kind, true, "home is draining" });
+    // The home has made the attempts that its budget allows, so its word is final unless no upstream was reached.
+    if (isNotRun) {
+        work.lifecycle.attemptTurnedAway();
+        co_return TurnedAway { *kind };
+    }
+    co_return AttemptFailure { *kind, false, false, true };
+}
+
+asio::awaitable<AttemptResult> AttemptRunner::relayFromHome(
+    RequestWork& work, const ResponseWriter& writer, IncomingResponse& response)
+{
+    auto& headerFields = response.head.fields;
+    const TimePoint startedAt = monotonicNow();
+    work.upstreamTime += microsecondsField(headerFields, upstreamTimeField).value_or(Duration::zero());
+    if (auto wait = microsecondsField(headerFields, expectedWaitField))
+        m_pools.loads().observe(work.pool, *wait, startedAt);
+    headerFields.remove(upstreamTimeField);
+    headerFields.remove(expectedWaitField);
+    const auto relayed = co_await relayAnswer(response, writer,
+        [&] { m_services.metrics.addedLatency.observe(monotonicNow() - work.receivedAt - work.upstreamTime); });
+    recordRelay(work, relayed, work.upstreamTime + (monotonicNow() - startedAt));
+    co_return Finished {};
+}
+
+asio::awaitable<AttemptResult> AttemptRunner::withPermit(RequestWork& work, const ResponseWriter& writer, PoolHome home)
+{
+    RequestTrace::Hop hop(work.trace, "permit", work.entryHop.id());
+    hop.note("home", home.member.value());
+    auto request = outgoing(work, hop, false);
+    writeEnvelope({ ForwardEnvelope::Purpose::Permit, work.pool, work.route }, request.head.fields);
+    auto permit
+        = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
+    if (!permit) {
+        hop.fail(answerFor(permit.error().kind).name);
+        // A permit runs nothing, so its loss is no loss of the request.
+        work.lifecycle.attemptStarted();
+        co_return homeFailed(work, home, { permit.error().kind, true, permit.error().detail });
+    }
+    // The slot is held by the open stream, and returned when it is reset.
+    struct Guard {
+        IncomingResponse& permit;
+        ~Guard() { permit.abandon(); }
+    } guard { *permit };
+    const auto named = permit->head.fields.find(permitEndpointField);
+    if (!named) {
+        const auto kind = errorKindFromName(permit->head.fields.find(fields::error).value_or(""));
+        co_return TurnedAway { kind.value_or(ErrorKind::PeerFailed) };
+    }
+    m_services.metrics.permits.add();
+    hop.note("endpoint", std::string(*named));
+    Completion completion;
+    co_return co_await runAt(work, writer, EndpointId(std::string(*named)), completion);
+}
+
+asio::awaitable<void> AttemptRunner::grantPermit(const RequestWork& work, const ResponseWriter& writer)
+{
+    PoolRequest wanted { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+    auto lease = co_await m_services.slots.acquire(work.pool, wanted);
+    if (!lease) {
+        co_await writeError(writer, lease.error(), Outcome::NotRun);
+        co_return;
+    }
+    ResponseHead head;
+    head.status = 200;
+    head.fields.add(std::string(permitEndpointField), lease->endpoint().value());
+    head.bodyLength.kind = BodyLength::Kind::Streamed;
+    if (!co_await writer.writeHead(head))
+        co_return;
+    // Ends by cancellation when the holder resets the stream or is lost; the lease is returned then.
+    asio::steady_timer never(m_services.io, asio::steady_timer::time_point::max());
+    co_await never.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+OutgoingRequest AttemptRunner::outgoing(RequestWork& work, const RequestTrace::Hop& hop, bool withBody) const
+{
+    OutgoingRequest request { work.head, withBody ? work.body.reader() : emptyBody() };
+    if (!withBody)
+        request.head.bodyLength = {};
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft(work)).count();
+    request.head.fields.set(std::string(fields::deadlineMs), std::to_string(ms));
+    request.head.fields.set(std::string(fields::traceParent), hop.traceParent());
+    return request;
+}
+
+AttemptResult AttemptRunner::homeFailed(RequestWork& work, const PoolHome& home, const ExchangeError& error)
+{
+    work.mayUseHome = false;
+    if (error.kind != ErrorKind::DeadlineExceeded) {
+        m_services.metrics.bypassedHomes.add();
+        m_bypassUntil[home.member] = monotonicNow() + homeBypassTime;
+        m_services.reportSilentMember(home.member);
+    }
+    const auto kind = error.kind == ErrorKind::UpstreamFailed ? ErrorKind::PeerFailed : error.kind;
+    return AttemptFailure { kind, error.provenNotRun, true, !error.provenNotRun };
+}
+
+const EndpointDeclaration* AttemptRunner::endpoint(const ServiceId& serviceId, const EndpointId& id) const
+{
+    const auto* service = m_snapshot->routes.service(serviceId);
+    if (!service)
+        return nullptr;
+    auto it = std::find_if(
+        service->endpoints.begin(), service->endpoints.end(), [&](const auto& declared) { return declared.id == id; });
+    return it == service->endpoints.end() ? nullptr : &*it;
+}
+
+} // namespace dogwoodhall
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -1,107 +1,222 @@
 #include "dogwoodhall/daemon/ControlThread.h"
 
-#include "dogwoodhall/daemon/Log.h"
+#include "dogwoodhall/daemon/PoolShard.h"
 #include "dogwoodhall/declarations/RecordParser.h"
+#include "dogwoodhall/telemetry/Logging.h"
 
-#include <boost/asio/as_tuple.hpp>
+#include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <set>
 #include <utility>
 
 namespace dogwoodhall {
 
-namespace {
+namespace json = boost::json;
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-constexpr Duration watchWait = std::chrono::seconds(20);
-constexpr Duration hostListPeriod = std::chrono::seconds(1);
-constexpr Duration retryDelay = std::chrono::milliseconds(500);
+namespace {
 
-asio::awaitable<void> writeText(const ResponseWriter& writer, unsigned status, std::string text)
-{
-    ResponseHead head;
-    head.status = status;
-    head.fields.add("Content-Type", "text/plain");
-    head.bodyLength = { BodyLength::Kind::Exact, ByteCount(text.size()) };
-    if (!co_await writer.writeHead(head))
-        co_return;
-    if (!co_await writer.writeBody(asio::buffer(text)))
-        co_return;
-    co_await writer.finish();
-}
+// Ten times what the design size's changes need on average; a member that joins gets all records in minutes at that
+// size, and at once at today's.
+constexpr ByteCount recordBytesPerSecond { 256 * 1024 };
+constexpr ByteCount recordBurst { 2 * 1024 * 1024 };
+// Loads of a pool whose home has moved away are no longer passed on.
+constexpr Duration ownLoadLifetime = std::chrono::seconds(1);
 
 } // namespace
 
-ControlThread::ControlThread(const Settings& settings, Hooks hooks)
+ControlThread::ControlThread(const Settings& settings, Incarnation incarnation, DaemonMetrics& metrics, Hooks hooks)
     : m_settings(settings)
+    , m_incarnation(incarnation)
+    , m_metrics(metrics)
     , m_hooks(std::move(hooks))
-    , m_acceptor(m_io)
-    , m_records(m_io.get_executor(), settings.platformAddress)
-    , m_hostLists(m_io.get_executor(), settings.platformAddress)
     , m_configuration(parseRecord)
+    , m_joinBarrier(monotonicNow())
+    , m_budget({ settings.measuringCallsPerSecond, settings.measuringBytesPerSecond })
+    , m_recordBytes(recordBytesPerSecond, recordBurst)
+    , m_platform(m_io, settings.platformAddress,
+          { [this] { return m_gossip->fleet().isWatcher(); }, [this] { return m_configuration.highestRevision(); },
+              [this] { return m_gossip->fleet().hostListPeriod(); },
+              [this](const RecordBatch& batch) {
+                  m_joinBarrier.platformAnswered(batch.highest);
+                  acceptRecords(batch.records);
+              },
+              [this](const HostList& hosts) { acceptHosts(hosts); } },
+          metrics)
+    , m_operators(m_io,
+          { [this] { return m_isReady && !m_isDraining; }, [this] { return m_hooks.metricsText(); },
+              [this] { return statusJson(); }, [this] { m_hooks.beginDrain(); }, [this] { m_hooks.stopNow(); } })
+    , m_spans(m_io, settings.traceCollector, settings.member.value(), metrics.spansDropped)
+    , m_prober(m_io,
+          { [this] { return probeTargets(); }, [this](ByteCount size) { return pay(MeasuringCategory::Health, size); },
+              [this](const ProbeTarget& target, const HealthReport& report) { m_hooks.reportHealth(target, report); } })
+{
+}
+
+ControlThread::~ControlThread() = default;
+
+NetworkAddress ControlThread::listen() { return m_operators.listen(m_settings.adminAddress); }
+
+void ControlThread::start(const NetworkAddress& peerAddress)
 {
+    Member self;
+    self.id = m_settings.member;
+    self.dataCentre = m_settings.dataCentre;
+    self.peerAddress = peerAddress;
+    self.incarnation = m_incarnation;
+    Fleet::Hooks sources { [this] { return m_configuration.digest(); },
+        [this](Revision since, ByteCount limit) { return m_configuration.recordsSince(since, limit); },
+        [this](std::size_t most) { return ownLoads(most); } };
+    GossipDriver::Hooks hooks { [this] { publish(); },
+        [this](const std::vector<Record>& records) { acceptRecords(records); },
+        [this](const std::vector<PoolLoadSummary>& loads) { m_hooks.observeLoads(loads); },
+        [this](Duration gap) {
+            m_metrics.wakeUps.add();
+            m_joinBarrier.expire(monotonicNow());
+            DOGWOODHALL_LOG(fleet, warning) << "The process was paused for " << toSeconds(gap) << " s.";
+            publish();
+        },
+        [this](const GossipMessage& message, ByteCount size) { return payGossip(message, size); },
+        [this](const GossipMessage& reply) {
+            m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest);
+            updateReadiness();
+        },
+        [this] { updateReadiness(); } };
+    m_gossip = std::make_unique<GossipDriver>(m_io, self, std::move(sources), std::move(hooks), m_metrics);
+    asio::co_spawn(m_io, m_gossip->run(), asio::detached);
+    asio::co_spawn(m_io, m_platform.watchRecords(), asio::detached);
+    asio::co_spawn(m_io, m_platform.watchHosts(), asio::detached);
+    asio::co_spawn(m_io, m_spans.run(), asio::detached);
+    asio::co_spawn(m_io, m_prober.run(), asio::detached);
 }
 
-NetworkAddress ControlThread::listen()
+bool ControlThread::pay(MeasuringCategory category, ByteCount size)
 {
-    const asio::ip::tcp::endpoint address(
-        asio::ip::make_address(m_settings.adminAddress.ip), m_settings.adminAddress.port);
-    m_acceptor.open(address.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
-    m_acceptor.bind(address);
-    m_acceptor.listen();
-    asio::co_spawn(m_io, acceptOperators(), asio::detached);
-    asio::co_spawn(m_io, watchRecords(), asio::detached);
-    asio::co_spawn(m_io, watchHosts(), asio::detached);
-    return { m_settings.adminAddress.ip, m_acceptor.local_endpoint().port() };
+    if (!m_budget.trySpend(category, size, monotonicNow())) {
+        m_metrics.measuringDenied.add();
+        return false;
+    }
+    m_metrics.controlBytes.add(size.count());
+    return true;
 }
 
-asio::awaitable<void> ControlThread::watchRecords()
+// Records are paid from a bucket of their own: a member that joins or was cut off needs more of them at once than the
+// measuring budget holds.
+bool ControlThread::payGossip(const GossipMessage& message, ByteCount size)
 {
-    while (true) {
-        auto batch = co_await m_records.readRecords(m_configuration.highestRevision(), watchWait);
-        if (batch) {
-            accept(*batch);
-            continue;
+    ByteCount records;
+    for (const auto& record : message.records)
+        records += estimatedSize(record);
+    records = std::min(records, size);
+    if (records > ByteCount(0) && !m_recordBytes.tryTake(records, monotonicNow())) {
+        m_metrics.measuringDenied.add();
+        return false;
+    }
+    return pay(MeasuringCategory::Membership, size - records);
+}
+
+void ControlThread::setOwnLoads(const std::vector<PoolLoadSummary>& loads)
+{
+    const TimePoint now = monotonicNow();
+    for (const auto& load : loads)
+        m_ownLoads[load.pool] = { load, now };
+}
+
+// A few pools for each message, in turn.
+std::vector<PoolLoadSummary> ControlThread::ownLoads(std::size_t most)
+{
+    const TimePoint now = monotonicNow();
+    std::erase_if(m_ownLoads, [&](const auto& item) { return now - item.second.measuredAt > ownLoadLifetime; });
+    std::vector<PoolLoadSummary> loads;
+    auto it = m_ownLoads.upper_bound(m_lastSentLoad);
+    for (std::size_t n = 0; n < std::min(most, m_ownLoads.size()); ++n) {
+        if (it == m_ownLoads.end())
+            it = m_ownLoads.begin();
+        loads.push_back(it->second.load);
+        loads.back().age = now - it->second.measuredAt;
+        m_lastSentLoad = it->first;
+        ++it;
+    }
+    return loads;
+}
+
+std::vector<ProbeTarget> ControlThread::probeTargets() const
+{
+    std::vector<ProbeTarget> targets;
+    for (const auto& service : m_configuration.services()) {
+        for (const auto& endpoint : service.endpoints) {
+            const PoolId pool { service.id, endpoint.dataCentre };
+            if (m_gossip->fleet().homeOf(pool) == m_settings.member)
+                targets.push_back({ pool, endpoint.id, endpoint.address });
         }
-        DOGWOODHALL_LOG(config, warning) << "Cannot read the configuration service: " << batch.error().detail << ".";
-        co_await pause(retryDelay);
     }
+    return targets;
+}
+
+tl::expected<std::string, std::string> ControlThread::answerGossip(std::string_view request)
+{
+    return m_gossip->answer(request);
 }
 
-void ControlThread::accept(const RecordBatch& batch)
+void ControlThread::acceptRecords(const std::vector<Record>& records)
 {
-    bool changed = false;
-    for (const auto& record : batch.records) {
+    bool hasChanged = false;
+    for (const auto& record : records) {
         const auto outcome = m_configuration.offer(record);
-        changed = changed || outcome.result == OfferResult::Accepted;
-        if (outcome.result == OfferResult::Rejected)
+        hasChanged = hasChanged || outcome.result == OfferResult::Accepted;
+        if (outcome.result == OfferResult::Rejected) {
+            m_metrics.recordsRejected.add();
             DOGWOODHALL_LOG(config, error) << "Rejected record: " << outcome.reason << ".";
+        }
     }
-    if (changed) {
+    if (hasChanged) {
         DOGWOODHALL_LOG(config, info) << "Revision " << m_configuration.highestRevision() << " is in force.";
-        publish();
+        std::map<DataCentreId, RegionId> regions;
+        for (const auto& dataCentre : m_configuration.topology().dataCentres)
+            regions.emplace(dataCentre.id, dataCentre.region);
+        m_gossip->fleet().setRegions(std::move(regions));
     }
+    m_metrics.configurationRevision.set(m_configuration.highestRevision().value());
+    updateReadiness();
+    if (hasChanged)
+        publish();
 }
 
-asio::awaitable<void> ControlThread::watchHosts()
+void ControlThread::acceptHosts(const HostList& hosts)
 {
-    while (true) {
-        auto hosts = co_await m_hostLists.readHosts();
-        if (hosts && hosts->version > m_hosts.version) {
-            m_hosts = std::move(*hosts);
-            publish();
-        }
-        co_await pause(hostListPeriod);
+    if (hosts.version <= m_hosts.version)
+        return;
+    m_hosts = hosts;
+    const auto entryHosts = listedEntryHosts();
+    const bool listsSelf = std::any_of(
+        entryHosts.begin(), entryHosts.end(), [&](const ListedHost& host) { return host.id == m_settings.member; });
+    m_joinBarrier.setListedPeers(entryHosts.size() - (listsSelf ? 1 : 0));
+    m_gossip->perform(m_gossip->fleet().applyHostList(entryHosts, monotonicNow()));
+    publish();
+}
+
+std::vector<ListedHost> ControlThread::listedEntryHosts() const
+{
+    std::vector<ListedHost> listed;
+    for (const auto& host : m_hosts.hosts) {
+        if (host.isEntry)
+            listed.push_back({ MemberId(host.id.value()), host.dataCentre, host.address, host.isLeaving });
     }
+    return listed;
 }
 
-asio::awaitable<void> ControlThread::pause(Duration duration)
+void ControlThread::updateReadiness()
 {
-    asio::steady_timer timer(m_io, std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration));
-    co_await timer.async_wait(useTuple);
+    const Revision held = m_configuration.highestRevision();
+    const bool isReady = held > Revision(0) && m_joinBarrier.isReady(held, monotonicNow());
+    if (isReady == m_isReady)
+        return;
+    m_isReady = isReady;
+    m_gossip->fleet().setReady(isReady);
+    DOGWOODHALL_LOG(daemon, info) << (isReady ? "Ready." : "Not ready.");
+    publish();
 }
 
 void ControlThread::publish()
@@ -110,60 +225,79 @@
     snapshot->revision = m_configuration.highestRevision();
     snapshot->routes = RouteTable(m_configuration.services());
     snapshot->topology = m_configuration.topology();
+    snapshot->memberIps.insert(m_settings.peerAddress.ip);
     for (const auto& host : m_hosts.hosts) {
-        if (!host.isEntry)
+        if (host.isEntry)
+            snapshot->memberIps.insert(host.address.ip);
+        else
             snapshot->leavingUpstreamHosts[host.id] = host.isLeaving;
     }
-    snapshot->isReady = !snapshot->routes.services().empty();
+    snapshot->isReady = m_isReady;
     snapshot->isDraining = m_isDraining;
+    addHomes(*snapshot);
     m_hooks.publish(std::move(snapshot));
 }
 
-void ControlThread::setDraining()
-{
-    m_isDraining = true;
-    publish();
-}
-
-asio::awaitable<void> ControlThread::acceptOperators()
+void ControlThread::addHomes(Snapshot& snapshot) const
 {
-    while (true) {
-        auto [ec, socket] = co_await m_acceptor.async_accept(useTuple);
-        if (ec)
-            co_return;
-        const ConnectionId id(m_nextConnection++);
-        m_operators.emplace(id,
-            std::make_unique<CallerSession>(
-                std::move(socket), CallerLimits {}, [this](IncomingRequest request, ResponseWriter writer) {
-                    return handleOperator(std::move(request), std::move(writer));
-                }));
-        asio::co_spawn(m_io, serveOperator(id), asio::detached);
+    const Fleet& fleet = m_gossip->fleet();
+    for (const auto& host : m_hosts.hosts) {
+        const Member* member = host.isEntry ? fleet.find(MemberId(host.id.value())) : nullptr;
+        if (member && member->state != MemberState::Gone)
+            snapshot.members[member->id] = { member->id, member->peerAddress };
+    }
+    for (const auto& service : snapshot.routes.services()) {
+        std::set<DataCentreId> dataCentres;
+        for (const auto& endpoint : service.endpoints)
+            dataCentres.insert(endpoint.dataCentre);
+        for (const auto& dataCentre : dataCentres) {
+            const PoolId pool { service.id, dataCentre };
+            const auto home = fleet.homeOf(pool);
+            const Member* member = home ? fleet.find(*home) : nullptr;
+            if (member)
+                snapshot.remoteHomes.emplace(pool, PoolHome { member->id, member->peerAddress });
+            const bool isReachable = home.has_value() || dataCentre == m_settings.dataCentre;
+            snapshot.poolsOf[service.id].push_back({ dataCentre, isReachable });
+        }
     }
 }
 
-asio::awaitable<void> ControlThread::serveOperator(ConnectionId id)
+void ControlThread::setDraining()
 {
-    co_await m_operators.at(id)->run();
-    m_operators.erase(id);
+    m_isDraining = true;
+    m_gossip->fleet().announceLeaving();
+    publish();
 }
 
-asio::awaitable<void> ControlThread::handleOperator(IncomingRequest request, ResponseWriter writer)
+std::string ControlThread::statusJson() const
 {
-    const auto& [method, target, fields, length] = request.head;
-    if (method == "GET" && target == "/health") {
-        co_await writeText(writer, 200, "ok\n");
-    } else if (method == "GET" && target == "/ready") {
-        const bool ready = m_configuration.highestRevision() > Revision(0) && !m_isDraining;
-        co_await writeText(writer, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
-    } else if (method == "POST" && target == "/drain") {
-        m_hooks.beginDrain();
-        co_await writeText(writer, 202, "draining\n");
-    } else if (method == "POST" && target == "/stop-now") {
-        co_await writeText(writer, 202, "stopping\n");
-        m_hooks.stopNow();
-    } else {
-        co_await writeText(writer, 404, "not found\n");
+    const Fleet& fleet = m_gossip->fleet();
+    json::array members;
+    for (const auto& host : m_hosts.hosts) {
+        const Member* member = host.isEntry ? fleet.find(MemberId(host.id.value())) : nullptr;
+        if (!member)
+            continue;
+        static constexpr std::array<std::string_view, 4> stateNames { "alive", "leaving", "suspect", "gone" };
+        members.push_back(json::object { { "id", member->id.value() },
+            { "state", stateNames[static_cast<std::size_t>(member->state)] }, { "ready", member->isReady } });
+    }
+    json::array homes;
+    for (const auto& service : m_configuration.services()) {
+        std::set<DataCentreId> dataCentres;
+        for (const auto& endpoint : service.endpoints)
+            dataCentres.insert(endpoint.dataCentre);
+        for (const auto& dataCentre : dataCentres) {
+            const auto home = fleet.homeOf({ service.id, dataCentre });
+            homes.push_back(json::object { { "pool", toString({ service.id, dataCentre }) },
+                { "home", home ? json::value(home->value()) : json::value(nullptr) } });
+        }
     }
+    const json::object status { { "member", m_settings.member.value() },
+        { "incarnation", std::to_string(m_incarnation.value()) }, { "dataCentre", m_settings.dataCentre.value() },
+        { "ready", m_isReady }, { "draining", m_isDraining }, { "watcher", fleet.isWatcher() },
+        { "revision", m_configuration.highestRevision().value() }, { "requestsRunning", m_hooks.requestsRunning() },
+        { "members", std::move(members) }, { "homes", std::move(homes) } };
+    return json::serialize(status) + "\n";
 }
 
 } // namespace dogwoodhall
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,8 +1,11 @@
 #include "dogwoodhall/daemon/Daemon.h"
 
-#include "dogwoodhall/daemon/Log.h"
+#include "dogwoodhall/telemetry/Logging.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -13,16 +16,29 @@
 
 constexpr int forcedStopStatus = 3;
 
+// Wall-clock milliseconds at the start: a later run of the daemon on the same host has a higher incarnation. The clock
+// may be set back between two runs; the new run then stays suspect until it refutes that, which costs seconds.
+Incarnation newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
+}
+
 } // namespace
 
 Daemon::Daemon(const Settings& settings)
     : m_settings(settings)
-    , m_control(settings,
+    , m_incarnation(newIncarnation())
+    , m_metrics(m_registry)
+    , m_control(settings, m_incarnation, m_metrics,
           { [this](SnapshotPointer snapshot) {
                for (auto& thread : m_traffic)
                    thread->post([snapshot](TrafficThread& target) { target.apply(snapshot); });
            },
-              [this] { beginDrain(); }, [this] { stopNow(); } })
+              [this] { beginDrain(); }, [this] { stopNow(); }, [this] { return m_registry.toPrometheusText(); },
+              [this] { return requestsRunning(); },
+              [this](const ProbeTarget& target, const HealthReport& report) { reportHealth(target, report); },
+              [this](const std::vector<PoolLoadSummary>& loads) { observeLoads(loads); } })
     , m_signals(m_control.io(), SIGTERM, SIGINT)
 {
 }
@@ -31,35 +47,67 @@
 {
     startTraffic();
     const auto admin = m_control.listen();
-    std::cout << "listening caller=" << toString(m_settings.callerAddress) << " admin=" << toString(admin) << std::endl;
+    m_control.start(m_settings.peerAddress);
+    std::cout << "listening caller=" << toString(m_settings.callerAddress)
+              << " peer=" << toString(m_settings.peerAddress) << " admin=" << toString(admin) << std::endl;
     waitForSignal();
     m_control.run();
-    for (auto& thread : m_traffic) {
+    for (auto& thread : m_traffic)
         thread->stop();
+    for (auto& thread : m_traffic)
         thread->join();
-    }
     return m_exitStatus;
 }
 
+TrafficThread::Options Daemon::trafficOptions(std::uint32_t index)
+{
+    TrafficThread::Options options;
+    options.index = index;
+    options.member = m_settings.member;
+    options.dataCentre = m_settings.dataCentre;
+    options.callerAddress = m_settings.callerAddress;
+    options.peerAddress = m_settings.peerAddress;
+    options.callerLimits.headerBytes = m_settings.maxHeaderBytes;
+    options.callerLimits.bodyBytes = m_settings.maxBodyBytes;
+    options.callerLimits.headerTimeout = m_settings.slowSenderTimeout;
+    options.traceSampling = m_settings.traceSampling;
+    options.seed = std::random_device {}();
+    options.postToShard = [this](const PoolId& pool, std::function<void(PoolShard&)> task) {
+        auto& owner = *m_traffic[std::hash<PoolId> {}(pool) % m_traffic.size()];
+        owner.post([task = std::move(task)](TrafficThread& thread) { task(thread.shard()); });
+    };
+    options.spans = [this](Span span) {
+        asio::post(m_control.io(), [this, span = std::move(span)]() mutable { m_control.addSpan(std::move(span)); });
+    };
+    options.reportSilentMember = [this](const MemberId& member) {
+        asio::post(m_control.io(), [this, member] { m_control.reportSilentMember(member); });
+    };
+    options.trafficThreads = m_settings.trafficThreads;
+    options.shareLoads = [this](std::vector<PoolLoadSummary> loads) { shareLoads(std::move(loads)); };
+    options.answerGossip = [this](std::string request) {
+        auto answer
+            = [](ControlThread& control, std::string text) -> asio::awaitable<tl::expected<std::string, std::string>> {
+            co_return control.answerGossip(text);
+        };
+        return asio::co_spawn(m_control.io(), answer(m_control, std::move(request)), asio::use_awaitable);
+    };
+    return options;
+}
+
 void Daemon::startTraffic()
 {
-    std::random_device entropy;
     for (std::uint32_t n = 0; n < m_settings.trafficThreads; ++n) {
-        TrafficThread::Options options;
-        options.index = n;
-        options.dataCentre = m_settings.dataCentre;
-        options.callerAddress = m_settings.callerAddress;
-        options.callerLimits.headerBytes = m_settings.maxHeaderBytes;
-        options.callerLimits.bodyBytes = m_settings.maxBodyBytes;
-        options.callerLimits.headerTimeout = m_settings.slowSenderTimeout;
-        options.seed = entropy();
-        options.postToShard = [this](const PoolId& pool, std::function<void(PoolShard&)> task) {
-            auto& owner = *m_traffic[std::hash<PoolId> {}(pool) % m_traffic.size()];
-            owner.post([task = std::move(task)](TrafficThread& thread) { task(thread.shard()); });
-        };
-        m_traffic.push_back(std::make_unique<TrafficThread>(std::move(options)));
-        m_settings.callerAddress = m_traffic.back()->listen();
+        m_traffic.push_back(std::make_unique<TrafficThread>(trafficOptions(n), m_metrics));
+        const auto bound = m_traffic.back()->listen();
+        m_settings.callerAddress = bound.caller;
+        m_settings.peerAddress = bound.peer;
     }
+    TicketLimits limits;
+    limits.memory = m_settings.ticketBytes;
+    m_ticketDesk = std::make_unique<TicketDesk>(
+        m_traffic.front()->io(), TicketLedger(m_settings.member, m_incarnation, limits), std::random_device {}());
+    for (auto& thread : m_traffic)
+        thread->setTicketDesk(*m_ticketDesk);
     for (auto& thread : m_traffic)
         thread->start();
 }
@@ -70,7 +118,7 @@
         if (ec)
             return;
         if (m_isDraining)
-            DOGWOODHALL_LOG(daemon, warning) << "Still draining; waiting for the requests in flight.";
+            DOGWOODHALL_LOG(daemon, warning) << "Still draining; waiting for " << requestsRunning() << " requests.";
         beginDrain();
         waitForSignal();
     });
@@ -80,7 +128,7 @@
 {
     if (std::exchange(m_isDraining, true))
         return;
-    DOGWOODHALL_LOG(daemon, info) << "Draining.";
+    DOGWOODHALL_LOG(daemon, info) << "Draining; " << requestsRunning() << " requests in flight.";
     m_control.setDraining();
     for (auto& thread : m_traffic) {
         thread->post([this](TrafficThread& target) {
@@ -99,9 +147,37 @@
 
 void Daemon::stopNow()
 {
-    DOGWOODHALL_LOG(daemon, warning) << "Forced stop; requests in flight are cut off.";
+    DOGWOODHALL_LOG(daemon, warning) << "Forced stop; " << requestsRunning() << " requests are cut off.";
     m_exitStatus = forcedStopStatus;
     m_control.stop();
 }
 
+void Daemon::shareLoads(std::vector<PoolLoadSummary> loads)
+{
+    if (loads.empty())
+        return;
+    observeLoads(loads);
+    asio::post(m_control.io(), [this, loads = std::move(loads)] { m_control.setOwnLoads(loads); });
+}
+
+void Daemon::observeLoads(const std::vector<PoolLoadSummary>& loads)
+{
+    for (auto& thread : m_traffic)
+        thread->post([loads](TrafficThread& target) { target.observeLoads(loads); });
+}
+
+void Daemon::reportHealth(const ProbeTarget& target, const HealthReport& report)
+{
+    auto& owner = *m_traffic[std::hash<PoolId> {}(target.pool) % m_traffic.size()];
+    owner.post([target, report](TrafficThread& thread) { thread.shard().observeHealth(target, report); });
+}
+
+std::size_t Daemon::requestsRunning() const
+{
+    std::size_t running = 0;
+    for (const auto& thread : m_traffic)
+        running += thread->requestsRunning();
+    return running;
+}
+
 } // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/src/DaemonMetrics.cpp
@@ -0,0 +1,41 @@
+#include "dogwoodhall/daemon/DaemonMetrics.h"
+
+#include <string>
+
+namespace dogwoodhall {
+
+DaemonMetrics::DaemonMetrics(MetricsRegistry& registry)
+    : requests(registry.counter("dogwoodhall_requests_total", "Requests received from callers."))
+    , relayed(registry.counter("dogwoodhall_relayed_total", "Requests answered whole by an upstream."))
+    , broken(registry.counter("dogwoodhall_broken_answers_total", "Answers cut off after they had begun."))
+    , retries(registry.counter("dogwoodhall_retries_total", "Attempts after the first of a request."))
+    , forwarded(registry.counter("dogwoodhall_forwarded_total", "Requests sent to a pool's home on another host."))
+    , bypassedHomes(registry.counter("dogwoodhall_bypassed_homes_total", "Requests placed here as their home failed."))
+    , permits(registry.counter("dogwoodhall_permits_total", "Long requests sent with a permit from the home."))
+    , spilled(registry.counter("dogwoodhall_spilled_total", "Requests sent to another data centre."))
+    , ticketsIssued(registry.counter("dogwoodhall_tickets_issued_total", "Tickets issued."))
+    , ticketReplays(registry.counter("dogwoodhall_ticket_replays_total", "Repeats answered with a kept answer."))
+    , configurationRevision(registry.gauge("dogwoodhall_configuration_revision", "Highest revision in force."))
+    , recordsRejected(registry.counter("dogwoodhall_records_rejected_total", "Records that failed their checks."))
+    , platformReads(registry.counter("dogwoodhall_platform_reads_total", "Reads of the platform's services."))
+    , platformFailures(registry.counter("dogwoodhall_platform_failures_total", "Failed reads of the platform."))
+    , membersAlive(registry.gauge("dogwoodhall_members_alive", "Members taken for alive, this one included."))
+    , gossipExchanges(registry.counter("dogwoodhall_gossip_exchanges_total", "Gossip exchanges started."))
+    , gossipFailures(registry.counter("dogwoodhall_gossip_failures_total", "Gossip exchanges that failed."))
+    , controlBytes(registry.counter("dogwoodhall_control_bytes_total", "Bytes sent for control and measuring."))
+    , measuringDenied(registry.counter("dogwoodhall_measuring_denied_total", "Messages the measuring budget denied."))
+    , wakeUps(registry.counter("dogwoodhall_wake_ups_total", "Pauses of the process that expired its state."))
+    , spansDropped(registry.counter("dogwoodhall_spans_dropped_total", "Spans dropped before export."))
+    , peerProtocolErrors(registry.counter("dogwoodhall_peer_protocol_errors_total", "Malformed peer messages."))
+    , addedLatency(registry.histogram(
+          "dogwoodhall_added_latency_seconds", "Time to the start of the answer without the upstream's share."))
+    , queueWait(registry.histogram("dogwoodhall_queue_wait_seconds", "Time a request waited for a slot."))
+{
+    for (std::size_t n = 0; n < errorKindCount; ++n) {
+        const auto& answer = answerFor(static_cast<ErrorKind>(n));
+        errors[n] = &registry.counter("dogwoodhall_errors_total", "Answers that are not the upstream's own, by kind.",
+            { { "kind", std::string(answer.name) } });
+    }
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/src/GossipDriver.cpp
@@ -0,0 +1,128 @@
+#include "dogwoodhall/daemon/GossipDriver.h"
+
+#include "dogwoodhall/daemon/BufferedAnswer.h"
+#include "dogwoodhall/daemon/PoolShard.h"
+#include "dogwoodhall/telemetry/Logging.h"
+#include "dogwoodhall/wire/GossipCodec.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+constexpr Duration exchangeTimeout = std::chrono::milliseconds(1500);
+constexpr ByteCount maxReply { 1024 * 1024 };
+
+tl::expected<GossipMessage, std::string> decodeReply(const tl::expected<std::string, ExchangeError>& reply)
+{
+    if (!reply)
+        return tl::unexpected(reply.error().detail);
+    return decode(*reply);
+}
+
+ExchangeError unexpectedStatus() { return { ErrorKind::PeerFailed, false, "unexpected status" }; }
+
+template <typename... Functions> struct Overloaded : Functions... {
+    using Functions::operator()...;
+};
+
+} // namespace
+
+GossipDriver::GossipDriver(
+    asio::io_context& io, Member self, Fleet::Hooks fleetHooks, Hooks hooks, DaemonMetrics& metrics)
+    : m_io(io)
+    , m_hooks(std::move(hooks))
+    , m_metrics(metrics)
+    , m_peers(io.get_executor(), PeerLimits {})
+    , m_fleet(std::move(self), std::move(fleetHooks))
+    , m_random(std::random_device {}())
+{
+}
+
+asio::awaitable<void> GossipDriver::run()
+{
+    const auto period = std::chrono::duration_cast<std::chrono::steady_clock::duration>(FleetLimits {}.gossipPeriod);
+    asio::steady_timer timer(m_io);
+    while (true) {
+        perform(m_fleet.tick({ monotonicNow(), m_random }));
+        m_hooks.ticked();
+        m_metrics.membersAlive.set(m_fleet.countIn(MemberState::Alive));
+        timer.expires_after(period);
+        co_await timer.async_wait(useTuple);
+    }
+}
+
+void GossipDriver::perform(std::vector<FleetAction> actions)
+{
+    for (auto& action : actions) {
+        std::visit(Overloaded {
+                       [&](Exchange& wanted) { asio::co_spawn(m_io, exchange(wanted), asio::detached); },
+                       [&](OfferRecords& offer) { m_hooks.offerRecords(offer.records); },
+                       [&](ObservePoolLoads& observed) { m_hooks.observeLoads(observed.loads); },
+                       [&](MembersChanged&) { m_hooks.membersChanged(); },
+                       [&](StateExpired& expired) { m_hooks.stateExpired(expired.gap); },
+                   },
+            action);
+    }
+}
+
+asio::awaitable<void> GossipDriver::exchange(Exchange wanted)
+{
+    const auto request = m_fleet.messageFor(wanted.member, monotonicNow());
+    std::string message = encode(request);
+    if (!m_hooks.pay(request, ByteCount(message.size())))
+        co_return;
+    m_metrics.gossipExchanges.add();
+    auto reply = co_await send(wanted.address, std::move(message));
+    auto decoded = decodeReply(reply);
+    if (!decoded) {
+        m_metrics.gossipFailures.add();
+        DOGWOODHALL_LOG(fleet, debug) << "No reply from " << wanted.member << ": " << decoded.error() << ".";
+        perform(m_fleet.exchangeFailed(wanted.member, monotonicNow()));
+        co_return;
+    }
+    perform(m_fleet.handle(*decoded, monotonicNow()).actions);
+    m_hooks.peerAnswered(*decoded);
+}
+
+ExchangeResult<std::string> GossipDriver::send(const NetworkAddress& address, std::string message)
+{
+    OutgoingRequest request;
+    request.head.method = "POST";
+    request.head.target = std::string(gossipTarget);
+    request.head.bodyLength = { BodyLength::Kind::Exact, ByteCount(message.size()) };
+    request.readBody = bodyFrom(std::move(message));
+    const auto deadline = toSteadyClock(monotonicNow() + exchangeTimeout);
+    auto response = co_await m_peers.exchange(address, std::move(request), deadline);
+    if (!response)
+        co_return tl::unexpected(response.error());
+    auto body = co_await readWhole(response->readBody, maxReply);
+    if (body && response->head.status != 200)
+        co_return tl::unexpected(unexpectedStatus());
+    co_return body;
+}
+
+tl::expected<std::string, std::string> GossipDriver::answer(std::string_view request)
+{
+    auto message = decode(request);
+    if (!message)
+        return tl::unexpected(message.error());
+    auto handled = m_fleet.handle(*message, monotonicNow());
+    perform(std::move(handled.actions));
+    if (!handled.reply)
+        return tl::unexpected(std::string("a reply in place of a request"));
+    std::string reply = encode(*handled.reply);
+    if (!m_hooks.pay(*handled.reply, ByteCount(reply.size())))
+        return tl::unexpected(std::string("measuring budget spent"));
+    return reply;
+}
+
+void GossipDriver::reportSilent(const MemberId& member) { perform(m_fleet.exchangeFailed(member, monotonicNow())); }
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/src/PoolDirectory.cpp
@@ -0,0 +1,111 @@
+#include "dogwoodhall/daemon/PoolDirectory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace {
+
+// Expected size of an answer, before it is known. Corrected by recordBytes().
+constexpr ByteCount shortAnswerBytes { 16 * 1024 };
+constexpr ByteCount longAnswerBytes { 4'000'000 };
+// The link budget's burst: long enough for one long answer at the default rate.
+constexpr Duration linkBurst = std::chrono::seconds(1);
+
+ByteCount estimateFor(WorkClass workClass) { return workClass == WorkClass::Long ? longAnswerBytes : shortAnswerBytes; }
+
+} // namespace
+
+PoolDirectory::PoolDirectory(TrafficServices& services, Fraction linkShare)
+    : m_services(services)
+    , m_linkShare(linkShare)
+    , m_snapshot(std::make_shared<Snapshot>())
+    , m_chooser({}, services.dataCentre)
+    , m_links(TopologyDeclaration {}.linkBytesPerSecond, linkBurst, monotonicNow())
+{
+}
+
+void PoolDirectory::apply(SnapshotPointer snapshot)
+{
+    const bool hasNewTopology = snapshot->topology != m_snapshot->topology;
+    m_snapshot = std::move(snapshot);
+    if (hasNewTopology)
+        m_chooser = PoolChooser(m_snapshot->topology, m_services.dataCentre);
+    const double rate = static_cast<double>(m_snapshot->topology.linkBytesPerSecond.count()) * m_linkShare.value();
+    m_links.setRate(ByteCount(static_cast<std::uint64_t>(rate)), monotonicNow());
+}
+
+std::vector<PoolState> PoolDirectory::statesOf(const ServiceId& service, TimePoint now) const
+{
+    std::vector<PoolState> states;
+    auto it = m_snapshot->poolsOf.find(service);
+    if (it == m_snapshot->poolsOf.end())
+        return states;
+    for (const auto& pool : it->second) {
+        PoolState state { pool.dataCentre, {}, pool.isReachable, {} };
+        if (auto load = m_loads.find({ service, pool.dataCentre })) {
+            state.expectedWait = load->expectedWait;
+            state.age = now - load->measuredAt;
+        }
+        states.push_back(state);
+    }
+    return states;
+}
+
+std::optional<PoolId> PoolDirectory::choose(const ServiceId& service, WorkClass workClass)
+{
+    const TimePoint now = monotonicNow();
+    auto states = statesOf(service, now);
+    if (states.empty())
+        return std::nullopt;
+    auto pool = toPool(service, m_chooser.choose(states, estimateFor(workClass), m_links, { now, m_services.random }));
+    if (pool)
+        return pool;
+    // No pool has a live home that this member hears, or the links are spent: the request goes to its own data centre,
+    // or the first that has endpoints, and is placed by this process's own counts.
+    const auto own = std::find_if(states.begin(), states.end(),
+        [&](const PoolState& state) { return state.dataCentre == m_services.dataCentre; });
+    return PoolId { service, own != states.end() ? own->dataCentre : states.front().dataCentre };
+}
+
+std::optional<PoolId> PoolDirectory::chooseAfterRefusal(const PoolId& refused, WorkClass workClass)
+{
+    const TimePoint now = monotonicNow();
+    const auto states = statesOf(refused.service, now);
+    auto pool = toPool(refused.service,
+        m_chooser.chooseAfterRefusal(states, estimateFor(workClass), m_links, { now, m_services.random }));
+    return pool == refused ? std::nullopt : pool;
+}
+
+std::optional<PoolId> PoolDirectory::toPool(const ServiceId& service, const std::optional<PoolChoice>& choice)
+{
+    if (!choice)
+        return std::nullopt;
+    if (choice->dataCentre != m_services.dataCentre)
+        m_services.metrics.spilled.add();
+    return PoolId { service, choice->dataCentre };
+}
+
+void PoolDirectory::recordBytes(const PoolId& pool, WorkClass workClass, ByteCount bytes)
+{
+    const ByteCount estimate = estimateFor(workClass);
+    if (isOtherRegion(pool.dataCentre) && bytes > estimate)
+        m_links.charge(bytes - estimate, monotonicNow());
+}
+
+bool PoolDirectory::isOtherRegion(const DataCentreId& dataCentre) const
+{
+    const auto regionOf = [&](const DataCentreId& id) -> const RegionId* {
+        for (const auto& declared : m_snapshot->topology.dataCentres) {
+            if (declared.id == id)
+                return &declared.region;
+        }
+        return nullptr;
+    };
+    const auto* own = regionOf(m_services.dataCentre);
+    const auto* other = regionOf(dataCentre);
+    return own && other && *own != *other;
+}
+
+} // namespace dogwoodhall
--- a/packages/daemon/src/PoolShard.cpp
+++ b/packages/daemon/src/PoolShard.cpp
@@ -53,6 +53,26 @@
     perform(id, entry, entry.pool.cancel(request, context()));
 }
 
+std::vector<PoolLoadSummary> PoolShard::loads() const
+{
+    std::vector<PoolLoadSummary> summaries;
+    const TimePoint now = monotonicNow();
+    for (const auto& [id, entry] : m_pools) {
+        // A pool whose home is elsewhere has only this member's share of its load.
+        if (!m_snapshot->remoteHomes.contains(id))
+            summaries.push_back({ id, entry.pool.expectedWait(now), entry.pool.freeSlots(), {} });
+    }
+    return summaries;
+}
+
+void PoolShard::observeHealth(const ProbeTarget& target, const HealthReport& report)
+{
+    Entry& entry = entryFor(target.pool);
+    entry.pool.observeLoad(target.endpoint, report.inUse);
+    if (report.isDraining)
+        perform(target.pool, entry, entry.pool.setLeaving(target.endpoint, context()));
+}
+
 PoolShard::Entry& PoolShard::entryFor(const PoolId& id)
 {
     auto it = m_pools.find(id);
--- /dev/null
+++ b/packages/daemon/src/RequestTrace.cpp
@@ -0,0 +1,54 @@
+#include "dogwoodhall/daemon/RequestTrace.h"
+
+#include <utility>
+
+namespace dogwoodhall {
+
+RequestTrace::RequestTrace(
+    const HeaderFields& headerFields, Fraction sampling, RandomEngine& random, const SpanSink& sink)
+    : m_random(random)
+    , m_sink(sink)
+{
+    auto received = parseTraceParent(headerFields.find(fields::traceParent).value_or(""));
+    m_hasParent = received.has_value();
+    m_context = received ? *received : newTrace(sampling, random);
+}
+
+RequestTrace::Hop::Hop(const RequestTrace& trace, std::string name, std::optional<SpanId> parent)
+    : m_trace(trace)
+{
+    m_span.trace = trace.m_context.trace;
+    m_span.id = newSpanId(trace.m_random);
+    m_span.parent = parent;
+    if (!parent && trace.m_hasParent)
+        m_span.parent = trace.m_context.span;
+    m_span.name = std::move(name);
+    m_span.start = std::chrono::system_clock::now();
+}
+
+void RequestTrace::Hop::note(std::string name, std::string value)
+{
+    if (m_trace.isSampled())
+        m_span.attributes.push_back({ std::move(name), std::move(value) });
+}
+
+void RequestTrace::Hop::fail(std::string_view kind)
+{
+    m_span.isError = true;
+    note("error", std::string(kind));
+}
+
+void RequestTrace::Hop::end()
+{
+    if (!std::exchange(m_isOpen, false) || !m_trace.isSampled())
+        return;
+    m_span.end = std::chrono::system_clock::now();
+    m_trace.m_sink(m_span);
+}
+
+std::string RequestTrace::Hop::traceParent() const
+{
+    return toTraceParent({ m_span.trace, m_span.id, m_trace.isSampled() });
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/src/TicketService.cpp
@@ -0,0 +1,197 @@
+#include "dogwoodhall/daemon/TicketService.h"
+
+#include "dogwoodhall/daemon/AnswerRelay.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+// The request is kept in memory so that it can go on when its caller has gone; so is the answer.
+constexpr ByteCount maxTicketRequest { 64 * 1024 };
+constexpr ByteCount maxTicketAnswer { 1024 * 1024 };
+constexpr Duration forwardTimeout = std::chrono::seconds(60);
+
+// Runs the function on the ledger's thread and gives its result on this one.
+template <typename Result>
+asio::awaitable<Result> onDesk(TicketDesk& desk, std::function<Result(TicketLedger&, DecisionContext)> function)
+{
+    auto task = [](TicketDesk& desk,
+                    std::function<Result(TicketLedger&, DecisionContext)> function) -> asio::awaitable<Result> {
+        co_return function(desk.ledger, DecisionContext { monotonicNow(), desk.random });
+    };
+    return asio::co_spawn(desk.io, task(desk, std::move(function)), asio::use_awaitable);
+}
+
+std::uint64_t fingerprintOf(const RequestHead& head, std::string_view body)
+{
+    return stableHash(body, stableHash(head.target, stableHash(head.method)));
+}
+
+std::string ticketJson(const Ticket& ticket) { return "{\"ticket\":\"" + toString(ticket) + "\"}\n"; }
+
+} // namespace
+
+struct TicketService::Run {
+    explicit Run(asio::io_context& io)
+        : answer(maxTicketAnswer)
+        , ended(io, asio::steady_timer::time_point::max())
+    {
+    }
+
+    BufferedAnswer answer;
+    asio::steady_timer ended; // Cancelled when the run has ended.
+    bool hasEnded = false;
+    bool isAwaited = true; // The caller that started it still waits.
+};
+
+TicketService::TicketService(TrafficServices& services, RequestRunner& runner)
+    : m_services(services)
+    , m_runner(runner)
+    , m_snapshot(std::make_shared<Snapshot>())
+{
+}
+
+TicketService::~TicketService() = default;
+
+asio::awaitable<void> TicketService::issue(const ResponseWriter& writer)
+{
+    using Issued = tl::expected<Ticket, ErrorKind>;
+    auto ticket = co_await onDesk<Issued>(
+        *m_desk, [](TicketLedger& ledger, DecisionContext context) { return ledger.issue(context); });
+    if (!ticket)
+        co_return co_await refuse(writer, ticket.error(), Outcome::NotRun);
+    m_services.metrics.ticketsIssued.add();
+    StoredAnswer answer;
+    answer.status = 201;
+    answer.fields.emplace_back("Content-Type", "application/json");
+    answer.body = ticketJson(*ticket);
+    co_await writeStored(writer, answer);
+}
+
+asio::awaitable<void> TicketService::run(IncomingRequest request, const ResponseWriter& writer, bool isFromMember)
+{
+    const auto ticket = parseTicket(request.head.fields.find(fields::ticket).value_or(""));
+    if (!ticket)
+        co_return co_await refuse(writer, ErrorKind::BadRequest, Outcome::NotRun);
+    if (ticket->issuer == m_services.member)
+        co_await runAsIssuer(*ticket, std::move(request), writer);
+    else if (isFromMember)
+        co_await refuse(writer, ErrorKind::TicketUnknown, Outcome::Unknown);
+    else
+        co_await forwardToIssuer(*ticket, std::move(request), writer);
+}
+
+asio::awaitable<void> TicketService::runAsIssuer(
+    const Ticket& ticket, IncomingRequest request, const ResponseWriter& writer)
+{
+    auto body = co_await readWhole(request.readBody, maxTicketRequest);
+    if (!body)
+        co_return co_await refuse(writer, body.error().kind, Outcome::Unknown);
+    const auto fingerprint = fingerprintOf(request.head, *body);
+    auto decision = co_await onDesk<TicketDecision>(
+        *m_desk, [ticket, fingerprint](TicketLedger& ledger, DecisionContext context) {
+            return ledger.begin(ticket, fingerprint, context);
+        });
+    if (const auto* denied = std::get_if<DenyTicket>(&decision))
+        co_return co_await refuse(writer, denied->kind, answerFor(denied->kind).outcome.value_or(Outcome::Unknown));
+    if (const auto* replay = std::get_if<ReplayAnswer>(&decision)) {
+        m_services.metrics.ticketReplays.add();
+        co_return co_await writeStored(writer, replay->answer);
+    }
+    request.readBody = bodyFrom(std::move(*body));
+    request.head.fields.remove(fields::ticket);
+    const RequestId id(m_nextRun++);
+    Run& run = *m_runs.emplace(id, std::make_unique<Run>(m_services.io)).first->second;
+    // Not awaited through this coroutine, so that the caller's going away does not cancel it.
+    asio::co_spawn(m_services.io, execute(id, ticket, std::move(request)), asio::detached);
+    struct Guard {
+        TicketService& service;
+        RequestId id;
+        ~Guard() { service.release(id); }
+    } guard { *this, id };
+    if (!run.hasEnded)
+        co_await run.ended.async_wait(useTuple);
+    if (run.answer.whole())
+        co_await writeStored(writer, *run.answer.whole());
+    else
+        co_await refuse(writer, ErrorKind::UpstreamTruncated, Outcome::Unknown);
+}
+
+asio::awaitable<void> TicketService::execute(RequestId id, Ticket ticket, IncomingRequest request)
+{
+    Run& run = *m_runs.at(id);
+    const ResponseWriter writer = run.answer.writer();
+    co_await m_runner.run(std::move(request), writer);
+    co_await record(ticket, run.answer);
+    run.hasEnded = true;
+    run.ended.cancel();
+    if (!run.isAwaited)
+        m_runs.erase(id);
+    if (m_runEnded)
+        m_runEnded();
+}
+
+asio::awaitable<void> TicketService::record(const Ticket& ticket, const BufferedAnswer& answer)
+{
+    const auto& whole = answer.whole();
+    std::optional<Outcome> outcome;
+    if (whole) {
+        for (const auto& [name, value] : whole->fields) {
+            if (equalsIgnoringCase(name, fields::outcome))
+                outcome = outcomeFromName(value);
+        }
+    }
+    co_await onDesk<bool>(*m_desk, [ticket, whole, outcome](TicketLedger& ledger, DecisionContext) {
+        if (outcome == Outcome::NotRun)
+            ledger.forget(ticket);
+        else if (whole && !outcome)
+            ledger.finish(ticket, *whole);
+        else
+            ledger.finishUnknown(ticket);
+        return true;
+    });
+}
+
+void TicketService::release(RequestId id)
+{
+    auto it = m_runs.find(id);
+    it->second->isAwaited = false;
+    if (it->second->hasEnded)
+        m_runs.erase(it);
+}
+
+asio::awaitable<void> TicketService::forwardToIssuer(
+    const Ticket& ticket, IncomingRequest request, const ResponseWriter& writer)
+{
+    auto issuer = m_snapshot->members.find(ticket.issuer);
+    if (issuer == m_snapshot->members.end())
+        co_return co_await refuse(writer, ErrorKind::TicketUnknown, Outcome::Unknown);
+    removeInternalFields(request.head.fields);
+    // The issuer routes the request itself; the pool fields only have to be present.
+    const PoolId pool { ServiceId("ticket"), m_services.dataCentre };
+    writeEnvelope({ ForwardEnvelope::Purpose::Ticket, pool, {} }, request.head.fields);
+    const NetworkAddress address = issuer->second.peerAddress;
+    OutgoingRequest outgoing { std::move(request.head), std::move(request.readBody) };
+    auto response = co_await m_services.peers.exchange(
+        address, std::move(outgoing), toSteadyClock(monotonicNow() + forwardTimeout));
+    // Unknown even where this message was not delivered: an earlier use of the ticket may have run.
+    if (!response)
+        co_return co_await refuse(writer, ErrorKind::PeerFailed, Outcome::Unknown);
+    co_await relayAnswer(*response, writer, [] {});
+}
+
+asio::awaitable<void> TicketService::refuse(const ResponseWriter& writer, ErrorKind kind, Outcome outcome)
+{
+    m_services.metrics.error(kind).add();
+    co_await writeError(writer, kind, outcome);
+}
+
+} // namespace dogwoodhall
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -1,10 +1,16 @@
 #include "dogwoodhall/daemon/TrafficThread.h"
 
+#include "dogwoodhall/daemon/BufferedAnswer.h"
+#include "dogwoodhall/daemon/GossipDriver.h"
+#include "dogwoodhall/daemon/HeaderValues.h"
+#include "dogwoodhall/telemetry/Logging.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <stdexcept>
 #include <utility>
 
 namespace dogwoodhall {
@@ -14,22 +20,48 @@
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+// Also how old the load of a pool on another thread can be.
+constexpr auto heartbeatPeriod = std::chrono::milliseconds(100);
+// Callers' connections are still accepted for this long after readiness is off, so that the platform's balancer, which
+// polls it, has stopped sending when the port closes.
+constexpr auto drainGrace = std::chrono::milliseconds(1000);
+constexpr ByteCount maxGossipRequest { 1024 * 1024 };
+constexpr std::string_view ticketsPath = "/.dogwoodhall/tickets";
+
 } // namespace
 
-TrafficThread::TrafficThread(Options options)
+TrafficThread::TrafficThread(Options options, DaemonMetrics& metrics)
     : m_options(std::move(options))
+    , m_metrics(metrics)
     , m_work(asio::make_work_guard(m_io))
     , m_acceptor(m_io)
-    , m_shard(m_io, m_options.seed)
+    , m_random(m_options.seed)
+    , m_shard(m_io, m_options.seed + 1)
     , m_slots(m_io, m_options.index, m_options.postToShard)
     , m_upstreams(m_io.get_executor(), m_options.upstreamLimits)
-    , m_runner(m_slots, m_upstreams, m_options.dataCentre)
+    , m_peers(m_io.get_executor(), m_options.peerLimits)
+    , m_services { m_io, m_slots, m_upstreams, m_peers, metrics, m_random, m_options.spans, m_options.member,
+        m_options.dataCentre, m_options.traceSampling, m_options.reportSilentMember }
+    , m_runner(m_services, m_options.trafficThreads)
+    , m_tickets(m_services, m_runner)
+    , m_snapshot(std::make_shared<Snapshot>())
+    , m_peerServer(
+          m_io.get_executor(), m_options.peerLimits,
+          [this](IncomingRequest request, ResponseWriter writer) {
+              return handlePeer(std::move(request), std::move(writer));
+          },
+          [this](const asio::ip::address& address) { return m_snapshot->memberIps.contains(address.to_string()); })
 {
+    m_tickets.setRunEnded([this] { checkDrained(); });
+    m_peerServer.setLog([this](std::string_view text) {
+        m_metrics.peerProtocolErrors.add();
+        DOGWOODHALL_LOG(peer, warning) << text;
+    });
 }
 
 TrafficThread::~TrafficThread() { join(); }
 
-NetworkAddress TrafficThread::listen()
+TrafficThread::Bound TrafficThread::listen()
 {
     const asio::ip::tcp::endpoint address(
         asio::ip::make_address(m_options.callerAddress.ip), m_options.callerAddress.port);
@@ -39,8 +71,12 @@
     m_acceptor.set_option(ReusePort(true));
     m_acceptor.bind(address);
     m_acceptor.listen();
+    auto peer = m_peerServer.listen(m_options.peerAddress);
+    if (!peer)
+        throw std::runtime_error("peer port: " + peer.error());
     asio::co_spawn(m_io, accept(), asio::detached);
-    return { m_options.callerAddress.ip, m_acceptor.local_endpoint().port() };
+    asio::co_spawn(m_io, heartbeat(), asio::detached);
+    return { { m_options.callerAddress.ip, m_acceptor.local_endpoint().port() }, *peer };
 }
 
 void TrafficThread::start()
@@ -61,10 +97,42 @@
 
 void TrafficThread::apply(SnapshotPointer snapshot)
 {
+    m_snapshot = snapshot;
     m_shard.apply(snapshot);
+    m_tickets.apply(snapshot);
     m_runner.apply(std::move(snapshot));
 }
 
+void TrafficThread::observeLoads(const std::vector<PoolLoadSummary>& loads)
+{
+    m_runner.loads().observe(loads, monotonicNow());
+}
+
+// Also keeps the pause detector fed while there is no traffic.
+asio::awaitable<void> TrafficThread::heartbeat()
+{
+    asio::steady_timer timer(m_io);
+    while (true) {
+        observePauses();
+        m_requestsRunning.store(m_runner.running(), std::memory_order_relaxed);
+        m_options.shareLoads(m_shard.loads());
+        timer.expires_after(heartbeatPeriod);
+        co_await timer.async_wait(useTuple);
+    }
+}
+
+// After a pause the homes are not to be trusted until the control thread, which notices the same pause, has published
+// them again.
+void TrafficThread::observePauses()
+{
+    if (!m_pauses.observe(monotonicNow()))
+        return;
+    auto expired = std::make_shared<Snapshot>(*m_snapshot);
+    expired->remoteHomes.clear();
+    m_runner.loads().clear();
+    apply(std::move(expired));
+}
+
 asio::awaitable<void> TrafficThread::accept()
 {
     while (m_acceptor.is_open()) {
@@ -79,7 +147,7 @@
         m_sessions.emplace(id,
             std::make_unique<CallerSession>(
                 std::move(socket), m_options.callerLimits, [this](IncomingRequest request, ResponseWriter writer) {
-                    return m_runner.run(std::move(request), std::move(writer));
+                    return handleCaller(std::move(request), std::move(writer));
                 }));
         asio::co_spawn(m_io, serve(id), asio::detached);
     }
@@ -92,19 +160,78 @@
     checkDrained();
 }
 
+asio::awaitable<void> TrafficThread::handleCaller(IncomingRequest request, ResponseWriter writer)
+{
+    observePauses();
+    if (request.head.method == "POST" && pathOf(request.head.target) == ticketsPath)
+        co_await m_tickets.issue(writer);
+    else if (request.head.fields.find(fields::ticket))
+        co_await m_tickets.run(std::move(request), writer, false);
+    else
+        co_await m_runner.run(std::move(request), writer);
+}
+
+asio::awaitable<void> TrafficThread::handlePeer(IncomingRequest request, ResponseWriter writer)
+{
+    observePauses();
+    const auto envelope = readEnvelope(request.head.fields);
+    if (!envelope && request.head.target == gossipTarget) {
+        co_await handleGossip(std::move(request), std::move(writer));
+    } else if (!envelope) {
+        m_metrics.peerProtocolErrors.add();
+        co_await writeError(writer, ErrorKind::BadRequest, Outcome::NotRun);
+    } else if (envelope->purpose == ForwardEnvelope::Purpose::Ticket) {
+        removeInternalFields(request.head.fields);
+        co_await m_tickets.run(std::move(request), writer, true);
+    } else {
+        co_await m_runner.runForwarded(std::move(request), *envelope, writer);
+    }
+}
+
+asio::awaitable<void> TrafficThread::handleGossip(IncomingRequest request, ResponseWriter writer)
+{
+    auto body = co_await readWhole(request.readBody, maxGossipRequest);
+    if (!body)
+        co_return;
+    auto reply = co_await m_options.answerGossip(std::move(*body));
+    if (!reply) {
+        m_metrics.peerProtocolErrors.add();
+        DOGWOODHALL_LOG(peer, warning) << "Rejected a gossip message from " << request.remote << ": " << reply.error()
+                                       << ".";
+        co_await writeError(writer, ErrorKind::BadRequest, Outcome::NotRun);
+        co_return;
+    }
+    StoredAnswer answer;
+    answer.status = 200;
+    answer.body = std::move(*reply);
+    co_await writeStored(writer, answer);
+}
+
 void TrafficThread::drain(std::function<void()> done)
 {
     m_drained = std::move(done);
+    asio::co_spawn(m_io, finishDrain(), asio::detached);
+}
+
+asio::awaitable<void> TrafficThread::finishDrain()
+{
+    asio::steady_timer grace(m_io, drainGrace);
+    co_await grace.async_wait(useTuple);
     boost::system::error_code ec;
     m_acceptor.close(ec);
     for (auto& [id, session] : m_sessions)
         session->stopAfterCurrentRequest();
+    m_peerServer.shutdown([this] {
+        m_peersDrained = true;
+        checkDrained();
+    });
     checkDrained();
 }
 
 void TrafficThread::checkDrained()
 {
-    if (m_drained && m_sessions.empty())
+    const bool isDrained = m_peersDrained && m_sessions.empty() && m_tickets.running() == 0;
+    if (m_drained && isDrained)
         std::exchange(m_drained, nullptr)();
 }
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,9 +1,10 @@
 #include "dogwoodhall/commandline/CommandLine.h"
 #include "dogwoodhall/daemon/Daemon.h"
 #include "dogwoodhall/declarations/SettingsParser.h"
+#include "dogwoodhall/telemetry/Logging.h"
 
-#include <boost/log/utility/setup/console.hpp>
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 
 namespace options = boost::program_options;
@@ -31,8 +32,11 @@
         return 0;
     }
     // Standard output carries the listening addresses only.
-    boost::log::add_console_log(std::clog);
-    return dogwoodhall::Daemon(*settings).run();
+    dogwoodhall::startLogging(std::clog, {});
+    dogwoodhall::Daemon daemon(*settings);
+    // Ends without destructors: coroutines that still wait in the event loops refer to objects that would be destroyed
+    // before the loops, and all that the process holds is memory.
+    std::quick_exit(daemon.run());
 }
 
 } // namespace
--- a/packages/pool/include/dogwoodhall/pool/Pool.h
+++ b/packages/pool/include/dogwoodhall/pool/Pool.h
@@ -70,6 +70,9 @@
     // measured, Duration::max() where no endpoint takes work.
     Duration expectedWait(TimePoint now) const { return expectedWait(WorkClass::Short, Priority::Normal, now); }
 
+    // Slots of usable endpoints that no request of this pool holds.
+    SlotCount freeSlots() const;
+
     std::size_t queued() const { return m_queue.size(); }
     std::size_t dispatched() const { return m_dispatched.size(); }
 
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -243,4 +243,14 @@
     m_typicalTime = *middle;
 }
 
+SlotCount Pool::freeSlots() const
+{
+    SlotCount free;
+    for (const auto& endpoint : m_endpoints) {
+        if (endpoint.isUsable() && endpoint.inUse < endpoint.declared.slots)
+            free += endpoint.declared.slots - endpoint.inUse;
+    }
+    return free;
+}
+
 } // namespace dogwoodhall
--- a/packages/request/include/dogwoodhall/request/RequestLifecycle.h
+++ b/packages/request/include/dogwoodhall/request/RequestLifecycle.h
@@ -14,6 +14,8 @@
     // Nothing was handed to a connection, the upstream refused explicitly, or the peer's stream was refused.
     bool provenNotRun = false;
     bool bodyCanBeReplayed = true; // The request body is still at hand from its first byte.
+    // The attempt cost an upstream work, be it only a refusal. Another attempt after it is paid from the retry budget.
+    bool reachedUpstream = true;
 };
 
 // Try again at another endpoint.
@@ -35,6 +37,8 @@
 
     void attemptStarted();
     AfterFailure attemptFailed(const AttemptFailure&, RetryBudget&);
+    // The attempt was turned away before it reached an upstream, with proof; it does not count against maxAttempts.
+    void attemptTurnedAway();
     // The request ends without another attempt: refused by its pool, cancelled, or past its deadline.
     AnswerWithError endWithoutAttempt(ErrorKind) const;
 
--- a/packages/request/src/RequestLifecycle.cpp
+++ b/packages/request/src/RequestLifecycle.cpp
@@ -15,7 +15,8 @@
     if (failure.provenNotRun)
         ++m_provenNotRun;
     const bool safeToRepeat = m_isIdempotent || outcome() == Outcome::NotRun;
-    if (safeToRepeat && failure.bodyCanBeReplayed && m_attempts < m_maxAttempts && budget.tryTake())
+    const bool mayRepeat = safeToRepeat && failure.bodyCanBeReplayed && m_attempts < m_maxAttempts;
+    if (mayRepeat && (!failure.reachedUpstream || budget.tryTake()))
         return RetryRequest {};
     return endWithoutAttempt(failure.kind);
 }
@@ -24,4 +25,6 @@
 
 Outcome RequestLifecycle::outcome() const { return m_provenNotRun == m_attempts ? Outcome::NotRun : Outcome::Unknown; }
 
+void RequestLifecycle::attemptTurnedAway() { --m_attempts; }
+
 } // namespace dogwoodhall
--- a/packages/request/tests/RequestLifecycleTest.cpp
+++ b/packages/request/tests/RequestLifecycleTest.cpp
@@ -38,10 +38,10 @@
     RetryBudget budget(Fraction(0.1), row.budget);
     RequestLifecycle request(row.isIdempotent, 2);
     request.attemptStarted();
-    auto next = request.attemptFailed({ ErrorKind::UpstreamFailed, row.firstProven, row.replayable }, budget);
+    auto next = request.attemptFailed({ ErrorKind::UpstreamFailed, row.firstProven, row.replayable, true }, budget);
     if (std::holds_alternative<RetryRequest>(next)) {
         request.attemptStarted();
-        next = request.attemptFailed({ ErrorKind::UpstreamFailed, row.secondProven, true }, budget);
+        next = request.attemptFailed({ ErrorKind::UpstreamFailed, row.secondProven, true, true }, budget);
     }
     cr_assert_eq(request.attempts(), row.expectedAttempts, "%s", row.name);
     cr_assert(std::holds_alternative<AnswerWithError>(next));
