--- a/packages/ctl/src/ChangeReport.cpp
+++ b/packages/ctl/src/ChangeReport.cpp
@@ -23,8 +23,8 @@
     std::set<DataCentreId> dataCentres;
     for (const auto& endpoint : service.endpoints)
         dataCentres.insert(endpoint.dataCentre);
-    return std::to_string(service.endpoints.size()) + " endpoints with " + std::to_string(slotsOf(service))
-        + " slots in " + std::to_string(dataCentres.size()) + " data centres";
+    return countOf(service.endpoints.size(), "endpoint") + " with " + countOf(slotsOf(service), "slot") + " in "
+        + countOf(dataCentres.size(), "data centre");
 }
 
 std::string rampSentence(const ServiceDeclaration& service)
@@ -100,8 +100,8 @@
         }
         if (slotsOf(m_before) != slotsOf(m_after)) {
             add("service", "",
-                "Service " + m_after.id.value() + " can run " + std::to_string(slotsOf(m_after))
-                    + " requests at the same time instead of " + std::to_string(slotsOf(m_before)) + ".");
+                "Service " + m_after.id.value() + " can run " + countOf(slotsOf(m_after), "request")
+                    + " at the same time instead of " + std::to_string(slotsOf(m_before)) + ".");
         }
     }
 
@@ -131,7 +131,7 @@
                 [this](const auto& now) {
                     add("endpoint", now.id.value(),
                         "Endpoint " + now.id.value() + m_name + " is added in " + now.dataCentre.value() + " with "
-                            + toText(now.slots.count()) + " slots. " + rampSentence(m_after));
+                            + countOf(now.slots.count(), "slot") + ". " + rampSentence(m_after));
                 },
                 [this](const auto& old, const auto& now) { describeEndpoint(old, now); } });
     }
@@ -162,7 +162,7 @@
              },
                 [this](const auto& now) {
                     add("rule", now.id.value(),
-                        "Rule " + now.id.value() + m_name + " is added for methods " + toText(now.methods) + " under "
+                        "Rule " + now.id.value() + m_name + " is added for " + listOf(now.methods, "method") + " under "
                             + now.pathPrefix + ". It applies where no rule before it matches.");
                 },
                 [this](const auto& old, const auto& now) { describeRule(old, now); } });
@@ -227,7 +227,7 @@
          },
             [&](const auto& now) {
                 changes.push_back({ "service", now.id.value(), "",
-                    "Service " + now.id.value() + " is added: requests for host names " + toText(now.hostNames)
+                    "Service " + now.id.value() + " is added: requests for " + listOf(now.hostNames, "host name")
                         + " under " + now.pathPrefix + " go to " + capacityOf(now) + "." });
             },
             [&](const auto& old, const auto& now) { ServiceChanges(old, now, changes).describe(); } });
--- a/packages/ctl/src/ExplainCommand.cpp
+++ b/packages/ctl/src/ExplainCommand.cpp
@@ -61,7 +61,7 @@
         out << "Endpoints in " << pool.id.dataCentre << (pool.reason.empty() ? "" : " (" + pool.reason + ")") << ":\n";
         for (const auto& endpoint : pool.endpoints) {
             out << "  " << endpoint.id << " on host " << endpoint.host << " at " << toString(endpoint.address) << ", "
-                << endpoint.slots.count() << (endpoint.slots.count() == 1 ? " slot\n" : " slots\n");
+                << countOf(endpoint.slots.count(), "slot") << "\n";
         }
     }
 }
--- a/packages/ctl/src/Explanation.cpp
+++ b/packages/ctl/src/Explanation.cpp
@@ -46,7 +46,7 @@
 {
     const auto methods = std::exchange(rule.methods, {});
     if (appliesAlone(rule, query))
-        return "rule " + rule.id.value() + " is for methods " + toText(methods);
+        return "rule " + rule.id.value() + " is for " + listOf(methods, "method");
     return "rule " + rule.id.value() + " is for paths under " + rule.pathPrefix;
 }
 
@@ -56,7 +56,7 @@
     std::string skipped;
     for (const auto& rule : service.rules) {
         if (rule.id == route.rule) {
-            reason = "it is the first that matches: it is for methods " + toText(rule.methods) + " and paths under "
+            reason = "it is the first that matches: it is for " + listOf(rule.methods, "method") + " and paths under "
                 + rule.pathPrefix;
             break;
         }
--- a/packages/ctl/src/FieldChanges.cpp
+++ b/packages/ctl/src/FieldChanges.cpp
@@ -43,6 +43,21 @@
     return list.empty() ? "any" : list;
 }
 
+std::string countOf(std::uint64_t count, const std::string& noun)
+{
+    return std::to_string(count) + " " + noun + (count == 1 ? "" : "s");
+}
+
+std::string listOf(const std::vector<std::string>& names, const std::string& noun)
+{
+    if (names.empty())
+        return "any " + noun;
+    std::string list = noun + (names.size() == 1 ? " " : "s ");
+    for (const auto& name : names)
+        list += (&name == &names.front() ? "" : ", ") + name;
+    return list;
+}
+
 void FieldChanges::add(const std::string& field, const std::string& before, const std::string& after)
 {
     m_text += (m_text.empty() ? "" : ", ") + field + " from " + before + " to " + after;
--- a/packages/ctl/src/FieldChanges.h
+++ b/packages/ctl/src/FieldChanges.h
@@ -17,6 +17,11 @@
 std::string toText(Priority);
 std::string toText(const std::vector<std::string>&); // "any" where empty.
 
+// "1 slot", "3 slots".
+std::string countOf(std::uint64_t count, const std::string& noun);
+// "any method", "method GET", "methods GET, HEAD".
+std::string listOf(const std::vector<std::string>& names, const std::string& noun);
+
 // Collects the fields that differ, as "slots from 3 to 4, ...".
 class FieldChanges {
 public:
