Let a handler finish when its caller closes after the whole answer

A caller that closes right after the last byte cancelled the handler before it returned its slot as answered and kept the upstream connection. For POST /stop-now it cancelled the stop itself, so that the process went on. The watch for a closed connection now ends once the whole declared answer is written.

--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -3,6 +3,7 @@
 #include "BeastHeads.h"
 #include "MessageRules.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -57,6 +58,8 @@
     bool keepAlive = false;
     bool isHead = false;
     bool answered = false; // The whole answer is written.
+    // Of the answer's body; empty before its head and where its length is not declared.
+    std::optional<std::uint64_t> bytesLeft;
     std::optional<http::response<http::buffer_body>> response;
     std::optional<http::response_serializer<http::buffer_body>> serializer;
 };
@@ -255,7 +258,8 @@
         std::array<char, 1> byte;
         beast::error_code peekError;
         const auto n = m_stream.socket().receive(asio::buffer(byte), asio::socket_base::message_peek, peekError);
-        if (n == 0)
+        // A caller that has its whole answer may close; the handler still has to return what it holds.
+        if (n == 0 && m_current->bytesLeft != 0)
             co_return;
     }
     co_await never.async_wait(useTuple);
@@ -314,6 +318,8 @@
         response.chunked(true);
     else if (head.status >= 200 && head.status != 204 && head.status != 304)
         response.content_length(head.bodyLength.bytes.count());
+    if (head.bodyLength.kind != BodyLength::Kind::Streamed)
+        m_current->bytesLeft = m_current->isHead ? 0 : head.bodyLength.bytes.count();
     response.body().data = nullptr;
     response.body().more = true;
     m_current->serializer.emplace(response);
@@ -327,6 +333,8 @@
 {
     if (m_current->isHead || buf.size() == 0)
         co_return tl::expected<void, ExchangeError> {};
+    if (auto& left = m_current->bytesLeft)
+        *left -= std::min<std::uint64_t>(*left, buf.size());
     auto& body = m_current->response->body();
     body.data = const_cast<void*>(buf.data());
     body.size = buf.size();
