--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -114,7 +114,7 @@
     const json::object service { { "schemaVersion", 1 }, { "service", "jingles" }, { "pathPrefix", "/" },
         { "endpoints", std::move(endpoints) },
         { "rules", json::array { rule("downloads", "/download", "long"), rule("others", "/", "short") } } };
-    platformCall("PUT", "/control/records/service-jingles", json::serialize(service));
+    platformCall("PUT", "/control/records/services/jingles", json::serialize(service));
 }
 
 void Cluster::publishHosts()
