--- /dev/null
+++ b/packages/configuration/bench/ConfigurationSlopes.cpp
@@ -0,0 +1,124 @@
+// Prints what the configuration costs: memory by endpoints and services, and processor time of one change.
+#include "SlopeFit.h"
+#include "dogwoodhall/configuration/ConfigurationDiff.h"
+#include "dogwoodhall/configuration/ConfigurationInForce.h"
+#include "dogwoodhall/declarations/RecordParser.h"
+
+#include <cstdlib>
+#include <memory>
+#include <string>
+
+using namespace dogwoodhall;
+
+namespace {
+
+Record serviceRecord(int service, int endpoints, std::uint64_t revision)
+{
+    const auto name = "service-" + std::to_string(service);
+    std::string value = R"({"schema":1,"service":")" + name + R"(","pathPrefix":"/)" + name + R"(","endpoints":[)";
+    for (int n = 0; n < endpoints; ++n) {
+        const auto id = name + "-" + std::to_string(n);
+        value += std::string(n ? "," : "") + R"({"id":")" + id + R"(","host":"host-)" + std::to_string(service * 40 + n)
+            + R"(","dataCentre":"dc-)" + std::to_string(n % 7) + R"(","address":"10.)" + std::to_string(service / 250)
+            + "." + std::to_string(service % 250) + "." + std::to_string(n % 250) + R"(:8080","slots":3})";
+    }
+    value += R"(],"rules":[{"id":"lookups","methods":["GET"],"pathPrefix":"/)" + name
+        + R"(/lookups","deadlineMs":2000}]})";
+    return { RecordKey("services/" + name), Revision(revision), false, std::move(value) };
+}
+
+std::unique_ptr<ConfigurationInForce> makeConfiguration(int services, int endpoints)
+{
+    auto configuration = std::make_unique<ConfigurationInForce>(parseRecord);
+    for (int n = 0; n < services; ++n) {
+        const int count = endpoints / services + (n < endpoints % services ? 1 : 0);
+        const auto outcome = configuration->offer(serviceRecord(n, count, static_cast<std::uint64_t>(n) + 1));
+        if (outcome.result != OfferResult::Accepted) {
+            std::printf("rejected: %s\n", outcome.reason.c_str());
+            std::exit(1);
+        }
+    }
+    return configuration;
+}
+
+double memoryOf(int services, int endpoints)
+{
+    const double before = allocatedBytes();
+    const auto configuration = makeConfiguration(services, endpoints);
+    return allocatedBytes() - before;
+}
+
+void printMemory()
+{
+    SlopeFit byEndpoint("memory in 1,200 services", "bytes", "endpoints");
+    for (const int endpoints : { 3500, 7000, 14'000, 28'000, 56'000 })
+        byEndpoint.add(endpoints, memoryOf(1200, endpoints));
+    byEndpoint.print();
+    SlopeFit byService("memory of 28,000 endpoints", "bytes", "services");
+    for (const int services : { 300, 600, 1200, 2400, 4800 })
+        byService.add(services, memoryOf(services, 28'000));
+    byService.print();
+}
+
+void printChange()
+{
+    SlopeFit offer("offer of a record of 23 endpoints", "us", "services");
+    SlopeFit since("recordsSince() of one record", "us", "services");
+    SlopeFit share("sharedServices()", "us", "services");
+    SlopeFit copy("services()", "us", "services");
+    for (const int services : { 300, 1200, 2400, 4800 }) {
+        const auto configuration = makeConfiguration(services, services * 23);
+        std::uint64_t revision = static_cast<std::uint64_t>(services);
+        offer.add(services, microsecondsPerCall(300, [&](int n) {
+            configuration->offer(serviceRecord(n * 7 % services, 23, ++revision));
+        }));
+        since.add(services, microsecondsPerCall(1000, [&](int) {
+            if (configuration->recordsSince(Revision(revision - 1)).size() != 1)
+                std::abort();
+        }));
+        share.add(services, microsecondsPerCall(100, [&](int) { configuration->sharedServices(); }));
+        copy.add(services, microsecondsPerCall(5, [&](int) { configuration->services(); }));
+    }
+    for (const auto* fit : { &offer, &since, &share, &copy })
+        fit->print();
+    SlopeFit parse("offer in 1,200 services", "us", "endpoints of the record");
+    const auto configuration = makeConfiguration(1200, 28'000);
+    std::uint64_t revision = 1200;
+    for (const int endpoints : { 1, 23, 100, 400 }) {
+        parse.add(endpoints,
+            microsecondsPerCall(50, [&](int n) { configuration->offer(serviceRecord(n, endpoints, ++revision)); }));
+    }
+    parse.print();
+}
+
+void printRecordSize()
+{
+    SlopeFit size("text of a service record", "bytes", "endpoints of the record");
+    for (const int endpoints : { 1, 23, 100, 400 })
+        size.add(endpoints, static_cast<double>(serviceRecord(17, endpoints, 1).value.size()));
+    size.print();
+}
+
+void printDiff()
+{
+    SlopeFit diff("diff of two configurations", "us", "endpoints");
+    for (const int services : { 300, 600, 1200 }) {
+        const ConfigurationContent content { makeConfiguration(services, services * 23)->services(), {} };
+        diff.add(services * 23.0, microsecondsPerCall(2, [&](int) {
+            if (!ConfigurationDiff(content, content).isEmpty())
+                std::abort();
+        }));
+    }
+    diff.print();
+}
+
+} // namespace
+
+int main()
+{
+    printMemory();
+    printRecordSize();
+    printChange();
+    printDiff();
+    return 0;
+}
--- /dev/null
+++ b/packages/fleet/bench/Propagation.cpp
@@ -0,0 +1,165 @@
+// Prints, in virtual time, how long one change takes to reach all members by gossip: with real Fleet aggregates for up
+// to a thousand members, and for more with a state reduced to each member's revision, which follows the same choice of
+// peers. Two members of each data centre hold the change at the start, as its watchers do.
+#include "../tests/VirtualFleet.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace dogwoodhall;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t dataCentres = 7;
+
+struct Spread {
+    double half = 0; // Seconds until half of the members hold the change.
+    double nearlyAll = 0; // 99%.
+    double all = 0;
+    double bytesPerSecond = 0; // Sent by a member; the record itself is empty.
+    double records = 0; // Sent by a member for the one change.
+};
+
+// Notes the time at which the shares are reached; true once all are.
+bool note(Spread& spread, std::size_t holders, std::size_t members, double seconds)
+{
+    if (spread.half == 0 && 2 * holders >= members)
+        spread.half = seconds;
+    if (spread.nearlyAll == 0 && 100 * holders >= 99 * members)
+        spread.nearlyAll = seconds;
+    if (holders == members)
+        spread.all = seconds;
+    return holders == members;
+}
+
+std::map<DataCentreId, RegionId> regions()
+{
+    std::map<DataCentreId, RegionId> regions;
+    for (std::size_t n = 0; n < dataCentres; ++n)
+        regions[DataCentreId("dc" + std::to_string(n))] = RegionId("region" + std::to_string(n % 3));
+    return regions;
+}
+
+Spread runFleet(std::size_t members, double loss, std::chrono::seconds warmUp, std::uint64_t seed)
+{
+    VirtualFleet fleet(dataCentres, members / dataCentres, seed);
+    fleet.setRegions(regions());
+    fleet.runFor(warmUp);
+    fleet.setLoss(loss);
+    fleet.runFor(10s);
+    std::uint64_t bytesBefore = 0;
+    for (std::size_t n = 0; n < fleet.size(); ++n)
+        bytesBefore += fleet.node(n).bytes;
+    for (std::size_t n = 0; n < 2 * dataCentres; ++n)
+        fleet.node(n).revision = Revision(1);
+    Spread spread;
+    for (double seconds = 0; seconds < 120; seconds += 0.05) {
+        std::size_t holders = 0;
+        for (std::size_t n = 0; n < fleet.size(); ++n)
+            holders += fleet.node(n).revision == Revision(1) ? 1 : 0;
+        if (note(spread, holders, fleet.size(), seconds))
+            break;
+        fleet.runFor(50ms);
+    }
+    std::uint64_t bytes = 0;
+    for (std::size_t n = 0; n < fleet.size(); ++n) {
+        bytes += fleet.node(n).bytes;
+        spread.records += static_cast<double>(fleet.node(n).records) / static_cast<double>(fleet.size());
+    }
+    spread.bytesPerSecond = static_cast<double>(bytes - bytesBefore) / static_cast<double>(fleet.size()) / spread.all;
+    return spread;
+}
+
+class ReducedFleet {
+public:
+    ReducedFleet(std::size_t members, double loss, std::uint64_t seed)
+        : m_holds(members)
+        , m_loss(loss)
+        , m_random(seed)
+    {
+        std::fill_n(m_holds.begin(), 2 * dataCentres, true);
+    }
+
+    Spread run()
+    {
+        Spread spread;
+        const std::size_t members = m_holds.size();
+        // Members tick at different moments of the period: in each step a tenth of them, by number.
+        constexpr std::size_t phases = 10;
+        for (std::size_t step = 0; step < 2400; ++step) {
+            const auto holders = static_cast<std::size_t>(std::count(m_holds.begin(), m_holds.end(), true));
+            if (note(spread, holders, members, 0.05 * static_cast<double>(step)))
+                break;
+            for (std::size_t n = step % phases; n < members; n += phases) {
+                exchange(n, peerIn(n % dataCentres));
+                exchange(n, secondPeer(n, step / phases));
+            }
+        }
+        return spread;
+    }
+
+private:
+    std::size_t pick(std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(m_random); }
+
+    std::size_t peerIn(std::size_t dataCentre)
+    {
+        return dataCentre + dataCentres * pick((m_holds.size() - dataCentre - 1) / dataCentres + 1);
+    }
+
+    std::size_t secondPeer(std::size_t member, std::size_t period)
+    {
+        const bool crossesRegion = period % FleetLimits().otherRegionPeriods == 0;
+        const std::size_t own = member % dataCentres;
+        while (true) {
+            const std::size_t other = pick(dataCentres);
+            if (other != own && (other % 3 != own % 3) == crossesRegion)
+                return peerIn(other);
+        }
+    }
+
+    bool isLost() { return std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss; }
+
+    void exchange(std::size_t from, std::size_t to)
+    {
+        if (isLost() || isLost())
+            return;
+        // The reply brings the change to the requester; a follow-up exchange takes it to the other side.
+        if (m_holds[to])
+            m_holds[from] = true;
+        else if (m_holds[from] && !isLost())
+            m_holds[to] = true;
+    }
+
+    std::vector<bool> m_holds;
+    double m_loss;
+    RandomEngine m_random;
+};
+
+void print(const char* state, std::size_t members, double loss, const Spread& spread)
+{
+    std::printf("%-8s %6zu members, %2.0f%% lost: half %.2f s, 99%% %.2f s, all %.2f s", state, members, 100 * loss,
+        spread.half, spread.nearlyAll, spread.all);
+    if (spread.bytesPerSecond > 0)
+        std::printf(", a member sends %.0f B/s and %.2f records", spread.bytesPerSecond, spread.records);
+    std::printf("\n");
+}
+
+} // namespace
+
+// Arguments: the largest fleet of real aggregates, and the seconds that it runs before the change. All members start at
+// once, and it takes about a minute until no news of that circulates.
+int main(int argc, char** argv)
+{
+    const std::size_t largest = argc > 1 ? static_cast<std::size_t>(std::atoi(argv[1])) : 497;
+    const std::chrono::seconds warmUp(argc > 2 ? std::atoi(argv[2]) : 20);
+    for (const double loss : { 0.0, 0.05, 0.2 }) {
+        for (const std::size_t members : { 21, 105, 497, 994 }) {
+            if (members <= largest)
+                print("real", members, loss, runFleet(members, loss, warmUp, 1));
+        }
+        for (const std::size_t members : { 994, 3003, 6006, 12'005 })
+            print("reduced", members, loss, ReducedFleet(members, loss, 1).run());
+    }
+    return 0;
+}
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -104,10 +104,17 @@
         std::size_t unconfirmed = 0;
     };
 
+    // What is known of one data centre.
+    struct Zone {
+        std::vector<const TrackedMember*>* reachable = nullptr; // Of the lists in Views, the one for its distance.
+        std::vector<const TrackedMember*> candidates;
+        std::optional<Rendezvous> homes; // Made from the candidates when first asked for.
+    };
+
     // Derived from the table; rebuilt on demand after a change.
     struct Views {
         bool isValid = false;
-        std::map<DataCentreId, Rendezvous> candidates;
+        std::map<DataCentreId, Zone> zones;
         std::vector<const TrackedMember*> own; // Reachable members of the own data centre.
         std::vector<const TrackedMember*> region; // Of the own region's other data centres.
         std::vector<const TrackedMember*> others; // Of other regions.
@@ -115,7 +122,7 @@
         std::vector<const TrackedMember*> roster; // Candidates, in order of their ids.
         Roster ownRoster; // The candidates of the own data centre, this member included.
         Roster fleetRoster;
-        bool isWatcher = true;
+        std::optional<bool> isWatcher; // Worked out when first asked for.
     };
 
     void observe(TimePoint now, std::vector<FleetAction>&);
@@ -139,9 +146,11 @@
     void noteChange();
     void reportChange(std::vector<FleetAction>&);
     Views& views() const;
-    void addToViews(const TrackedMember&, std::map<DataCentreId, std::vector<MemberId>>& candidates) const;
+    void addToViews(const TrackedMember&) const;
+    Zone& zoneOf(const DataCentreId&) const;
+    const Rendezvous* homesIn(const DataCentreId&) const;
     void addToRosters(const Member&, bool isConfirmed) const;
-    std::optional<RegionId> regionOf(const Member&) const;
+    const RegionId* regionOf(const DataCentreId&) const;
     bool isSelfCandidate() const;
     std::uint32_t sendsPerClaim() const;
 
--- a/packages/fleet/src/FleetPeers.cpp
+++ b/packages/fleet/src/FleetPeers.cpp
@@ -119,12 +119,10 @@
     return current.region.empty() ? nextOwn(context.random) : randomOf(current.region, context.random);
 }
 
-std::optional<RegionId> Fleet::regionOf(const Member& member) const
+const RegionId* Fleet::regionOf(const DataCentreId& dataCentre) const
 {
-    if (member.region)
-        return member.region;
-    const auto it = m_regions.find(member.dataCentre);
-    return it == m_regions.end() ? std::nullopt : std::optional(it->second);
+    const auto it = m_regions.find(dataCentre);
+    return it == m_regions.end() ? nullptr : &it->second;
 }
 
 bool Fleet::isSelfCandidate() const
@@ -138,42 +136,39 @@
         return m_views;
     m_views = {};
     m_views.isValid = true;
-    std::map<DataCentreId, std::vector<MemberId>> candidates;
-    std::vector<MemberId> watchers;
-    for (const auto& [id, tracked] : m_table.members()) {
-        addToViews(tracked, candidates);
-        if (tracked.isActive() && tracked.member.dataCentre == m_self.dataCentre)
-            watchers.push_back(id);
-    }
-    if (isSelfCandidate()) {
-        candidates[m_self.dataCentre].push_back(m_self.id);
+    for (const auto& [id, tracked] : m_table.members())
+        addToViews(tracked);
+    if (isSelfCandidate())
         addToRosters(m_self, true);
-    }
-    for (auto& [dataCentre, ids] : candidates)
-        m_views.candidates.emplace(dataCentre, Rendezvous(std::move(ids)));
-    if (m_self.state == MemberState::Alive)
-        watchers.push_back(m_self.id);
-    const auto ranked = Rendezvous(std::move(watchers)).ranked(stableHash("watcher"), watchersPerDataCentre);
-    m_views.isWatcher = std::find(ranked.begin(), ranked.end(), m_self.id) != ranked.end();
     return m_views;
 }
 
-void Fleet::addToViews(const TrackedMember& tracked, std::map<DataCentreId, std::vector<MemberId>>& candidates) const
+Fleet::Zone& Fleet::zoneOf(const DataCentreId& dataCentre) const
+{
+    auto& zone = m_views.zones[dataCentre];
+    if (zone.reachable)
+        return zone;
+    const auto* region = regionOf(dataCentre);
+    const auto* ownRegion = regionOf(m_self.dataCentre);
+    const bool isNear = region && ownRegion ? *region == *ownRegion : region == ownRegion;
+    zone.reachable = &(isNear ? m_views.region : m_views.others);
+    if (dataCentre == m_self.dataCentre)
+        zone.reachable = &m_views.own;
+    return zone;
+}
+
+void Fleet::addToViews(const TrackedMember& tracked) const
 {
     const auto& member = tracked.member;
+    auto& zone = zoneOf(member.dataCentre);
     // A listed host that has not been heard of is tried once; after a failure it waits for its turn among the lost.
-    const bool isWorthVisiting = tracked.isReachable() && (tracked.hasRun() || tracked.failures == 0);
-    if (!isWorthVisiting) {
-        if (tracked.isListed)
-            m_views.lost.push_back(&tracked);
-    } else if (member.dataCentre == m_self.dataCentre) {
-        m_views.own.push_back(&tracked);
-    } else {
-        (regionOf(member) == regionOf(m_self) ? m_views.region : m_views.others).push_back(&tracked);
-    }
+    if (tracked.isReachable() && (tracked.hasRun() || tracked.failures == 0))
+        zone.reachable->push_back(&tracked);
+    else if (tracked.isListed)
+        m_views.lost.push_back(&tracked);
     if (!tracked.isCandidate())
         return;
-    candidates[member.dataCentre].push_back(member.id);
+    zone.candidates.push_back(&tracked);
     m_views.roster.push_back(&tracked);
     addToRosters(member, tracked.isConfirmed);
 }
@@ -190,11 +185,29 @@
     m_views.ownRoster.unconfirmed += unconfirmed;
 }
 
+const Rendezvous* Fleet::homesIn(const DataCentreId& dataCentre) const
+{
+    auto& zones = views().zones;
+    const bool includesSelf = dataCentre == m_self.dataCentre && isSelfCandidate();
+    if (!includesSelf && !zones.contains(dataCentre))
+        return nullptr;
+    auto& zone = zoneOf(dataCentre);
+    if (!zone.homes) {
+        std::vector<MemberId> ids;
+        ids.reserve(zone.candidates.size() + 1);
+        for (const auto* tracked : zone.candidates)
+            ids.push_back(tracked->member.id);
+        if (includesSelf)
+            ids.push_back(m_self.id);
+        zone.homes.emplace(std::move(ids));
+    }
+    return &*zone.homes;
+}
+
 std::optional<MemberId> Fleet::homeOf(const PoolId& pool) const
 {
-    const auto& candidates = views().candidates;
-    const auto it = candidates.find(pool.dataCentre);
-    const MemberId* home = it == candidates.end() ? nullptr : it->second.winner(keyOf(pool));
+    const auto* homes = homesIn(pool.dataCentre);
+    const MemberId* home = homes ? homes->winner(keyOf(pool)) : nullptr;
     if (!home)
         return std::nullopt;
     const bool isConfirmed = *home == m_self.id ? !m_isSelfExpired : m_table.find(*home)->isConfirmed;
@@ -203,11 +216,25 @@
 
 std::vector<MemberId> Fleet::homesRanked(const PoolId& pool, std::size_t count) const
 {
-    const auto& candidates = views().candidates;
-    const auto it = candidates.find(pool.dataCentre);
-    return it == candidates.end() ? std::vector<MemberId> {} : it->second.ranked(keyOf(pool), count);
+    const auto* homes = homesIn(pool.dataCentre);
+    return homes ? homes->ranked(keyOf(pool), count) : std::vector<MemberId> {};
 }
 
-bool Fleet::isWatcher() const { return views().isWatcher; }
+bool Fleet::isWatcher() const
+{
+    auto& current = views();
+    if (!current.isWatcher) {
+        std::vector<MemberId> watchers;
+        for (const auto* tracked : current.own) {
+            if (tracked->isActive())
+                watchers.push_back(tracked->member.id);
+        }
+        if (m_self.state == MemberState::Alive)
+            watchers.push_back(m_self.id);
+        const auto ranked = Rendezvous(std::move(watchers)).ranked(stableHash("watcher"), watchersPerDataCentre);
+        current.isWatcher = std::find(ranked.begin(), ranked.end(), m_self.id) != ranked.end();
+    }
+    return *current.isWatcher;
+}
 
 } // namespace dogwoodhall
--- a/packages/fleet/tests/VirtualFleet.h
+++ b/packages/fleet/tests/VirtualFleet.h
@@ -26,6 +26,7 @@
         int side = 0; // Nodes on different sides cannot reach each other.
         std::uint64_t messages = 0;
         std::uint64_t bytes = 0;
+        std::uint64_t records = 0; // Sent.
         std::vector<std::function<void()>> waiting; // What reached the process while it was paused.
     };
 
@@ -176,6 +177,7 @@
     std::shared_ptr<const GossipMessage> count(std::size_t from, GossipMessage message)
     {
         ++m_nodes[from].messages;
+        m_nodes[from].records += message.records.size();
         m_nodes[from].bytes += estimatedSize(message).count();
         return std::make_shared<const GossipMessage>(std::move(message));
     }
