--- /dev/null
+++ b/tests/system/FaultPairTest.cpp
@@ -0,0 +1,96 @@
+#include "Cluster.h"
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <csignal>
+#include <memory>
+
+using namespace dogwoodhall;
+
+namespace {
+
+// Each fault leaves u2 sound.
+struct NamedFault {
+    const char* name;
+    void (*apply)(Cluster&);
+};
+
+const NamedFault faults[] = {
+    { "u0 dies at its next request", [](Cluster& cluster) { cluster.setMode(0, "fault=die-after"); } },
+    { "u0 is killed", [](Cluster& cluster) { cluster.upstream(0).process.signal(SIGKILL); } },
+    { "u1 refuses", [](Cluster& cluster) { cluster.setMode(1, "refuse=1"); } },
+    { "u1 cuts connections", [](Cluster& cluster) { cluster.setMode(1, "fault=cut-before"); } },
+    { "u1 is draining", [](Cluster& cluster) { cluster.setMode(1, "draining=1"); } },
+    { "u1 is slow", [](Cluster& cluster) { cluster.setMode(1, "delay_ms=300"); } },
+    { "u1 sends surplus bytes", [](Cluster& cluster) { cluster.setMode(1, "surplus=2"); } },
+    { "u1 freezes", [](Cluster& cluster) { cluster.setMode(1, "fault=freeze-before"); } },
+    { "platform killed", [](Cluster& cluster) { cluster.killPlatform(); } },
+    { "platform stale",
+        [](Cluster& cluster) {
+            // Not reachable where another fault has killed it.
+            if (cluster.platform().isRunning())
+                cluster.platformCall("PUT", "/control/mode?state=stale");
+        } },
+    { "daemon paused",
+        [](Cluster& cluster) {
+            cluster.daemon().process.signal(SIGSTOP);
+            ::usleep(100'000);
+            cluster.daemon().process.signal(SIGCONT);
+        } },
+};
+
+struct FaultPair {
+    std::size_t first;
+    std::size_t second;
+};
+
+} // namespace
+
+// Pairs of faults of different parts.
+const FaultPair pairs[] = { { 0, 2 }, { 0, 3 }, { 0, 8 }, { 1, 2 }, { 1, 4 }, { 1, 9 }, { 2, 8 }, { 3, 9 }, { 3, 10 },
+    { 4, 8 }, { 5, 1 }, { 6, 0 }, { 6, 8 }, { 7, 1 }, { 7, 8 }, { 8, 10 } };
+
+// Guards against invariants that hold under each fault alone but not under two. Callers work at the same time; the
+// pair strikes in the middle.
+ParameterizedTestParameters(FaultPair, invariantsHold) { return rowIndices(pairs); }
+
+ParameterizedTest(std::size_t* index, FaultPair, invariantsHold, .timeout = 120)
+{
+    const auto& pair = pairs[*index];
+    const std::string name = std::string(faults[pair.first].name) + " and " + faults[pair.second].name;
+    auto cluster = Cluster::Builder().upstreams(3).start();
+    constexpr std::size_t callers = 4;
+    constexpr std::size_t rounds = 10;
+    for (std::size_t round = 0; round < rounds; ++round) {
+        if (round == rounds / 3)
+            faults[pair.first].apply(cluster);
+        if (round == rounds / 2)
+            faults[pair.second].apply(cluster);
+        std::vector<std::unique_ptr<TestClient>> clients;
+        for (std::size_t n = 0; n < callers; ++n) {
+            const auto id = std::to_string(round) + "-" + std::to_string(n);
+            clients.push_back(std::make_unique<TestClient>(cluster.caller()));
+            clients.back()->send(TestRequest {
+                n % 2 ? "POST" : "GET", "/a", "Dogwoodhall-Deadline-Ms: 1000\r\n", std::string(n + 1, 'b'), id }
+                                     .text());
+        }
+        for (std::size_t n = 0; n < callers; ++n) {
+            const auto id = std::to_string(round) + "-" + std::to_string(n);
+            const auto answer = clients[n]->readAnswer();
+            const auto runs = cluster.runs(id);
+            const auto outcome = answer.field("Dogwoodhall-Outcome");
+            const auto expected = " received " + std::to_string(n + 1) + " bytes\n";
+            cr_assert(answer.isWhole && answer.status, "%s: %s was not answered", name.c_str(), id.c_str());
+            cr_assert(answer.status != 200 || answer.body.ends_with(expected), "%s: %s", name.c_str(), id.c_str());
+            cr_assert(answer.status == 200 || !outcome.empty(), "%s: %s has no outcome", name.c_str(), id.c_str());
+            cr_assert(outcome != "not-run" || runs == 0, "%s: %s ran", name.c_str(), id.c_str());
+            cr_assert(n % 2 == 0 || runs <= 1, "%s: %s ran %zu times", name.c_str(), id.c_str(), runs);
+        }
+    }
+    // The sound upstream still serves.
+    cr_assert(eventually([&] {
+        return call(cluster.caller(), { "GET", "/a", {}, {}, {} }).status == 200;
+    }),
+        "%s", name.c_str());
+}
--- /dev/null
+++ b/tests/system/MemoryTest.cpp
@@ -0,0 +1,106 @@
+#include "Cluster.h"
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <csignal>
+
+using namespace dogwoodhall;
+
+namespace {
+
+constexpr std::size_t mebibyte = 1024 * 1024;
+// From the design: a transfer holds its window and its buffers, whatever its size. 1 MB covers the two relay buffers of
+// 16 KiB, the buffers of both parsers and the replay limit of 64 KiB, with room for the allocator's rounding.
+constexpr std::size_t growthLimitKilobytes = 1024;
+constexpr std::size_t partBytes = 256 * 1024;
+
+// Warms up what a process allocates once, with a transfer of the same kind.
+void warmUp(Cluster& cluster)
+{
+    call(cluster.caller(), { "GET", "/download?bytes=2000000", {}, {}, {} });
+    call(cluster.caller(), { "POST", "/a", {}, std::string(2'000'000, 'b'), {} });
+}
+
+} // namespace
+
+struct TransferRow {
+    const char* name;
+    std::size_t bytes;
+    const char* query;
+};
+
+const TransferRow downloads[] = {
+    { "declared length", 256 * mebibyte, "" },
+    { "chunked", 256 * mebibyte, "&chunked=1" },
+};
+
+// Guards against a body that is kept in memory while its caller reads slowly: the upstream writes as fast as it can,
+// the caller starts to read only when the upstream has been stopped by backpressure.
+ParameterizedTestParameters(Memory, slowDownloadIsBounded) { return rowIndices(downloads); }
+
+ParameterizedTest(std::size_t* index, Memory, slowDownloadIsBounded, .timeout = 90)
+{
+    const auto& row = downloads[*index];
+    auto cluster = Cluster::Builder().start();
+    warmUp(cluster);
+    const auto& process = cluster.daemon().process;
+    const auto before = process.residentKilobytes();
+    auto highest = before;
+    TestClient client(cluster.caller(), 16 * 1024);
+    const auto target = "/download?bytes=" + std::to_string(row.bytes) + row.query;
+    client.send(TestRequest { "GET", target, {}, {}, "download" }.text());
+    cr_assert(eventually([&] { return cluster.runs("download") == 1; }));
+    std::size_t received = 0;
+    std::size_t nextSample = 0;
+    while (received < row.bytes) {
+        const auto part = client.readSome(partBytes);
+        cr_assert_not(part.empty(), "%s: ended after %zu bytes", row.name, received);
+        received += part.size();
+        if (received < nextSample)
+            continue;
+        nextSample = received + 4 * mebibyte;
+        ::usleep(2'000); // A slow caller.
+        highest = std::max(highest, process.residentKilobytes());
+    }
+    cr_log_info("download, %s: %zu kB before, at most %zu kB\n", row.name, before, highest);
+    cr_assert(highest <= before + growthLimitKilobytes, "%s: %zu kB, then %zu kB", row.name, before, highest);
+}
+
+const TransferRow uploads[] = {
+    { "declared length", 32 * mebibyte, "" },
+    { "declared length, upstream frozen at first", 32 * mebibyte, "SIGSTOP" },
+};
+
+// Guards against a request body that is kept in memory while its upstream reads slowly.
+ParameterizedTestParameters(Memory, uploadIsBounded) { return rowIndices(uploads); }
+
+ParameterizedTest(std::size_t* index, Memory, uploadIsBounded, .timeout = 90)
+{
+    const auto& row = uploads[*index];
+    auto cluster = Cluster::Builder().start();
+    warmUp(cluster);
+    const auto& process = cluster.daemon().process;
+    const auto before = process.residentKilobytes();
+    auto highest = before;
+    const bool freezes = *row.query != '\0';
+    if (freezes)
+        cluster.upstream().process.signal(SIGSTOP);
+    TestClient client(cluster.caller());
+    client.send("POST /a HTTP/1.1\r\nHost: test\r\nX-Request-Id: upload\r\nContent-Length: " + std::to_string(row.bytes)
+        + "\r\n\r\n");
+    const std::string part(partBytes, 'b');
+    for (std::size_t sent = 0; sent < row.bytes; sent += part.size()) {
+        // More than the sockets on the way hold, and less than blocks this thread for good.
+        if (freezes && sent == 2 * partBytes) {
+            highest = std::max(highest, process.residentKilobytes());
+            cluster.upstream().process.signal(SIGCONT);
+        }
+        cr_assert(client.send(part), "%s: refused after %zu bytes", row.name, sent);
+        highest = std::max(highest, process.residentKilobytes());
+    }
+    const auto answer = client.readAnswer();
+    cr_assert_eq(answer.body, "u0 received " + std::to_string(row.bytes) + " bytes\n", "%s", row.name);
+    cr_log_info("upload, %s: %zu kB before, at most %zu kB\n", row.name, before, highest);
+    cr_assert(highest <= before + growthLimitKilobytes, "%s: %zu kB, then %zu kB", row.name, before, highest);
+}
--- /dev/null
+++ b/tests/system/PlatformTest.cpp
@@ -0,0 +1,182 @@
+#include "Cluster.h"
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace dogwoodhall;
+
+namespace {
+
+std::string servedBy(Cluster& cluster)
+{
+    const auto answer = call(cluster.caller(), { "GET", "/a", {}, {}, {} });
+    return answer.status == 200 ? answer.field("X-Endpoint") : std::to_string(answer.status);
+}
+
+void declareOnly(Cluster& cluster, const std::string& upstream)
+{
+    cluster.declared = { upstream };
+    cluster.publishService();
+}
+
+// True when the daemon serves at this upstream, after whatever time a change takes to come into force.
+bool comesToServeAt(Cluster& cluster, const std::string& upstream)
+{
+    return eventually([&] { return servedBy(cluster) == upstream; });
+}
+
+std::size_t reads(Cluster& cluster) { return std::stoull(cluster.platformCall("GET", "/control/reads").body); }
+
+// Waits until the daemon has read again from the platform as it is now.
+void waitForReads(Cluster& cluster, std::size_t count)
+{
+    const auto before = reads(cluster);
+    cr_assert(eventually([&] { return reads(cluster) >= before + count; }));
+}
+
+} // namespace
+
+struct PlatformRow {
+    const char* name;
+    const char* mode; // Of the platform stand-in, or "killed", "restarted empty" or "restarted older".
+};
+
+const PlatformRow rows[] = {
+    { "killed", "killed" },
+    { "down", "down" },
+    { "stale", "stale" },
+    { "restarted without state", "restarted empty" },
+    { "restarted with an older state", "restarted older" },
+};
+
+// Guards against a daemon that loses its configuration, or goes back to an older one, when the platform fails. Before
+// the fault u1 replaces u0; u0 must never serve again. After the fault a new change must come into force.
+ParameterizedTestParameters(Platform, neverRevertsAConfiguration) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, Platform, neverRevertsAConfiguration, .timeout = 120)
+{
+    const auto& row = rows[*index];
+    const std::string mode = row.mode;
+    auto cluster = Cluster::Builder().upstreams(3).start();
+    declareOnly(cluster, "u0");
+    cr_assert(comesToServeAt(cluster, "u0"));
+    const auto older = cluster.platformCall("GET", "/control/state").body;
+    declareOnly(cluster, "u1");
+    cr_assert(comesToServeAt(cluster, "u1"));
+    const auto newer = cluster.platformCall("GET", "/control/state").body;
+
+    if (mode == "killed")
+        cluster.killPlatform();
+    else if (mode.starts_with("restarted"))
+        cluster.restartPlatform(mode == "restarted older" ? older : "");
+    else
+        cluster.platformCall("PUT", "/control/mode?state=" + mode);
+    if (mode != "killed")
+        waitForReads(cluster, 3);
+    for (int n = 0; n < 50; ++n)
+        cr_assert_eq(servedBy(cluster), "u1", "%s", row.name);
+
+    if (mode == "stale" || mode == "down")
+        cluster.platformCall("PUT", "/control/mode?state=serving");
+    else
+        cluster.restartPlatform(newer);
+    declareOnly(cluster, "u2");
+    cr_assert(comesToServeAt(cluster, "u2"), "%s: a later change does not come into force", row.name);
+}
+
+// Guards against a daemon that takes an older record of a key because the store's revision as a whole moved on.
+struct OlderRecordRow {
+    const char* name;
+    int otherChanges; // Records of other keys that the restored store gets before and after the restore.
+};
+
+const OlderRecordRow olderRows[] = {
+    { "restored store moves past the revision in force", 4 },
+    { "restored store stays below the revision in force", 0 },
+};
+
+ParameterizedTestParameters(Platform, keepsTheNewerRecordOfAKey) { return rowIndices(olderRows); }
+
+ParameterizedTest(std::size_t* index, Platform, keepsTheNewerRecordOfAKey, .timeout = 120)
+{
+    const auto& row = olderRows[*index];
+    auto cluster = Cluster::Builder().upstreams(2).start();
+    declareOnly(cluster, "u0");
+    const auto older = cluster.platformCall("GET", "/control/state").body;
+    declareOnly(cluster, "u1");
+    cr_assert(comesToServeAt(cluster, "u1"));
+    cluster.restartPlatform(older);
+    const std::string topology = R"({"schemaVersion":1,"dataCentres":[{"id":"dc0","region":"region"}]})";
+    for (int n = 0; n < row.otherChanges; ++n)
+        cluster.platformCall("PUT", "/control/records/topology", topology);
+    waitForReads(cluster, 3);
+    for (int n = 0; n < 50; ++n)
+        cr_assert_eq(servedBy(cluster), "u1", "%s", row.name);
+}
+
+struct LateStartRow {
+    const char* name;
+    const char* mode;
+};
+
+const LateStartRow lateRows[] = {
+    { "down before the start", "down" },
+    { "killed before the start", "killed" },
+};
+
+// Guards against a daemon that says it is ready, or runs a request, before it has a configuration, and against one
+// that gives up while the platform is away.
+ParameterizedTestParameters(Platform, daemonStartsWithoutIt) { return rowIndices(lateRows); }
+
+ParameterizedTest(std::size_t* index, Platform, daemonStartsWithoutIt, .timeout = 90)
+{
+    const auto& row = lateRows[*index];
+    auto cluster = Cluster::Builder().start();
+    const auto state = cluster.platformCall("GET", "/control/state").body;
+    if (std::string(row.mode) == "killed")
+        cluster.killPlatform();
+    else
+        cluster.platformCall("PUT", "/control/mode?state=down");
+    cluster.daemon().process.kill();
+    auto& daemon = cluster.startDaemon("dc0");
+    cr_assert_eq(call(daemon.admin, { "GET", "/health", {}, {}, {} }).status, 200, "%s", row.name);
+    cr_assert_eq(call(daemon.admin, { "GET", "/ready", {}, {}, {} }).status, 503, "%s", row.name);
+    const auto answer = call(daemon.caller, { "POST", "/a", {}, "order", "early" });
+    cr_assert_eq(answer.field("Dogwoodhall-Error"), "not-ready", "%s", row.name);
+    cr_assert_eq(answer.field("Dogwoodhall-Outcome"), "not-run", "%s", row.name);
+    cr_assert_eq(cluster.runs("early"), 0, "%s", row.name);
+    cluster.restartPlatform(state);
+    cluster.waitReady(daemon);
+    cr_assert_eq(call(daemon.caller, { "POST", "/a", {}, "order", "ready" }).status, 200, "%s", row.name);
+}
+
+struct RejectedRow {
+    const char* name;
+    const char* value;
+};
+
+const RejectedRow rejectedRows[] = {
+    { "not JSON", "{" },
+    { "not an object", "[]" },
+    { "no endpoints", R"({"schemaVersion":1,"service":"jingles"})" },
+    { "endpoint without address",
+        R"({"schemaVersion":1,"service":"jingles","endpoints":[{"id":"x","host":"x","dataCentre":"dc0","slots":1}]})" },
+};
+
+// Guards against a faulty record that takes effect in part or displaces the one in force.
+ParameterizedTestParameters(Platform, faultyRecordChangesNothing) { return rowIndices(rejectedRows); }
+
+ParameterizedTest(std::size_t* index, Platform, faultyRecordChangesNothing, .timeout = 90)
+{
+    const auto& row = rejectedRows[*index];
+    auto cluster = Cluster::Builder().upstreams(2).start();
+    declareOnly(cluster, "u0");
+    cr_assert(comesToServeAt(cluster, "u0"));
+    cluster.platformCall("PUT", "/control/records/services/jingles", row.value);
+    waitForReads(cluster, 3);
+    for (int n = 0; n < 20; ++n)
+        cr_assert_eq(servedBy(cluster), "u0", "%s", row.name);
+    declareOnly(cluster, "u1");
+    cr_assert(comesToServeAt(cluster, "u1"), "%s: the corrected record does not come into force", row.name);
+}
