Wait for the killed upstream to end before a test counts on refused connections

The kernel accepts connections for a killed process until it has ended, so bytes were handed to one, and unknown was the right answer.

Change: apply() waits for the exit after SIGKILL. The expectation is unchanged.

--- a/tests/system/OutcomeTest.cpp
+++ b/tests/system/OutcomeTest.cpp
@@ -23,8 +23,13 @@
 {
     if (!fault.mode.empty())
         cluster.setMode(0, fault.mode);
-    if (fault.signal)
-        cluster.upstream(0).process.signal(fault.signal);
+    if (!fault.signal)
+        return;
+    auto& process = cluster.upstream(0).process;
+    process.signal(fault.signal);
+    // Until a killed process has ended, the kernel still accepts connections for it.
+    if (fault.signal == SIGKILL)
+        process.waitForExit();
 }
 
 // Lets a frozen upstream finish: it has run all it holds when no request is left at it.
