Hedge short idempotent requests after the service's 95th percentile

Cause: an endpoint that slows down suddenly holds short requests until their deadline, although another could answer.

Change: HedgePolicy tracks the 95th percentile of the time to the start of an answer for each service. HedgedExchange sends a second attempt after it, to a free slot of another endpoint, paid from the retry budget; the first answer to start counts and the other attempt is cancelled. clang needs a deduction guide in GossipDriver.

The effect on the tail is not measured yet.

--- a/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -2,12 +2,15 @@
 
 #include "dogwoodhall/daemon/AnswerRelay.h"
 #include "dogwoodhall/daemon/ForwardEnvelope.h"
+#include "dogwoodhall/daemon/HedgedExchange.h"
 #include "dogwoodhall/daemon/PoolDirectory.h"
 #include "dogwoodhall/daemon/RequestWork.h"
 #include "dogwoodhall/daemon/Snapshot.h"
 #include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/request/HedgePolicy.h"
 #include "dogwoodhall/routing/LongWorkClassifier.h"
 
+#include <functional>
 #include <map>
 #include <variant>
 
@@ -25,7 +28,10 @@
 // another member, or at an endpoint with a permit from that home.
 class AttemptRunner {
 public:
-    AttemptRunner(TrafficServices&, PoolDirectory&, LongWorkClassifier&);
+    // Takes one retry or hedge from the service's budget.
+    using TakeRetry = std::function<bool(const ServiceId&)>;
+
+    AttemptRunner(TrafficServices&, PoolDirectory&, LongWorkClassifier&, TakeRetry);
 
     void apply(SnapshotPointer);
 
@@ -40,6 +46,7 @@
     asio::awaitable<AttemptResult> viaHome(RequestWork&, const ResponseWriter&, PoolHome);
     asio::awaitable<AttemptResult> withPermit(RequestWork&, const ResponseWriter&, PoolHome);
     asio::awaitable<AttemptResult> runAt(RequestWork&, const ResponseWriter&, EndpointId, Completion&);
+    HedgedExchange::Plan planExchange(RequestWork&, const RequestTrace::Hop&, const EndpointDeclaration&);
     asio::awaitable<AttemptResult> relayFromUpstream(
         RequestWork&, const ResponseWriter&, IncomingResponse&, RequestTrace::Hop&, Completion&);
     asio::awaitable<AttemptResult> relayFromHome(RequestWork&, const ResponseWriter&, IncomingResponse&);
@@ -52,6 +59,8 @@
     TrafficServices& m_services;
     PoolDirectory& m_pools;
     LongWorkClassifier& m_classifier;
+    TakeRetry m_takeRetry;
+    HedgePolicy m_hedges;
     SnapshotPointer m_snapshot;
     std::map<MemberId, TimePoint> m_bypassUntil; // Homes that did not answer lately.
 };
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -18,6 +18,7 @@
     Counter& broken; // Cut off towards the caller after the answer had begun.
     std::array<Counter*, errorKindCount> errors {};
     Counter& retries;
+    Counter& hedges; // Second attempts sent while the first had not been answered.
     Counter& forwarded; // Sent to a pool's home on another entry host.
     Counter& bypassedHomes; // Placed here because the pool's home did not answer.
     Counter& permits; // Long requests sent to their endpoint with a permit from the pool's home.
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -45,10 +45,12 @@
 
 } // namespace
 
-AttemptRunner::AttemptRunner(TrafficServices& services, PoolDirectory& pools, LongWorkClassifier& classifier)
+AttemptRunner::AttemptRunner(
+    TrafficServices& services, PoolDirectory& pools, LongWorkClassifier& classifier, TakeRetry takeRetry)
     : m_services(services)
     , m_pools(pools)
     , m_classifier(classifier)
+    , m_takeRetry(std::move(takeRetry))
     , m_snapshot(std::make_shared<Snapshot>())
 {
 }
@@ -117,16 +119,49 @@
     hop.note("endpoint", id.value());
     work.lifecycle.attemptStarted();
     const TimePoint sentAt = monotonicNow();
-    auto response = co_await m_services.upstreams.exchange(
-        declared->address, outgoing(work, hop, true), toSteadyClock(work.deadline));
+    HedgedExchange exchange(m_services, planExchange(work, hop, *declared));
+    auto response = co_await exchange.run();
     work.upstreamTime += monotonicNow() - sentAt;
+    if (exchange.hasHedged())
+        work.lifecycle.attemptStarted();
     if (!response) {
         const auto& error = response.error();
         hop.fail(answerFor(error.kind).name);
         completion.result = error.provenNotRun ? CompletionResult::ConnectFailed : CompletionResult::Failed;
         co_return toFailure(error, !error.provenNotRun);
     }
-    co_return co_await relayFromUpstream(work, writer, *response, hop, completion);
+    if (work.workClass == WorkClass::Short)
+        m_hedges.observe(work.route.service, monotonicNow() - sentAt);
+    auto& hedge = exchange.winningLease();
+    if (!hedge)
+        co_return co_await relayFromUpstream(work, writer, *response, hop, completion);
+    hop.note("hedge", hedge->endpoint().value());
+    Completion hedgeCompletion;
+    auto result = co_await relayFromUpstream(work, writer, *response, hop, hedgeCompletion);
+    hedgeCompletion.serviceTime = monotonicNow() - sentAt;
+    hedge->complete(hedgeCompletion);
+    co_return result;
+}
+
+HedgedExchange::Plan AttemptRunner::planExchange(
+    RequestWork& work, const RequestTrace::Hop& hop, const EndpointDeclaration& first)
+{
+    HedgedExchange::Plan plan;
+    plan.address = first.address;
+    plan.pool = work.pool;
+    plan.second = { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+    plan.deadline = toSteadyClock(work.deadline);
+    const bool mayHedge = work.route.isIdempotent && work.workClass == WorkClass::Short
+        && work.head.bodyLength.kind == BodyLength::Kind::None;
+    if (mayHedge)
+        plan.delay = m_hedges.delayFor(work.route.service);
+    plan.makeRequest = [this, &work, &hop] { return outgoing(work, hop, true); };
+    plan.takeBudget = [this, &work] { return m_takeRetry(work.route.service); };
+    plan.addressOf = [this, &work](const EndpointId& id) -> std::optional<NetworkAddress> {
+        const auto* declared = endpoint(work.route.service, id);
+        return declared ? std::optional(declared->address) : std::nullopt;
+    };
+    return plan;
 }
 
 asio::awaitable<AttemptResult> AttemptRunner::relayFromUpstream(RequestWork& work, const ResponseWriter& writer,
--- a/packages/daemon/src/GossipDriver.cpp
+++ b/packages/daemon/src/GossipDriver.cpp
@@ -32,6 +32,9 @@
     using Functions::operator()...;
 };
 
+// clang 14 needs the guide; g++ deduces without it.
+template <typename... Functions> Overloaded(Functions...) -> Overloaded<Functions...>;
+
 } // namespace
 
 GossipDriver::GossipDriver(
--- /dev/null
+++ b/packages/daemon/src/HedgedExchange.cpp
@@ -0,0 +1,88 @@
+#include "dogwoodhall/daemon/HedgedExchange.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+namespace dogwoodhall {
+
+using asio::experimental::awaitable_operators::operator||;
+
+namespace {
+
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+// A hedge takes only a slot that is free: waiting in the queue would cost more than it can gain.
+constexpr Duration hedgeQueueTime = std::chrono::milliseconds(1);
+
+ExchangeError cancelled() { return { ErrorKind::Cancelled, false, "cancelled" }; }
+
+} // namespace
+
+HedgedExchange::HedgedExchange(TrafficServices& services, Plan plan)
+    : m_services(services)
+    , m_plan(std::move(plan))
+{
+}
+
+HedgedExchange::~HedgedExchange()
+{
+    if (m_first && *m_first)
+        (*m_first)->abandon();
+    if (m_second)
+        m_second->abandon();
+}
+
+ExchangeResult<IncomingResponse> HedgedExchange::run()
+{
+    if (m_plan.delay)
+        co_await (runFirst() || runSecond());
+    else
+        co_await runFirst();
+    if (m_second && !(m_first && *m_first))
+        co_return *std::exchange(m_second, std::nullopt);
+    m_lease.reset();
+    if (!m_first)
+        co_return tl::unexpected(cancelled());
+    co_return *std::exchange(m_first, std::nullopt);
+}
+
+asio::awaitable<void> HedgedExchange::runFirst()
+{
+    m_first = co_await m_services.upstreams.exchange(m_plan.address, m_plan.makeRequest(), m_plan.deadline);
+}
+
+asio::awaitable<void> HedgedExchange::runSecond()
+{
+    asio::steady_timer timer(m_services.io);
+    timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(*m_plan.delay));
+    co_await timer.async_wait(useTuple);
+    if (!m_plan.takeBudget())
+        co_return co_await waitForever();
+    m_plan.second.deadline = monotonicNow() + hedgeQueueTime;
+    auto lease = co_await m_services.slots.acquire(m_plan.pool, m_plan.second);
+    const auto address = lease ? m_plan.addressOf(lease->endpoint()) : std::nullopt;
+    if (!address)
+        co_return co_await waitForever();
+    m_hasHedged = true;
+    m_services.metrics.hedges.add();
+    auto response = co_await m_services.upstreams.exchange(*address, m_plan.makeRequest(), m_plan.deadline);
+    if (!response)
+        co_return co_await waitForever();
+    // Only an upstream's own answer ends the wait for the first one.
+    if (response->head.status >= 500) {
+        response->abandon();
+        co_return co_await waitForever();
+    }
+    m_lease.emplace(std::move(*lease));
+    m_second = std::move(*response);
+}
+
+asio::awaitable<void> HedgedExchange::waitForever()
+{
+    asio::steady_timer never(m_services.io, asio::steady_timer::time_point::max());
+    co_await never.async_wait(useTuple);
+}
+
+} // namespace dogwoodhall
--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -33,7 +33,8 @@
 RequestRunner::RequestRunner(TrafficServices& services, std::uint32_t trafficThreads)
     : m_services(services)
     , m_pools(services, Fraction(1.0 / trafficThreads))
-    , m_attempts(services, m_pools, m_classifier)
+    , m_attempts(
+          services, m_pools, m_classifier, [this](const ServiceId& service) { return retryBudget(service).tryTake(); })
     , m_snapshot(std::make_shared<Snapshot>())
 {
 }
