Set the default queue to six requests per slot, and scan endpoints less

Under saturation a request scanned all endpoints up to seven times.

Change: queuePerSlot is 6 by default in PoolLimits and PoolLimitsDeclaration.

--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -43,6 +43,7 @@
     return { direct("random", { randomEndpoint(), false, false, false }),
         direct("two-reports", { twoChoicesOnReports(), true, false, false }),
         direct("two-own", { twoChoicesOnOutstanding(), false, false, false }),
+        direct("two-own-dc", { twoChoicesOnOutstanding(), false, false, true }),
         direct("jsq-no-delay", { leastInUse(), false, true, false }), home("home-no-limit", false),
         home("home", true) };
 }
@@ -112,6 +113,7 @@
     double serviceMs = 5;
     double deadlineMs = 0;
     double seconds = 20;
+    double reportMs = 0;
     po::options_description description("Compares placement policies in virtual time");
     auto add = description.add_options();
     add("help", "print this text");
@@ -122,9 +124,10 @@
     add("service-ms", po::value(&serviceMs)->default_value(5), "mean service time of a short request");
     add("deadline-ms", po::value(&deadlineMs)->default_value(0), "deadline of a request; 0: 50 service times");
     add("duration", po::value(&seconds)->default_value(20), "virtual seconds, of which 2 warm up");
-    add("queue-per-slot", po::value(&line.options.queuePerSlot)->default_value(20), "longest queue of a pool");
+    add("queue-per-slot", po::value(&line.options.queuePerSlot)->default_value(6), "longest queue of a pool");
     add("allowance", po::value(&line.options.allowance)->default_value(1), "requests above an endpoint's slots");
     add("long-share", po::value(&line.options.longWorkShare)->default_value(0.5), "share of slots for long work");
+    add("report-ms", po::value(&reportMs)->default_value(0), "period of load reports; 0: as the scenario says");
     add("json", po::bool_switch(&line.isJson), "print JSON lines");
     po::variables_map values;
     po::store(po::parse_command_line(argc, argv, description), values);
@@ -135,6 +138,7 @@
     }
     line.options.service = duration(serviceMs);
     line.options.deadline = duration(deadlineMs > 0 ? deadlineMs : 50 * serviceMs);
+    line.options.reportPeriod = duration(reportMs);
     line.options.duration = duration(seconds * 1000);
     return line;
 }
@@ -144,7 +148,9 @@
     if (!line.isJson)
         printTableHeader(std::cout);
     for (const auto& deployment : allDeployments()) {
-        for (const auto& scenario : allScenarios()) {
+        for (auto scenario : allScenarios()) {
+            if (line.options.reportPeriod.count() > 0)
+                scenario.reportPeriod = line.options.reportPeriod;
             if (!line.scenario.empty() && line.scenario != scenario.name)
                 continue;
             for (const auto& policy : allPolicies()) {
--- a/bench/Scenario.h
+++ b/bench/Scenario.h
@@ -54,9 +54,10 @@
     Duration deadline = std::chrono::milliseconds(250);
     Duration duration = std::chrono::seconds(20);
     Duration warmUp = std::chrono::seconds(2);
-    std::uint32_t queuePerSlot = 20;
+    std::uint32_t queuePerSlot = 6;
     std::uint64_t allowance = 1;
     double longWorkShare = 0.5;
+    Duration reportPeriod {}; // Zero: the scenario's.
 };
 
 inline constexpr double swingFactor = 1.7;
--- a/packages/configuration/include/dogwoodhall/configuration/ServiceDeclaration.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ServiceDeclaration.h
@@ -43,7 +43,7 @@
 
 // Bounds on a service's pools.
 struct PoolLimitsDeclaration {
-    std::uint32_t queuePerSlot = 20; // Longest queue of a pool, in requests per slot.
+    std::uint32_t queuePerSlot = 6; // Longest queue of a pool, in requests per slot; see docs/placement.md.
     Fraction longWorkShare { 0.5 }; // Share of a pool's slots that long work may hold.
     Fraction retryShare { 0.1 }; // Retries and hedges, relative to successes.
     Duration coldRamp = std::chrono::seconds(10); // Time over which a new endpoint reaches its full share.
--- a/packages/pool/include/dogwoodhall/pool/Pool.h
+++ b/packages/pool/include/dogwoodhall/pool/Pool.h
@@ -20,7 +20,9 @@
 };
 
 struct PoolLimits {
-    std::uint32_t queuePerSlot = 20;
+    // Longest queue, in requests per slot. Six keep the wait near six service times while the pool is overloaded;
+    // longer queues refuse fewer requests of a short swing and make all of them wait longer (docs/placement.md).
+    std::uint32_t queuePerSlot = 6;
     // Requests sent to an endpoint above its slots, so that it has the next one at hand during the hop.
     SlotCount allowance { 1 };
     SlotCount longSlotsPerEndpoint { 1 };
@@ -116,6 +118,8 @@
     void eject(Endpoint&, TimePoint);
     void countUsableSlots();
     void updateTypicalTime(TimePoint);
+    // Right after drainQueue(): a request of the class that could go anywhere waits, so that another cannot be placed.
+    bool isBlocked(WorkClass) const;
     // Dispatches one request of the lane, if one fits.
     bool dispatchFrom(const WaitQueue::Lane&, DecisionContext, PoolActions&);
     bool dispatchNext(Priority, DecisionContext, PoolActions&);
@@ -139,6 +143,7 @@
     std::array<Duration, 2> m_meanHeld {}; // Time from dispatch to completion, by work class.
     Duration m_typicalTime {}; // Median of the endpoints' mean times for short work.
     std::optional<TimePoint> m_typicalTimeAt;
+    TimePoint m_lastEjectionEnd; // No endpoint is ejected from then on.
     std::optional<TimePoint> m_armedAt;
 };
 
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -37,7 +37,7 @@
     }
     // What still waits after this cannot be placed now, so that the new request overtakes nothing.
     drainQueue(context, actions);
-    if (!tryDispatch(request, context, actions))
+    if (isBlocked(request.workClass) || !tryDispatch(request, context, actions))
         enqueue(request, context.now, actions);
     armTimer(context.now, actions);
     return actions;
@@ -216,6 +216,7 @@
     const double most = m_limits.mostEjected.value() * static_cast<double>(usable);
     if (ejected < usable && static_cast<double>(ejected) <= most)
         endpoint.health.eject(now, m_limits.health);
+    m_lastEjectionEnd = std::max(m_lastEjectionEnd, endpoint.health.ejectedUntil());
 }
 
 void Pool::countUsableSlots()
--- a/packages/pool/src/PoolPlacement.cpp
+++ b/packages/pool/src/PoolPlacement.cpp
@@ -52,7 +52,9 @@
 
 bool Pool::canTake(const Endpoint& endpoint, const PoolRequest& request, bool mayUseEjected, TimePoint now) const
 {
-    if (!endpoint.isUsable() || endpoint.inUse.count() >= limitOf(endpoint, now))
+    if (!endpoint.isUsable() || endpoint.inUse >= endpoint.declared.slots + m_limits.allowance)
+        return false;
+    if (endpoint.inUse.count() >= limitOf(endpoint, now))
         return false;
     const auto state = endpoint.health.state(now);
     if (state == EndpointHealth::State::Ejected && !mayUseEjected)
@@ -195,6 +197,13 @@
     m_queue.push(request);
 }
 
+bool Pool::isBlocked(WorkClass workClass) const
+{
+    const auto blocks
+        = [](const WaitQueue::Lane& lane) { return !lane.empty() && lane.begin()->second.excluded.empty(); };
+    return blocks(m_queue.lane(workClass, Priority::Normal)) || blocks(m_queue.lane(workClass, Priority::Low));
+}
+
 bool Pool::dispatchFrom(const WaitQueue::Lane& lane, DecisionContext context, PoolActions& actions)
 {
     unsigned passedOver = 0;
@@ -251,6 +260,8 @@
     if (!wake)
         return;
     for (const auto& endpoint : m_endpoints) {
+        if (now >= m_lastEjectionEnd)
+            break;
         if (endpoint.isUsable() && endpoint.health.state(now) == EndpointHealth::State::Ejected)
             wake = std::min(*wake, endpoint.health.ejectedUntil());
     }
