--- a/bench/HomePlacement.cpp
+++ b/bench/HomePlacement.cpp
@@ -287,7 +287,7 @@
     Home& home = m_homes[dataCentre];
     TimePoint& toldAt = home.toldAt[m_world.request(index).arrival.host];
     std::optional<Duration> wait;
-    if (outcome.result == JobResult::Refused || m_world.now() - toldAt >= piggybackPeriod) {
+    if (m_world.now() - toldAt >= piggybackPeriod) {
         toldAt = m_world.now();
         wait = home.pool->expectedWait(m_world.now());
         m_world.chargeMeasuring(home.host, 0, piggybackBytes);
