--- a/bench/HomePlacement.cpp
+++ b/bench/HomePlacement.cpp
@@ -69,6 +69,7 @@
     PoolLimits limits;
     limits.queuePerSlot = m_world.options().queuePerSlot;
     limits.allowance = SlotCount(m_world.options().allowance);
+    limits.longSlotsPerEndpoint = SlotCount(m_world.options().longSlots);
     limits.longWorkShare = Fraction(m_world.options().longWorkShare);
     std::vector<PoolEndpoint> endpoints;
     for (std::size_t n = 0; n < deployment.endpoints; ++n) {
--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -127,6 +127,7 @@
     add("queue-per-slot", po::value(&line.options.queuePerSlot)->default_value(6), "longest queue of a pool");
     add("allowance", po::value(&line.options.allowance)->default_value(1), "requests above an endpoint's slots");
     add("long-share", po::value(&line.options.longWorkShare)->default_value(0.5), "share of slots for long work");
+    add("long-slots", po::value(&line.options.longSlots)->default_value(1), "slots of an endpoint for long work");
     add("report-ms", po::value(&reportMs)->default_value(0), "period of load reports; 0: as the scenario says");
     add("json", po::bool_switch(&line.isJson), "print JSON lines");
     po::variables_map values;
--- a/bench/Scenario.h
+++ b/bench/Scenario.h
@@ -57,6 +57,7 @@
     std::uint32_t queuePerSlot = 6;
     std::uint64_t allowance = 1;
     double longWorkShare = 0.5;
+    std::uint64_t longSlots = 1; // Of each endpoint, that long work may hold.
     Duration reportPeriod {}; // Zero: the scenario's.
 };
 
