--- a/bench/HomePlacement.cpp
+++ b/bench/HomePlacement.cpp
@@ -69,6 +69,7 @@
     PoolLimits limits;
     limits.queuePerSlot = m_world.options().queuePerSlot;
     limits.allowance = SlotCount(m_world.options().allowance);
+    limits.longSlotsPerEndpoint = SlotCount(m_world.options().longSlots);
     limits.longWorkShare = Fraction(m_world.options().longWorkShare);
     std::vector<PoolEndpoint> endpoints;
     for (std::size_t n = 0; n < deployment.endpoints; ++n) {
@@ -287,7 +288,7 @@
     Home& home = m_homes[dataCentre];
     TimePoint& toldAt = home.toldAt[m_world.request(index).arrival.host];
     std::optional<Duration> wait;
-    if (outcome.result == JobResult::Refused || m_world.now() - toldAt >= piggybackPeriod) {
+    if (m_world.now() - toldAt >= piggybackPeriod) {
         toldAt = m_world.now();
         wait = home.pool->expectedWait(m_world.now());
         m_world.chargeMeasuring(home.host, 0, piggybackBytes);
