Let a member that joins ask for the rest of the roster

Cause: peers sent candidates from a position of their own choice, so that a joining member met many of them twice; by coupon collecting that takes about four times as many replies.

Change: a request names the last candidate received, and the reply goes on from there.

--- a/packages/fleet/bench/Propagation.cpp
+++ b/packages/fleet/bench/Propagation.cpp
@@ -71,6 +71,41 @@
     return spread;
 }
 
+// Seconds until a member that joins names the same homes as the others: of its own data centre's pools, and of all.
+void printJoin(std::size_t members, std::chrono::seconds warmUp)
+{
+    VirtualFleet fleet(dataCentres, members / dataCentres, 1);
+    fleet.setRegions(regions());
+    fleet.runFor(warmUp);
+    const std::size_t joiner = fleet.add(0);
+    fleet.fleet(joiner).setRegions(regions());
+    fleet.list();
+    const auto agrees = [&](std::size_t dataCentre) {
+        for (int pool = 0; pool < 200; ++pool) {
+            const PoolId id { ServiceId("service-" + std::to_string(pool)),
+                DataCentreId("dc" + std::to_string(dataCentre)) };
+            const auto home = fleet.fleet(joiner).homeOf(id);
+            if (!home || *home != fleet.fleet(dataCentres).homeOf(id))
+                return false;
+        }
+        return true;
+    };
+    double own = 0;
+    for (double seconds = 0; seconds < 300; seconds += 0.1) {
+        std::size_t agreed = 0;
+        for (std::size_t n = 0; n < dataCentres; ++n)
+            agreed += agrees(n) ? 1 : 0;
+        own = own == 0 && agrees(0) ? seconds : own;
+        if (agreed == dataCentres) {
+            std::printf(
+                "a member joins %zu others: own data centre's homes %.1f s, all %.1f s\n", members, own, seconds);
+            return;
+        }
+        fleet.runFor(100ms);
+    }
+    std::printf("a member joins %zu others: homes differ after 300 s\n", members);
+}
+
 class ReducedFleet {
 public:
     ReducedFleet(std::size_t members, double loss, std::uint64_t seed)
@@ -151,8 +186,13 @@
 // once, and it takes about a minute until no news of that circulates.
 int main(int argc, char** argv)
 {
+    std::setvbuf(stdout, nullptr, _IOLBF, 0); // Long runs show each line as it is measured.
     const std::size_t largest = argc > 1 ? static_cast<std::size_t>(std::atoi(argv[1])) : 497;
     const std::chrono::seconds warmUp(argc > 2 ? std::atoi(argv[2]) : 20);
+    for (const std::size_t members : { 21, 105, 497, 994 }) {
+        if (members <= largest)
+            printJoin(members, warmUp);
+    }
     for (const double loss : { 0.0, 0.05, 0.2 }) {
         for (const std::size_t members : { 21, 105, 497, 994 }) {
             if (members <= largest)
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -141,6 +141,7 @@
     const TrackedMember* secondPeer(DecisionContext);
     GossipMessage makeMessage(GossipMessage::Kind, const MemberId& peer);
     void addPendingClaims(GossipMessage&, const MemberId& peer);
+    void noteRoster(const GossipMessage& reply);
     void addRoster(GossipMessage&, const GossipMessage& request);
     std::uint64_t hashOf(const Roster&) const;
     void noteChange();
@@ -173,7 +174,8 @@
     std::set<MemberId> m_unreachable; // Suspect or gone.
     std::vector<MemberId> m_retries; // Members with one failed exchange.
     std::vector<MemberId> m_ownOrder; // Members of the own data centre still to be visited in this round.
-    MemberId m_rosterCursor; // Last member sent where rosters differ.
+    MemberId m_rosterSent; // Last candidate sent to a peer that did not name one.
+    MemberId m_rosterReceived; // Last candidate received; empty while the peers' rosters equal this one's.
     mutable Views m_views;
 };
 
--- a/packages/fleet/include/dogwoodhall/fleet/GossipMessage.h
+++ b/packages/fleet/include/dogwoodhall/fleet/GossipMessage.h
@@ -31,6 +31,9 @@
     // heard of all of them since it started or woke from a pause. Equal hashes vouch for all of them at once.
     std::uint64_t dataCentreRoster = 0;
     std::uint64_t fleetRoster = 0;
+    // In a request from a member whose view of the candidates differs: the last one that it was sent. The reply goes on
+    // from there. Empty where the replying member may choose.
+    MemberId rosterAfter;
     std::vector<Member> members; // At most FleetLimits::maxMemberUpdates.
     std::vector<PoolLoadSummary> poolLoads; // At most FleetLimits::maxPoolLoads.
     // Records above the receiver's highest revision, from the lowest revision upwards, without gaps. Bounded by
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -101,6 +101,7 @@
         addRoster(*handled.reply, message);
         return;
     }
+    noteRoster(message);
     const bool isBehind = message.configuration.highest < mine.highest;
     const bool doubtsSelf = std::any_of(message.members.begin(), message.members.end(),
         [&](const Member& claim) { return claim.id == m_self.id && claim.incarnation == m_self.incarnation; });
--- a/packages/fleet/src/FleetGossip.cpp
+++ b/packages/fleet/src/FleetGossip.cpp
@@ -130,6 +130,8 @@
     message.configuration = m_hooks.digest();
     message.dataCentreRoster = hashOf(views().ownRoster);
     message.fleetRoster = hashOf(views().fleetRoster);
+    if (kind == GossipMessage::Kind::Request)
+        message.rosterAfter = m_rosterReceived;
     message.poolLoads = m_hooks.poolLoads(m_limits.maxPoolLoads);
     const auto behind = m_behind.find(peer);
     if (behind != m_behind.end()) {
@@ -166,6 +168,14 @@
     }
 }
 
+void Fleet::noteRoster(const GossipMessage& reply)
+{
+    if (reply.fleetRoster == views().fleetRoster.sum)
+        m_rosterReceived = MemberId();
+    else if (!reply.members.empty())
+        m_rosterReceived = reply.members.back().id;
+}
+
 // Adds the next part of the confirmed candidates where the requester's view of them differs: first of the data centre
 // that both share, then of all.
 void Fleet::addRoster(GossipMessage& message, const GossipMessage& request)
@@ -176,13 +186,14 @@
     if (!ownDiffers && request.fleetRoster == current.fleetRoster.sum)
         return;
     const auto& roster = current.roster;
-    auto it = std::upper_bound(roster.begin(), roster.end(), m_rosterCursor,
+    const auto& after = request.rosterAfter == MemberId() ? m_rosterSent : request.rosterAfter;
+    auto it = std::upper_bound(roster.begin(), roster.end(), after,
         [](const MemberId& id, const TrackedMember* tracked) { return id < tracked->member.id; });
     for (std::size_t n = 0; n < roster.size() && message.members.size() < m_limits.maxMemberUpdates; ++n, ++it) {
         if (it == roster.end())
             it = roster.begin();
         const auto& member = (*it)->member;
-        m_rosterCursor = member.id;
+        m_rosterSent = member.id;
         const bool isWanted = !ownDiffers || member.dataCentre == m_self.dataCentre;
         if (isWanted && (*it)->isConfirmed && member.id != request.sender.id)
             message.members.push_back(member);
--- a/packages/fleet/src/GossipMessage.cpp
+++ b/packages/fleet/src/GossipMessage.cpp
@@ -39,8 +39,9 @@
 
 ByteCount estimatedSize(const GossipMessage& message)
 {
-    return ByteCount(fieldBytes) + estimatedSize(message.sender) + ByteCount(4 * wideBytes) + sizeOfAll(message.members)
-        + sizeOfAll(message.poolLoads) + sizeOfAll(message.records);
+    const std::uint64_t cursor = message.rosterAfter == MemberId() ? 0 : textBytes(message.rosterAfter.value());
+    return ByteCount(fieldBytes + cursor) + estimatedSize(message.sender) + ByteCount(4 * wideBytes)
+        + sizeOfAll(message.members) + sizeOfAll(message.poolLoads) + sizeOfAll(message.records);
 }
 
 } // namespace dogwoodhall
