Send each claim about half as often

Cause: after all of 497 members started at once, messages stayed full of claims for more than a minute, and a member that joined then named the homes of its own data centre only after 11.8 s and all homes after 27.3 s.

Change: each member sends a claim log2(n) + 1 times instead of 2 log2(n); comparing rosters repairs what is missed.

FleetTest and FleetRecoveryTest pass.

--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -195,8 +195,9 @@
 
 std::uint32_t Fleet::sendsPerClaim() const
 {
-    // Twice the binary logarithm: enough for a claim to reach all members with overwhelming probability.
-    return 2 * static_cast<std::uint32_t>(std::bit_width(size()));
+    // With s sends by each member, about one in e^s misses a claim: fewer than one member of the fleet. Comparing
+    // rosters repairs what is left. More sends delay other news after a mass restart, when messages are full.
+    return static_cast<std::uint32_t>(std::bit_width(size())) + 1;
 }
 
 } // namespace dogwoodhall
