--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -227,3 +227,70 @@
     cr_assert(!gap || *gap == row.gap);
     cr_assert_not(detector.observe(TimePoint(100s) + row.gap + 1s));
 }
+
+struct RecordsRow {
+    std::uint64_t peerHighest; // This member holds revision 7.
+    bool sendsRecords;
+};
+
+const RecordsRow recordRows[] = { { 0, true }, { 6, true }, { 7, false }, { 8, false } };
+
+// Guards against a change that does not reach a peer that is behind, whichever side starts the exchange, and against
+// follow-up exchanges without end.
+ParameterizedTestParameters(Fleet, sendsRecordsToPeersBehind) { return rowIndices(recordRows); }
+
+ParameterizedTest(std::size_t* index, Fleet, sendsRecordsToPeersBehind)
+{
+    const RecordsRow& row = recordRows[*index];
+    auto fleet = makeFleet();
+    RandomEngine random(1);
+    auto message = requestFrom(makeMember("a", "dc0", 1, 0));
+    message.configuration.highest = Revision(row.peerHighest);
+    const auto handled = fleet.handle(message, TimePoint(1s));
+    cr_assert_eq(handled.reply->records.size(), row.sendsRecords ? 1 : 0);
+    cr_assert_eq(fleet.tick({ TimePoint(1s), random }).size(), 1);
+    cr_assert(fleet.messageFor(MemberId("a"), TimePoint(1s)).records.empty());
+    message.kind = GossipMessage::Kind::Reply;
+    const auto actions = fleet.handle(message, TimePoint(1100ms)).actions;
+    cr_assert_eq(actions.size(), row.sendsRecords ? 1 : 0);
+    const auto followUp = fleet.messageFor(MemberId("a"), TimePoint(1100ms));
+    cr_assert_eq(followUp.records.size(), row.sendsRecords ? 1 : 0);
+    cr_assert(fleet.handle(message, TimePoint(1200ms)).actions.empty());
+}
+
+struct RoleRow {
+    MemberState state;
+    bool isReady;
+    bool isListed;
+    bool isListedLeaving;
+    bool isHome;
+};
+
+const RoleRow roles[] = {
+    { MemberState::Alive, true, true, false, true },
+    { MemberState::Alive, true, false, false, true }, // The host list lags.
+    { MemberState::Alive, true, true, true, false },
+    { MemberState::Alive, false, true, false, false },
+    { MemberState::Leaving, true, true, false, false },
+    { MemberState::Suspect, true, true, false, false },
+    { MemberState::Gone, true, true, false, false },
+};
+
+// Guards against a home on a member that cannot serve or is about to stop, as the member or the host list says.
+ParameterizedTestParameters(Fleet, givesRolesToServingMembers) { return rowIndices(roles); }
+
+ParameterizedTest(std::size_t* index, Fleet, givesRolesToServingMembers)
+{
+    const RoleRow& row = roles[*index];
+    auto fleet = makeFleet();
+    fleet.setReady(false);
+    auto member = makeMember("b", "dc1", 1, 0, row.state);
+    member.isReady = row.isReady;
+    const ListedHost host { member.id, member.dataCentre, member.peerAddress, row.isListedLeaving };
+    if (row.isListed)
+        fleet.applyHostList(std::span(&host, 1), TimePoint(1s));
+    fleet.handle(requestFrom(makeMember("a", "dc0", 1, 0), { member }), TimePoint(1s));
+    const auto home = fleet.homeOf({ ServiceId("any"), member.dataCentre });
+    cr_assert_eq(home == member.id, row.isHome);
+    cr_assert_eq(home.has_value(), row.isHome);
+}
