Test that streams are refused while a GOAWAY waits to be sent

The last stream id of a GOAWAY is fixed when it is queued; a stream that arrives before it is sent must not run, since its client takes it for proven not-run.

--- a/packages/peer/tests/PeerServerTest.cpp
+++ b/packages/peer/tests/PeerServerTest.cpp
@@ -231,3 +231,44 @@
     PeerPair pair(waitForever(started, ended));
     runTest(pair.io, checkGone(pair, goneRows[*index], started, ended));
 }
+
+RequestHandler answerLarge(std::size_t& runs)
+{
+    return [&](IncomingRequest, ResponseWriter writer) -> asio::awaitable<void> {
+        ++runs;
+        co_await answerPattern(writer, streamed(), 16 * 1024 * 1024, 0);
+    };
+}
+
+// The server cannot send its GOAWAY at once, since a client with open windows does not read.
+asio::awaitable<void> checkLateGoaway(PeerPair& pair, const std::size_t& runs)
+{
+    asio::ip::tcp::socket socket(pair.io);
+    co_await socket.async_connect({ asio::ip::make_address(pair.address.ip), pair.address.port }, asio::use_awaitable);
+    const std::string openWindow = raw::number(0x7fff0000, 4);
+    co_await raw::send(socket,
+        std::string(raw::preface) + raw::settings(raw::number(4, 2) + openWindow)
+            + raw::frame(raw::WindowUpdate, 0, 0, openWindow) + raw::request(1, raw::endStream));
+    co_await waitUntil([&] { return runs == 1; });
+    co_await sleepFor(std::chrono::milliseconds(50));
+    pair.server->shutdown([] {});
+    co_await raw::send(socket, raw::request(3, raw::endStream));
+    co_await sleepFor(std::chrono::milliseconds(50));
+    bool refused = false;
+    bool saidGoaway = false;
+    while (auto frame = co_await raw::readFrame(socket)) {
+        refused = refused || (frame->type == raw::RstStream && frame->payload == raw::number(7, 4));
+        saidGoaway
+            = saidGoaway || (frame->type == raw::Goaway && frame->payload == raw::number(1, 4) + raw::number(0, 4));
+    }
+    cr_assert(refused && saidGoaway);
+    cr_assert_eq(runs, 1);
+}
+
+// Guards against a stream that runs although the GOAWAY queued before it tells the client that it does not.
+Test(PeerServer, refusesStreamsWhileGoawayWaits)
+{
+    std::size_t runs = 0;
+    PeerPair pair(answerLarge(runs));
+    runTest(pair.io, checkLateGoaway(pair, runs));
+}
--- a/packages/peer/tests/RawPeer.h
+++ b/packages/peer/tests/RawPeer.h
@@ -11,7 +11,15 @@
 
 inline constexpr std::string_view preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 
-enum FrameType : std::uint8_t { Data = 0, Headers = 1, RstStream = 3, Settings = 4, Ping = 6, Goaway = 7 };
+enum FrameType : std::uint8_t {
+    Data = 0,
+    Headers = 1,
+    RstStream = 3,
+    Settings = 4,
+    Ping = 6,
+    Goaway = 7,
+    WindowUpdate = 8
+};
 inline constexpr std::uint8_t endStream = 1;
 inline constexpr std::uint8_t endHeaders = 4;
 
