Add a table of configuration changes under load

ChangeUnderLoadTest changes records or the host list while requests are placed and expects each to be answered by an upstream, once. FaultPairTest is split into smaller functions and sets deadlines, since a frozen upstream held each round for 3 s.

--- /dev/null
+++ b/tests/system/ChangeUnderLoadTest.cpp
@@ -0,0 +1,80 @@
+#include "Cluster.h"
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <memory>
+
+using namespace dogwoodhall;
+
+namespace {
+
+// Runs under sanitizers as well, where each round takes several times as long.
+constexpr std::size_t rounds = 40;
+constexpr std::size_t requestsPerRound = 6;
+
+std::vector<std::unique_ptr<TestClient>> startRequests(Cluster& cluster, const char* method, std::size_t round)
+{
+    std::vector<std::unique_ptr<TestClient>> clients;
+    for (std::size_t n = 0; n < requestsPerRound; ++n) {
+        clients.push_back(std::make_unique<TestClient>(cluster.caller()));
+        const auto id = std::to_string(round) + "-" + std::to_string(n);
+        clients.back()->send(TestRequest { method, "/a", "Dogwoodhall-Deadline-Ms: 8000\r\n", {}, id }.text());
+    }
+    return clients;
+}
+
+} // namespace
+
+struct ChangeRow {
+    const char* name;
+    const char* method;
+    void (*change)(Cluster&, std::size_t round);
+};
+
+void replaceEndpoint(Cluster& cluster, std::size_t round)
+{
+    cluster.declared = { round % 2 ? "u1" : "u0", "u2" };
+    cluster.publishService();
+}
+
+void replaceAllEndpoints(Cluster& cluster, std::size_t round)
+{
+    cluster.declared = { round % 2 ? "u1" : "u0" };
+    cluster.publishService();
+}
+
+void changeLeaving(Cluster& cluster, std::size_t round)
+{
+    cluster.upstream(0).isLeaving = round % 2 == 0;
+    cluster.publishHosts();
+}
+
+const ChangeRow rows[] = {
+    { "one endpoint replaced, idempotent", "GET", replaceEndpoint },
+    { "one endpoint replaced, not idempotent", "POST", replaceEndpoint },
+    { "all endpoints replaced, idempotent", "GET", replaceAllEndpoints },
+    { "all endpoints replaced, not idempotent", "POST", replaceAllEndpoints },
+    { "a host leaves and returns", "POST", changeLeaving },
+};
+
+// Guards against requests that fail or wait only because a record or the host list changes while they are placed. All
+// upstreams are sound, so every request has to be answered by one, once.
+ParameterizedTestParameters(ChangeUnderLoad, failsNoRequest) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, ChangeUnderLoad, failsNoRequest, .timeout = 120)
+{
+    const auto& row = rows[*index];
+    auto cluster = Cluster::Builder().upstreams(3).slots(requestsPerRound).start();
+    for (std::size_t round = 0; round < rounds; ++round) {
+        auto clients = startRequests(cluster, row.method, round);
+        row.change(cluster, round);
+        for (std::size_t n = 0; n < clients.size(); ++n) {
+            const auto answer = clients[n]->readAnswer();
+            const auto error = answer.field("Dogwoodhall-Error");
+            cr_assert_eq(
+                answer.status, 200, "%s: round %zu: status %u, %s", row.name, round, answer.status, error.c_str());
+            cr_assert_eq(cluster.runs(std::to_string(round) + "-" + std::to_string(n)), 1, "%s", row.name);
+        }
+    }
+}
--- a/tests/system/FaultPairTest.cpp
+++ b/tests/system/FaultPairTest.cpp
@@ -51,6 +51,35 @@
 const FaultPair pairs[] = { { 0, 2 }, { 0, 3 }, { 0, 8 }, { 1, 2 }, { 1, 4 }, { 1, 9 }, { 2, 8 }, { 3, 9 }, { 3, 10 },
     { 4, 8 }, { 5, 1 }, { 6, 0 }, { 6, 8 }, { 7, 1 }, { 7, 8 }, { 8, 10 } };
 
+constexpr std::size_t callers = 4;
+constexpr std::size_t rounds = 10;
+
+std::string idOf(std::size_t round, std::size_t caller) { return std::to_string(round) + "-" + std::to_string(caller); }
+
+// Every second caller's request is not idempotent. Bodies differ in length, so that an answer shows whose it is.
+void sendRound(Cluster& cluster, std::size_t round, std::vector<std::unique_ptr<TestClient>>& clients)
+{
+    for (std::size_t n = 0; n < callers; ++n) {
+        clients.push_back(std::make_unique<TestClient>(cluster.caller()));
+        clients.back()->send(TestRequest {
+            n % 2 ? "POST" : "GET", "/a", "Dogwoodhall-Deadline-Ms: 1000\r\n", std::string(n + 1, 'b'), idOf(round, n) }
+                                 .text());
+    }
+}
+
+void checkAnswer(
+    const Cluster& cluster, const std::string& name, std::size_t caller, const std::string& id, const Answer& answer)
+{
+    const auto runs = cluster.runs(id);
+    const auto outcome = answer.field("Dogwoodhall-Outcome");
+    const auto expected = " received " + std::to_string(caller + 1) + " bytes\n";
+    cr_assert(answer.isWhole && answer.status, "%s: %s was not answered", name.c_str(), id.c_str());
+    cr_assert(answer.status != 200 || answer.body.ends_with(expected), "%s: %s", name.c_str(), id.c_str());
+    cr_assert(answer.status == 200 || !outcome.empty(), "%s: %s has no outcome", name.c_str(), id.c_str());
+    cr_assert(outcome != "not-run" || runs == 0, "%s: %s ran", name.c_str(), id.c_str());
+    cr_assert(caller % 2 == 0 || runs <= 1, "%s: %s ran %zu times", name.c_str(), id.c_str(), runs);
+}
+
 // Guards against invariants that hold under each fault alone but not under two. Callers work at the same time; the
 // pair strikes in the middle.
 ParameterizedTestParameters(FaultPair, invariantsHold) { return rowIndices(pairs); }
@@ -60,37 +89,17 @@
     const auto& pair = pairs[*index];
     const std::string name = std::string(faults[pair.first].name) + " and " + faults[pair.second].name;
     auto cluster = Cluster::Builder().upstreams(3).start();
-    constexpr std::size_t callers = 4;
-    constexpr std::size_t rounds = 10;
     for (std::size_t round = 0; round < rounds; ++round) {
         if (round == rounds / 3)
             faults[pair.first].apply(cluster);
         if (round == rounds / 2)
             faults[pair.second].apply(cluster);
         std::vector<std::unique_ptr<TestClient>> clients;
-        for (std::size_t n = 0; n < callers; ++n) {
-            const auto id = std::to_string(round) + "-" + std::to_string(n);
-            clients.push_back(std::make_unique<TestClient>(cluster.caller()));
-            clients.back()->send(TestRequest {
-                n % 2 ? "POST" : "GET", "/a", "Dogwoodhall-Deadline-Ms: 1000\r\n", std::string(n + 1, 'b'), id }
-                                     .text());
-        }
-        for (std::size_t n = 0; n < callers; ++n) {
-            const auto id = std::to_string(round) + "-" + std::to_string(n);
-            const auto answer = clients[n]->readAnswer();
-            const auto runs = cluster.runs(id);
-            const auto outcome = answer.field("Dogwoodhall-Outcome");
-            const auto expected = " received " + std::to_string(n + 1) + " bytes\n";
-            cr_assert(answer.isWhole && answer.status, "%s: %s was not answered", name.c_str(), id.c_str());
-            cr_assert(answer.status != 200 || answer.body.ends_with(expected), "%s: %s", name.c_str(), id.c_str());
-            cr_assert(answer.status == 200 || !outcome.empty(), "%s: %s has no outcome", name.c_str(), id.c_str());
-            cr_assert(outcome != "not-run" || runs == 0, "%s: %s ran", name.c_str(), id.c_str());
-            cr_assert(n % 2 == 0 || runs <= 1, "%s: %s ran %zu times", name.c_str(), id.c_str(), runs);
-        }
+        sendRound(cluster, round, clients);
+        for (std::size_t n = 0; n < callers; ++n)
+            checkAnswer(cluster, name, n, idOf(round, n), clients[n]->readAnswer());
     }
     // The sound upstream still serves.
-    cr_assert(eventually([&] {
-        return call(cluster.caller(), { "GET", "/a", {}, {}, {} }).status == 200;
-    }),
-        "%s", name.c_str());
+    const TestRequest request { "GET", "/a", "Dogwoodhall-Deadline-Ms: 500\r\n", {}, {} };
+    cr_assert(eventually([&] { return call(cluster.caller(), request).status == 200; }), "%s", name.c_str());
 }
