--- /dev/null
+++ b/packages/routing/include/dogwoodhall/routing/PoolChooser.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "dogwoodhall/budget/LinkBudget.h"
+#include "dogwoodhall/configuration/TopologyDeclaration.h"
+#include "dogwoodhall/core/DecisionContext.h"
+#include "dogwoodhall/core/Ids.h"
+
+#include <optional>
+#include <vector>
+
+namespace dogwoodhall {
+
+// What a member last heard of the service's pool in one data centre.
+struct PoolState {
+    DataCentreId dataCentre;
+    Duration expectedWait {}; // Duration::max(): takes no work.
+    bool isReachable = true; // Has a live home that this member can reach.
+    Duration age {}; // Of expectedWait.
+};
+
+struct PoolChoice {
+    DataCentreId dataCentre;
+    bool isOtherRegion = false;
+};
+
+struct SpillLimits {
+    // A pool elsewhere must be better by this much beyond the hop. Expected waits are stale, and a smaller gain is
+    // often gone when the request arrives.
+    Duration leastGain = std::chrono::milliseconds(2);
+    // A wait in another region that was heard of longer ago is stale: only a trial request may act on it, at most one
+    // in each trialPeriod, whose answer brings a fresh one. A demand swing reaches all regions within 100 ms; without
+    // this rule members crossed regions on waits from before the swing and queued there again.
+    Duration freshFor = std::chrono::milliseconds(100);
+    Duration trialPeriod = std::chrono::milliseconds(200);
+};
+
+// Picks the data centre whose pool serves a request: the member's own, unless the expected wait there exceeds that of
+// another data centre of the region, and then of another region, by more than the round trip and the least gain.
+// Among several better ones of a region a random one is chosen, so that members with the same stale knowledge do not
+// all send to the same pool. Crossing regions takes the request's expected bytes from the link budget.
+class PoolChooser {
+public:
+    PoolChooser(TopologyDeclaration, DataCentreId own, SpillLimits = {});
+
+    // Empty where no pool is reachable, or only one in another region that the link budget does not allow.
+    std::optional<PoolChoice> choose(
+        const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext);
+    // Where to send a request that the own pool refused, with proof that it did not run: a pool with at most half of
+    // the own pool's expected wait, so that a swing in all regions does not make each request try all of them.
+    std::optional<PoolChoice> chooseAfterRefusal(
+        const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext);
+
+private:
+    std::optional<RegionId> regionOf(const DataCentreId&) const;
+    const PoolState* ownState(const std::vector<PoolState>&) const;
+    // A pool elsewhere whose wait is at most `within` its region or `across` regions; charges the link for the latter.
+    std::optional<PoolChoice> chooseElsewhere(const std::vector<PoolState>&, Duration within, Duration across,
+        ByteCount expectedBytes, LinkBudget&, DecisionContext);
+    std::optional<PoolChoice> pick(
+        const std::vector<PoolState>&, bool isOtherRegion, Duration longestWait, Duration oldest, RandomEngine&) const;
+
+    TopologyDeclaration m_topology;
+    DataCentreId m_own;
+    std::optional<RegionId> m_ownRegion;
+    SpillLimits m_limits;
+    std::optional<TimePoint> m_lastTrial;
+};
+
+} // namespace dogwoodhall
