--- a/packages/configuration/bench/ConfigurationSlopes.cpp
+++ b/packages/configuration/bench/ConfigurationSlopes.cpp
@@ -15,7 +15,7 @@
 Record serviceRecord(int service, int endpoints, std::uint64_t revision)
 {
     const auto name = "service-" + std::to_string(service);
-    std::string value = R"({"schema":1,"service":")" + name + R"(","pathPrefix":"/)" + name + R"(","endpoints":[)";
+    std::string value = R"({"service":")" + name + R"(","pathPrefix":"/)" + name + R"(","endpoints":[)";
     for (int n = 0; n < endpoints; ++n) {
         const auto id = name + "-" + std::to_string(n);
         value += std::string(n ? "," : "") + R"({"id":")" + id + R"(","host":"host-)" + std::to_string(service * 40 + n)
