Send a request to the address that its pool placed it at

The request counted this as a failed attempt, excluded the endpoint and ended in 503 no-endpoint although an upstream was ready. A placement, and a permit between daemons, now carries the address.

--- a/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -39,7 +39,7 @@
     asio::awaitable<AttemptResult> direct(RequestWork&, const ResponseWriter&);
     asio::awaitable<AttemptResult> viaHome(RequestWork&, const ResponseWriter&, PoolHome);
     asio::awaitable<AttemptResult> withPermit(RequestWork&, const ResponseWriter&, PoolHome);
-    asio::awaitable<AttemptResult> runAt(RequestWork&, const ResponseWriter&, EndpointId, Completion&);
+    asio::awaitable<AttemptResult> runAt(RequestWork&, const ResponseWriter&, Placement, Completion&);
     asio::awaitable<AttemptResult> relayFromUpstream(
         RequestWork&, const ResponseWriter&, IncomingResponse&, RequestTrace::Hop&, Completion&);
     asio::awaitable<AttemptResult> relayFromHome(RequestWork&, const ResponseWriter&, IncomingResponse&);
@@ -47,7 +47,6 @@
     void recordRelay(RequestWork&, const RelayOutcome&, Duration serviceTime);
     OutgoingRequest outgoing(RequestWork&, const RequestTrace::Hop&, bool withBody) const;
     AttemptResult homeFailed(RequestWork&, const PoolHome&, const ExchangeError&);
-    const EndpointDeclaration* endpoint(const ServiceId&, const EndpointId&) const;
 
     TrafficServices& m_services;
     PoolDirectory& m_pools;
--- a/packages/daemon/include/dogwoodhall/daemon/PoolShard.h
+++ b/packages/daemon/include/dogwoodhall/daemon/PoolShard.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <tl/expected.hpp>
 #include <unordered_map>
 
@@ -16,11 +17,18 @@
 
 namespace asio = boost::asio;
 
+// Where a pool has placed a request. Carries the address, since the snapshot of the thread or member that asked may not
+// have the endpoint yet, or no longer.
+struct Placement {
+    EndpointId endpoint;
+    NetworkAddress address;
+};
+
 // The pools that one traffic thread owns. Runs on that thread only.
 class PoolShard {
 public:
     // Called with the endpoint that the request may use, or why it was refused.
-    using Reply = std::function<void(RequestId, tl::expected<EndpointId, ErrorKind>)>;
+    using Reply = std::function<void(RequestId, tl::expected<Placement, ErrorKind>)>;
 
     PoolShard(asio::io_context&, std::uint64_t seed);
 
@@ -39,6 +47,7 @@
         Pool pool;
         asio::steady_timer timer;
         std::unordered_map<RequestId, Reply> waiting;
+        std::map<EndpointId, NetworkAddress> addresses;
     };
 
     Entry& entryFor(const PoolId&);
--- a/packages/daemon/include/dogwoodhall/daemon/SlotGateway.h
+++ b/packages/daemon/include/dogwoodhall/daemon/SlotGateway.h
@@ -17,19 +17,19 @@
 // A slot held at an endpoint. Returned to the pool by complete(), or as cancelled when destroyed.
 class SlotLease {
 public:
-    SlotLease(SlotGateway&, PoolId, RequestId, EndpointId);
+    SlotLease(SlotGateway&, PoolId, RequestId, Placement);
     SlotLease(SlotLease&&) noexcept;
     SlotLease& operator=(SlotLease&&) = delete;
     ~SlotLease();
 
-    const EndpointId& endpoint() const { return m_endpoint; }
+    const Placement& placement() const { return m_placement; }
     void complete(const Completion&);
 
 private:
     SlotGateway* m_gateway;
     PoolId m_pool;
     RequestId m_request;
-    EndpointId m_endpoint;
+    Placement m_placement;
 };
 
 // One traffic thread's way to the pools of all threads. Requests wait here while their pool, which another thread may
@@ -50,10 +50,10 @@
         {
         }
         asio::steady_timer decided; // Cancelled when the pool has decided.
-        std::optional<tl::expected<EndpointId, ErrorKind>> decision;
+        std::optional<tl::expected<Placement, ErrorKind>> decision;
     };
 
-    void decide(RequestId, tl::expected<EndpointId, ErrorKind>);
+    void decide(RequestId, tl::expected<Placement, ErrorKind>);
     void giveBack(const PoolId&, RequestId, const Completion&);
     void abandon(const PoolId&, RequestId);
 
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -15,6 +15,7 @@
 // A home that failed is tried again after this time; the fleet's gossip removes it for longer where it is gone.
 constexpr Duration homeBypassTime = std::chrono::seconds(1);
 constexpr std::string_view permitEndpointField = "Dogwoodhall-Endpoint";
+constexpr std::string_view permitAddressField = "Dogwoodhall-Endpoint-Address";
 constexpr std::string_view upstreamTimeField = "Dogwoodhall-Upstream-Time-Us";
 constexpr std::string_view expectedWaitField = "Dogwoodhall-Expected-Wait-Us";
 
@@ -93,32 +94,30 @@
         queueHop.fail(answerFor(lease.error()).name);
         co_return TurnedAway { lease.error() };
     }
-    queueHop.note("endpoint", lease->endpoint().value());
+    queueHop.note("endpoint", lease->placement().endpoint.value());
     queueHop.end();
     Completion completion { CompletionResult::Cancelled, {}, {}, false };
     const TimePoint startedAt = monotonicNow();
-    auto result = co_await runAt(work, writer, lease->endpoint(), completion);
+    auto result = co_await runAt(work, writer, lease->placement(), completion);
     completion.serviceTime = monotonicNow() - startedAt;
     lease->complete(completion);
     co_return result;
 }
 
 asio::awaitable<AttemptResult> AttemptRunner::runAt(
-    RequestWork& work, const ResponseWriter& writer, EndpointId id, Completion& completion)
+    RequestWork& work, const ResponseWriter& writer, Placement placement, Completion& completion)
 {
-    work.excluded.push_back(id);
-    const auto* declared = endpoint(work.route.service, id);
-    if (!declared || monotonicNow() >= work.deadline) {
-        const auto kind = declared ? ErrorKind::DeadlineExceeded : ErrorKind::NoEndpoint;
+    work.excluded.push_back(placement.endpoint);
+    if (monotonicNow() >= work.deadline) {
         work.lifecycle.attemptStarted();
-        co_return AttemptFailure { kind, true, true, false };
+        co_return AttemptFailure { ErrorKind::DeadlineExceeded, true, true, false };
     }
     RequestTrace::Hop hop(work.trace, "upstream", work.entryHop.id());
-    hop.note("endpoint", id.value());
+    hop.note("endpoint", placement.endpoint.value());
     work.lifecycle.attemptStarted();
     const TimePoint sentAt = monotonicNow();
     auto response = co_await m_services.upstreams.exchange(
-        declared->address, outgoing(work, hop, true), toSteadyClock(work.deadline));
+        placement.address, outgoing(work, hop, true), toSteadyClock(work.deadline));
     work.upstreamTime += monotonicNow() - sentAt;
     if (!response) {
         const auto& error = response.error();
@@ -240,14 +239,15 @@
         ~Guard() { permit.abandon(); }
     } guard { *permit };
     const auto named = permit->head.fields.find(permitEndpointField);
-    if (!named) {
+    const auto address = parseNetworkAddress(permit->head.fields.find(permitAddressField).value_or(""));
+    if (!named || !address) {
         const auto kind = errorKindFromName(permit->head.fields.find(fields::error).value_or(""));
         co_return TurnedAway { kind.value_or(ErrorKind::PeerFailed) };
     }
     m_services.metrics.permits.add();
     hop.note("endpoint", std::string(*named));
     Completion completion;
-    co_return co_await runAt(work, writer, EndpointId(std::string(*named)), completion);
+    co_return co_await runAt(work, writer, { EndpointId(std::string(*named)), *address }, completion);
 }
 
 asio::awaitable<void> AttemptRunner::grantPermit(const RequestWork& work, const ResponseWriter& writer)
@@ -260,7 +260,8 @@
     }
     ResponseHead head;
     head.status = 200;
-    head.fields.add(std::string(permitEndpointField), lease->endpoint().value());
+    head.fields.add(std::string(permitEndpointField), lease->placement().endpoint.value());
+    head.fields.add(std::string(permitAddressField), toString(lease->placement().address));
     head.bodyLength.kind = BodyLength::Kind::Streamed;
     if (!co_await writer.writeHead(head))
         co_return;
@@ -292,14 +293,4 @@
     return AttemptFailure { kind, error.provenNotRun, true, !error.provenNotRun };
 }
 
-const EndpointDeclaration* AttemptRunner::endpoint(const ServiceId& serviceId, const EndpointId& id) const
-{
-    const auto* service = m_snapshot->routes.service(serviceId);
-    if (!service)
-        return nullptr;
-    auto it = std::find_if(
-        service->endpoints.begin(), service->endpoints.end(), [&](const auto& declared) { return declared.id == id; });
-    return it == service->endpoints.end() ? nullptr : &*it;
-}
-
 } // namespace dogwoodhall
--- a/packages/daemon/src/PoolShard.cpp
+++ b/packages/daemon/src/PoolShard.cpp
@@ -86,6 +86,7 @@
 void PoolShard::configure(Entry& entry)
 {
     std::vector<PoolEndpoint> endpoints;
+    entry.addresses.clear();
     PoolLimits limits;
     const PoolId& id = entry.pool.id();
     if (const auto* service = m_snapshot->routes.service(id.service)) {
@@ -98,6 +99,7 @@
             auto host = m_snapshot->leavingUpstreamHosts.find(endpoint.host);
             const bool isLeaving = host != m_snapshot->leavingUpstreamHosts.end() && host->second;
             endpoints.push_back({ endpoint.id, endpoint.slots, isLeaving });
+            entry.addresses[endpoint.id] = endpoint.address;
         }
     }
     perform(id, entry, entry.pool.reconfigure(endpoints, limits, context()));
@@ -105,14 +107,14 @@
 
 void PoolShard::perform(const PoolId& id, Entry& entry, const PoolActions& actions)
 {
-    const auto answer = [&](RequestId request, tl::expected<EndpointId, ErrorKind> result) {
+    const auto answer = [&](RequestId request, tl::expected<Placement, ErrorKind> result) {
         auto node = entry.waiting.extract(request);
         if (node)
             node.mapped()(request, std::move(result));
     };
     for (const auto& action : actions) {
         if (const auto* dispatch = std::get_if<Dispatch>(&action))
-            answer(dispatch->request, dispatch->endpoint);
+            answer(dispatch->request, Placement { dispatch->endpoint, entry.addresses.at(dispatch->endpoint) });
         else if (const auto* refuse = std::get_if<Refuse>(&action))
             answer(refuse->request, tl::unexpected(refuse->kind));
         else if (const auto* timer = std::get_if<ArmTimer>(&action))
--- a/packages/daemon/src/SlotGateway.cpp
+++ b/packages/daemon/src/SlotGateway.cpp
@@ -15,11 +15,11 @@
 
 } // namespace
 
-SlotLease::SlotLease(SlotGateway& gateway, PoolId pool, RequestId request, EndpointId endpoint)
+SlotLease::SlotLease(SlotGateway& gateway, PoolId pool, RequestId request, Placement placement)
     : m_gateway(&gateway)
     , m_pool(std::move(pool))
     , m_request(request)
-    , m_endpoint(std::move(endpoint))
+    , m_placement(std::move(placement))
 {
 }
 
@@ -27,7 +27,7 @@
     : m_gateway(std::exchange(other.m_gateway, nullptr))
     , m_pool(std::move(other.m_pool))
     , m_request(other.m_request)
-    , m_endpoint(std::move(other.m_endpoint))
+    , m_placement(std::move(other.m_placement))
 {
 }
 
@@ -71,7 +71,7 @@
     } guard { *this, pool, id };
 
     m_post(pool, [this, pool, request](PoolShard& shard) {
-        shard.admit(pool, request, [this](RequestId id, tl::expected<EndpointId, ErrorKind> result) {
+        shard.admit(pool, request, [this](RequestId id, tl::expected<Placement, ErrorKind> result) {
             asio::post(m_io, [this, id, result] { decide(id, result); });
         });
     });
@@ -84,7 +84,7 @@
     co_return SlotLease(*this, pool, id, **waiter.decision);
 }
 
-void SlotGateway::decide(RequestId id, tl::expected<EndpointId, ErrorKind> result)
+void SlotGateway::decide(RequestId id, tl::expected<Placement, ErrorKind> result)
 {
     auto it = m_waiters.find(id);
     if (it == m_waiters.end())
