Run the fault tables against two daemons, and reserve their ports

OutcomeTest and FaultPairTest also send through a second daemon, so that requests reach the pool over a peer stream. The harness holds the port of a stand-in with a socket of its own: the kernel could give the port of a killed one to a test that ran at the same time, whose answers the daemon then took for its upstream's.

--- a/tests/system/FaultPairTest.cpp
+++ b/tests/system/FaultPairTest.cpp
@@ -60,7 +60,7 @@
 void sendRound(Cluster& cluster, std::size_t round, std::vector<std::unique_ptr<TestClient>>& clients)
 {
     for (std::size_t n = 0; n < callers; ++n) {
-        clients.push_back(std::make_unique<TestClient>(cluster.caller()));
+        clients.push_back(std::make_unique<TestClient>(cluster.daemon(n / 2).caller));
         clients.back()->send(TestRequest {
             n % 2 ? "POST" : "GET", "/a", "Dogwoodhall-Deadline-Ms: 1000\r\n", std::string(n + 1, 'b'), idOf(round, n) }
                                  .text());
@@ -80,15 +80,15 @@
     cr_assert(caller % 2 == 0 || runs <= 1, "%s: %s ran %zu times", name.c_str(), id.c_str(), runs);
 }
 
-// Guards against invariants that hold under each fault alone but not under two. Callers work at the same time; the
-// pair strikes in the middle.
+// Guards against invariants that hold under each fault alone but not under two. Callers of two daemons work at the same
+// time; the pair strikes in the middle.
 ParameterizedTestParameters(FaultPair, invariantsHold) { return rowIndices(pairs); }
 
 ParameterizedTest(std::size_t* index, FaultPair, invariantsHold, .timeout = 120)
 {
     const auto& pair = pairs[*index];
     const std::string name = std::string(faults[pair.first].name) + " and " + faults[pair.second].name;
-    auto cluster = Cluster::Builder().upstreams(3).start();
+    auto cluster = Cluster::Builder().upstreams(3).daemons(2).start();
     for (std::size_t round = 0; round < rounds; ++round) {
         if (round == rounds / 3)
             faults[pair.first].apply(cluster);
--- a/tests/system/OutcomeTest.cpp
+++ b/tests/system/OutcomeTest.cpp
@@ -74,17 +74,33 @@
 };
 
 // Sends requests until u0 has met several of them or is dead; the pool may choose either upstream.
-std::vector<Sent> sendAll(Cluster& cluster, const OutcomeRow& row, const std::string& method)
+std::vector<Sent> sendAll(Cluster& cluster, const OutcomeRow& row, const std::string& method, std::size_t daemons)
 {
     std::vector<Sent> sent;
-    for (int n = 0; n < 12; ++n) {
+    for (std::size_t n = 0; n < 12; ++n) {
         const auto id = method + "-" + std::to_string(n);
         const std::string body = method == "POST" ? "order" : "";
-        sent.push_back({ id, call(cluster.caller(), { method, "/a", row.fault.fields, body, id }) });
+        const auto& caller = cluster.daemon(n % daemons).caller;
+        sent.push_back({ id, call(caller, { method, "/a", row.fault.fields, body, id }) });
     }
     return sent;
 }
 
+void check(const Cluster& cluster, const OutcomeRow& row, bool isIdempotent, const Sent& sent)
+{
+    const auto& [id, answer] = sent;
+    const auto runs = cluster.runs(id);
+    const auto outcome = answer.field("Dogwoodhall-Outcome");
+    const auto error = answer.field("Dogwoodhall-Error");
+    cr_assert(answer.isWhole, "%s: %s was not answered", row.name, id.c_str());
+    cr_assert(answer.status == 200 || !outcome.empty(), "%s: %s has no outcome", row.name, id.c_str());
+    cr_assert(outcome != "not-run" || runs == 0, "%s: %s ran %zu times", row.name, id.c_str(), runs);
+    cr_assert(answer.status != 200 || runs >= 1, "%s: %s did not run", row.name, id.c_str());
+    cr_assert(isIdempotent || runs <= 1, "%s: %s ran %zu times", row.name, id.c_str(), runs);
+    if (isIdempotent ? row.idempotentSucceeds : row.otherSucceeds)
+        cr_assert_eq(answer.status, 200, "%s: %s: status %u, %s", row.name, id.c_str(), answer.status, error.c_str());
+}
+
 // Guards against a request that is run twice or reported as not run although it ran, and against idempotent requests
 // that fail where another upstream could have served them.
 ParameterizedTestParameters(Outcome, holdsUnderFaults) { return rowIndices(rows); }
@@ -92,21 +108,15 @@
 ParameterizedTest(std::size_t* index, Outcome, holdsUnderFaults, .timeout = 120)
 {
     const auto& row = rows[*index];
-    for (const std::string method : { "GET", "POST" }) {
-        auto cluster = Cluster::Builder().upstreams(2).start();
-        apply(cluster, row.fault);
-        const auto sent = sendAll(cluster, row, method);
-        resume(cluster, row.fault);
-        for (const auto& [id, answer] : sent) {
-            const auto runs = cluster.runs(id);
-            const auto outcome = answer.field("Dogwoodhall-Outcome");
-            cr_assert(answer.isWhole, "%s: %s was not answered", row.name, id.c_str());
-            cr_assert(answer.status == 200 || !outcome.empty(), "%s: %s has no outcome", row.name, id.c_str());
-            cr_assert(outcome != "not-run" || runs == 0, "%s: %s ran %zu times", row.name, id.c_str(), runs);
-            cr_assert(answer.status != 200 || runs >= 1, "%s: %s did not run", row.name, id.c_str());
-            cr_assert(method == "GET" || runs <= 1, "%s: %s ran %zu times", row.name, id.c_str(), runs);
-            if (method == "GET" ? row.idempotentSucceeds : row.otherSucceeds)
-                cr_assert_eq(answer.status, 200, "%s: %s: status %u", row.name, id.c_str(), answer.status);
+    // With two daemons, requests that arrive at one reach the pool through the other.
+    for (const std::size_t daemons : { 1, 2 }) {
+        for (const std::string method : { "GET", "POST" }) {
+            auto cluster = Cluster::Builder().upstreams(2).daemons(daemons).start();
+            apply(cluster, row.fault);
+            const auto sent = sendAll(cluster, row, method, daemons);
+            resume(cluster, row.fault);
+            for (const auto& one : sent)
+                check(cluster, row, method == "GET", one);
         }
     }
 }
--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -36,7 +36,7 @@
 
 Cluster::Cluster()
     : m_folder(makeFolder())
-    , m_platform({ PLATFORM_BINARY })
+    , m_platform({ PLATFORM_BINARY, "--listen", toString(m_platformPort.address()) })
     , m_platformAddress(m_platform.readListening().at("address"))
 {
 }
@@ -51,10 +51,11 @@
 void Cluster::startUpstream(const std::string& dataCentre, std::size_t slots)
 {
     const std::string name = "u" + std::to_string(m_upstreams.size());
-    Process process({ UPSTREAM_BINARY, "--name", name, "--slots", std::to_string(slots), "--runs-file",
-        (m_folder / "runs").string() });
+    ReservedPort port;
+    Process process({ UPSTREAM_BINARY, "--listen", toString(port.address()), "--name", name, "--slots",
+        std::to_string(slots), "--runs-file", (m_folder / "runs").string() });
     const auto address = process.readListening().at("address");
-    m_upstreams.push_back({ name, dataCentre, std::move(process), address });
+    m_upstreams.push_back({ name, dataCentre, std::move(port), std::move(process), address });
     declared.push_back(name);
 }
 
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -12,6 +12,7 @@
 struct UpstreamProcess {
     std::string name; // Also the id of its host and of its endpoint.
     std::string dataCentre;
+    ReservedPort port;
     Process process;
     NetworkAddress address;
     bool isLeaving = false;
@@ -62,6 +63,7 @@
     void startUpstream(const std::string& dataCentre, std::size_t slots);
 
     std::filesystem::path m_folder;
+    ReservedPort m_platformPort;
     Process m_platform;
     NetworkAddress m_platformAddress;
     std::vector<UpstreamProcess> m_upstreams;
--- a/tests/system/support/Process.cpp
+++ b/tests/system/support/Process.cpp
@@ -3,10 +3,12 @@
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <netinet/in.h>
 #include <poll.h>
 #include <sstream>
 #include <stdexcept>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/syscall.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -42,6 +44,34 @@
 
 } // namespace
 
+ReservedPort::ReservedPort()
+    : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    const int on = 1;
+    ::setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    ::setsockopt(m_socket, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    sockaddr_in name {};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof name;
+    if (::bind(m_socket, reinterpret_cast<sockaddr*>(&name), size) != 0
+        || ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&name), &size) != 0)
+        throw std::runtime_error("cannot reserve a port");
+    m_address = { "127.0.0.1", ntohs(name.sin_port) };
+}
+
+ReservedPort::ReservedPort(ReservedPort&& other) noexcept
+    : m_socket(std::exchange(other.m_socket, -1))
+    , m_address(std::move(other.m_address))
+{
+}
+
+ReservedPort::~ReservedPort()
+{
+    if (m_socket >= 0)
+        ::close(m_socket);
+}
+
 Process::Process(const std::vector<std::string>& commandLine)
 {
     int ends[2];
--- a/tests/system/support/Process.h
+++ b/tests/system/support/Process.h
@@ -15,6 +15,22 @@
 // passes does not wait for it.
 constexpr std::chrono::seconds testDeadline { 30 };
 
+// A port of 127.0.0.1 that the kernel chose, held without listening. A process that sets SO_REUSEPORT can listen on it;
+// while none does, connections are refused, and no test that runs at the same time is given the port.
+class ReservedPort {
+public:
+    ReservedPort();
+    ReservedPort(ReservedPort&&) noexcept;
+    ReservedPort& operator=(ReservedPort&&) = delete;
+    ~ReservedPort();
+
+    const NetworkAddress& address() const { return m_address; }
+
+private:
+    int m_socket = -1;
+    NetworkAddress m_address;
+};
+
 // A child process. It is killed when the object is destroyed, and by the kernel when the test's process ends without
 // that, as after a failed assertion.
 class Process {
--- a/tools/src/StandInServer.cpp
+++ b/tools/src/StandInServer.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 // Bodies are counted or are small control documents, so that the size of a body needs no bound here.
 CallerLimits unlimitedBody()
@@ -28,8 +29,15 @@
 StandInServer::StandInServer(NetworkAddress address, RequestHandler handler)
     : m_address(std::move(address))
     , m_handler(std::move(handler))
-    , m_acceptor(m_io, { asio::ip::make_address(m_address.ip), m_address.port })
+    , m_acceptor(m_io)
 {
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_address.ip), m_address.port);
+    m_acceptor.open(endpoint.protocol());
+    m_acceptor.set_option(asio::socket_base::reuse_address(true));
+    // A test may hold the port with a socket of its own, so that no other process gets it while this one is down.
+    m_acceptor.set_option(ReusePort(true));
+    m_acceptor.bind(endpoint);
+    m_acceptor.listen();
 }
 
 void StandInServer::run()
