--- a/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -45,8 +45,8 @@
     asio::awaitable<AttemptResult> direct(RequestWork&, const ResponseWriter&);
     asio::awaitable<AttemptResult> viaHome(RequestWork&, const ResponseWriter&, PoolHome);
     asio::awaitable<AttemptResult> withPermit(RequestWork&, const ResponseWriter&, PoolHome);
-    asio::awaitable<AttemptResult> runAt(RequestWork&, const ResponseWriter&, EndpointId, Completion&);
-    HedgedExchange::Plan planExchange(RequestWork&, const RequestTrace::Hop&, const EndpointDeclaration&);
+    asio::awaitable<AttemptResult> runAt(RequestWork&, const ResponseWriter&, Placement, Completion&);
+    HedgedExchange::Plan planExchange(RequestWork&, const RequestTrace::Hop&, const NetworkAddress& first);
     asio::awaitable<AttemptResult> relayFromUpstream(
         RequestWork&, const ResponseWriter&, IncomingResponse&, RequestTrace::Hop&, Completion&);
     asio::awaitable<AttemptResult> relayFromHome(RequestWork&, const ResponseWriter&, IncomingResponse&);
@@ -54,7 +54,6 @@
     void recordRelay(RequestWork&, const RelayOutcome&, Duration serviceTime);
     OutgoingRequest outgoing(RequestWork&, const RequestTrace::Hop&, bool withBody) const;
     AttemptResult homeFailed(RequestWork&, const PoolHome&, const ExchangeError&);
-    const EndpointDeclaration* endpoint(const ServiceId&, const EndpointId&) const;
 
     TrafficServices& m_services;
     PoolDirectory& m_pools;
--- a/packages/daemon/include/dogwoodhall/daemon/HedgedExchange.h
+++ b/packages/daemon/include/dogwoodhall/daemon/HedgedExchange.h
@@ -21,7 +21,6 @@
         std::optional<Duration> delay; // Empty: no hedge.
         std::function<OutgoingRequest()> makeRequest;
         std::function<bool()> takeBudget;
-        std::function<std::optional<NetworkAddress>(const EndpointId&)> addressOf;
     };
 
     HedgedExchange(TrafficServices&, Plan);
--- a/packages/daemon/src/HedgedExchange.cpp
+++ b/packages/daemon/src/HedgedExchange.cpp
@@ -62,12 +62,12 @@
         co_return co_await waitForever();
     m_plan.second.deadline = monotonicNow() + hedgeQueueTime;
     auto lease = co_await m_services.slots.acquire(m_plan.pool, m_plan.second);
-    const auto address = lease ? m_plan.addressOf(lease->endpoint()) : std::nullopt;
-    if (!address)
+    if (!lease)
         co_return co_await waitForever();
     m_hasHedged = true;
     m_services.metrics.hedges.add();
-    auto response = co_await m_services.upstreams.exchange(*address, m_plan.makeRequest(), m_plan.deadline);
+    auto response
+        = co_await m_services.upstreams.exchange(lease->placement().address, m_plan.makeRequest(), m_plan.deadline);
     if (!response)
         co_return co_await waitForever();
     // Only an upstream's own answer ends the wait for the first one.
