Do not cancel a call on another thread after it has ended

A daemon under SIGSTOP for 4 s ended with SIGSEGV when it was resumed (HomeTest, row "frozen for 4 s in the middle"; exit status 139 in about 1 of 4 runs of the table on a busy machine). Cause: the peer gives up its gossip exchange meanwhile, which cancels the traffic thread's coroutine that awaits the control thread. co_spawn then posts the cancellation to the control thread with a pointer into the call's state, and the call had ended and freed it. addr2line of the kernel's trap message names cancellation_signal::emit below co_spawn_cancellation_handler. The ticket ledger is called in the same way.

callOn() runs both calls without a cancellation slot. They are short and run to their end in any case.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,10 +1,9 @@
 #include "dogwoodhall/daemon/Daemon.h"
 
+#include "dogwoodhall/daemon/CallOn.h"
 #include "dogwoodhall/telemetry/Logging.h"
 
-#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <chrono>
 #include <csignal>
 #include <iostream>
@@ -85,11 +84,9 @@
     options.trafficThreads = m_settings.trafficThreads;
     options.shareLoads = [this](std::vector<PoolLoadSummary> loads) { shareLoads(std::move(loads)); };
     options.answerGossip = [this](std::string request) {
-        auto answer
-            = [](ControlThread& control, std::string text) -> asio::awaitable<tl::expected<std::string, std::string>> {
-            co_return control.answerGossip(text);
-        };
-        return asio::co_spawn(m_control.io(), answer(m_control, std::move(request)), asio::use_awaitable);
+        using Answer = tl::expected<std::string, std::string>;
+        return callOn<Answer>(
+            m_control.io(), [this, request = std::move(request)] { return m_control.answerGossip(request); });
     };
     return options;
 }
--- a/packages/daemon/src/TicketService.cpp
+++ b/packages/daemon/src/TicketService.cpp
@@ -1,6 +1,7 @@
 #include "dogwoodhall/daemon/TicketService.h"
 
 #include "dogwoodhall/daemon/AnswerRelay.h"
+#include "dogwoodhall/daemon/CallOn.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -23,11 +24,9 @@
 template <typename Result>
 asio::awaitable<Result> onDesk(TicketDesk& desk, std::function<Result(TicketLedger&, DecisionContext)> function)
 {
-    auto task = [](TicketDesk& desk,
-                    std::function<Result(TicketLedger&, DecisionContext)> function) -> asio::awaitable<Result> {
-        co_return function(desk.ledger, DecisionContext { monotonicNow(), desk.random });
-    };
-    return asio::co_spawn(desk.io, task(desk, std::move(function)), asio::use_awaitable);
+    return callOn<Result>(desk.io, [&desk, function = std::move(function)] {
+        return function(desk.ledger, DecisionContext { monotonicNow(), desk.random });
+    });
 }
 
 std::uint64_t fingerprintOf(const RequestHead& head, std::string_view body)
