Place a request without its home where the home is not ready

A home that resumed after a pause is not ready until it has asked its peers, and answered forwarded requests with not-ready. The sending member took that as final and passed 503 not-ready on, although it could place the request itself (HomeTest, rows "frozen for 4 s": failed in 2 of 7 runs of the table). Permits had the same fault, for draining homes too. Now not-ready counts as draining does: the home is bypassed.

--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -20,6 +20,9 @@
 
 bool isRefusal(const ResponseHead& head) { return head.status == 503 && head.fields.find(fields::refused) == "1"; }
 
+// A home that drains, or that has yet to ask its peers for their records, is about to be replaced in the members' view.
+bool isNoLongerHome(ErrorKind kind) { return kind == ErrorKind::Draining || kind == ErrorKind::NotReady; }
+
 Duration timeLeft(const RequestWork& work)
 {
     return std::max<Duration>(std::chrono::milliseconds(1), work.deadline - monotonicNow());
@@ -194,8 +197,8 @@
     const bool isNotRun = response->head.fields.find(fields::outcome) == toString(Outcome::NotRun);
     response->abandon();
     hop.fail(answerFor(*kind).name);
-    if (isNotRun && *kind == ErrorKind::Draining)
-        co_return homeFailed(work, home, { *kind, true, "home is draining" });
+    if (isNotRun && isNoLongerHome(*kind))
+        co_return homeFailed(work, home, { *kind, true, "the home takes no requests" });
     // The home has made the attempts that its budget allows, so its word is final unless no upstream was reached.
     if (isNotRun) {
         work.lifecycle.attemptTurnedAway();
@@ -241,8 +244,12 @@
     } guard { *permit };
     const auto named = permit->head.fields.find(permitEndpointField);
     if (!named) {
-        const auto kind = errorKindFromName(permit->head.fields.find(fields::error).value_or(""));
-        co_return TurnedAway { kind.value_or(ErrorKind::PeerFailed) };
+        const auto kind
+            = errorKindFromName(permit->head.fields.find(fields::error).value_or("")).value_or(ErrorKind::PeerFailed);
+        if (!isNoLongerHome(kind))
+            co_return TurnedAway { kind };
+        work.lifecycle.attemptStarted();
+        co_return homeFailed(work, home, { kind, true, "the home grants no permits" });
     }
     m_services.metrics.permits.add();
     hop.note("endpoint", std::string(*named));
