Test requests through homes that fail, with three members

A table of 11 rows: the home healthy, killed, frozen, frozen and resumed, drained, forced to stop, and two pairs of faults. Each request's answer and number of runs is checked, and that the survivors name another home.

--- /dev/null
+++ b/tests/system/HomeTest.cpp
@@ -0,0 +1,189 @@
+#include "MemberStatus.h"
+#include "TableRows.h"
+
+#include <csignal>
+#include <memory>
+
+using namespace dogwoodhall;
+
+namespace {
+
+constexpr std::size_t memberCount = 3;
+// One upstream can hold all requests of two rounds, so that no row depends on refusals for lack of slots.
+constexpr std::size_t slotCount = 8;
+// Longer than the time after which members bypass a home that is silent (2 s) and suspect it (about 4 s).
+constexpr useconds_t pauseMicroseconds = 4'000'000;
+
+void freeze(Cluster&, DaemonProcess& home) { home.process.signal(SIGSTOP); }
+
+void kill(Cluster&, DaemonProcess& home) { home.process.kill(); }
+
+void drain(Cluster&, DaemonProcess& home) { home.process.signal(SIGTERM); }
+
+void stopNow(Cluster&, DaemonProcess& home)
+{
+    cr_assert_eq(call(home.admin, { "POST", "/stop-now", {}, {}, {} }).status, 202);
+}
+
+void killWithoutPlatform(Cluster& cluster, DaemonProcess& home)
+{
+    cluster.killPlatform();
+    kill(cluster, home);
+}
+
+void freezeWhileAnUpstreamRefuses(Cluster& cluster, DaemonProcess& home)
+{
+    cluster.setMode(0, "refuse=1");
+    freeze(cluster, home);
+}
+
+} // namespace
+
+struct HomeRow {
+    const char* name;
+    void (*apply)(Cluster&, DaemonProcess& home); // Null: no fault.
+    bool strikesInFlight; // Requests run through the home when the fault strikes.
+    bool mayLoseInFlight; // These may fail, with an outcome.
+    bool movesHome; // The survivors name another home.
+    bool mayFailLater; // A request that is not idempotent may fail until then, since the home may have run it.
+    int exitStatus; // Of the home; -1: it does not end.
+    bool resumes = false; // The home goes on after a pause, with requests sent before and after.
+};
+
+const HomeRow rows[] = {
+    { "healthy", nullptr, true, false, false, false, -1 },
+    { "killed before", kill, false, false, true, true, 128 + SIGKILL },
+    { "killed in the middle", kill, true, true, true, true, 128 + SIGKILL },
+    { "frozen before", freeze, false, false, true, true, -1 },
+    { "frozen in the middle", freeze, true, true, true, true, -1 },
+    { "frozen for 4 s before", freeze, false, false, false, true, -1, true },
+    { "frozen for 4 s in the middle", freeze, true, true, false, true, -1, true },
+    { "drained in the middle", drain, true, false, true, false, 0 },
+    { "forced to stop", stopNow, true, true, true, true, 3 },
+    { "killed while the platform is down", killWithoutPlatform, true, true, true, true, 128 + SIGKILL },
+    { "frozen while an upstream refuses", freezeWhileAnUpstreamRefuses, true, true, true, true, -1 },
+};
+
+namespace {
+
+struct Sent {
+    std::string id;
+    std::string method;
+    std::string expected; // End of the answer's body.
+    bool mayFail;
+    std::unique_ptr<TestClient> client;
+    Answer answer = {};
+};
+
+// Members of one cluster and the requests sent through those that are not the home.
+class HomeCase {
+public:
+    explicit HomeCase(const HomeRow& row)
+        : m_row(row)
+        , m_cluster(Cluster::Builder().daemons(memberCount).upstreams(2).slots(slotCount).start())
+    {
+        for (const auto& daemon : m_cluster.daemons())
+            m_all.push_back(&daemon);
+        m_homeName = agreedHome(m_all);
+        for (auto& daemon : m_cluster.daemons()) {
+            if (daemon.name == m_homeName)
+                m_home = &daemon;
+            else
+                m_others.push_back(&daemon);
+        }
+    }
+
+    void run()
+    {
+        if (m_row.strikesInFlight) {
+            sendRound("middle", "/a?delay_ms=1000", m_row.mayLoseInFlight, m_row.mayLoseInFlight);
+            cr_assert(eventually([&] { return m_cluster.received(0) + m_cluster.received(1) >= m_sent.size(); }));
+            for (const auto* member : m_others)
+                cr_assert_eq(counterOf(*member, "dogwoodhall_forwarded_total"), 2, "%s: not forwarded", m_row.name);
+        }
+        if (m_row.apply)
+            m_row.apply(m_cluster, *m_home);
+        sendRound("first", "/a", false, m_row.mayFailLater);
+        if (m_row.resumes) {
+            ::usleep(pauseMicroseconds);
+            m_home->process.signal(SIGCONT);
+            sendRound("resumed", "/a", false, m_row.mayFailLater);
+        }
+        readAll();
+        const auto home = agreedHome(m_row.movesHome ? m_others : m_all, m_row.movesHome ? m_homeName : "");
+        cr_assert(m_row.movesHome || m_row.mayFailLater || home == m_homeName, "%s: home moved", m_row.name);
+        sendRound("later", "/a", false, false);
+        readAll();
+        finishHome();
+        for (const auto& sent : m_sent)
+            check(sent);
+    }
+
+private:
+    void sendRound(const std::string& name, const std::string& target, bool mayFailGet, bool mayFailPost)
+    {
+        for (const auto* member : m_others) {
+            for (const std::string method : { "GET", "POST" }) {
+                // A body of another length for each, so that the answers differ.
+                const std::string body(method == "POST" ? m_sent.size() + 1 : 0, 'b');
+                const auto id = name + "-" + member->name + "-" + method;
+                m_sent.push_back({ id, method, " received " + std::to_string(body.size()) + " bytes\n",
+                    method == "GET" ? mayFailGet : mayFailPost, std::make_unique<TestClient>(member->caller) });
+                m_sent.back().client->send(TestRequest { method, target, {}, body, id }.text());
+            }
+        }
+    }
+
+    void readAll()
+    {
+        for (auto& sent : m_sent) {
+            if (sent.client)
+                sent.answer = sent.client->readAnswer();
+            sent.client.reset();
+        }
+    }
+
+    // A home that was frozen goes on with what it holds; what it runs late counts.
+    void finishHome()
+    {
+        if (m_row.exitStatus >= 0) {
+            cr_assert_eq(m_home->process.waitForExit().value_or(-1), m_row.exitStatus, "%s", m_row.name);
+            return;
+        }
+        m_home->process.signal(SIGCONT);
+        agreedHome(m_all);
+        for (const auto* member : m_all)
+            cr_assert_eq(call(member->caller, { "POST", "/a", {}, "order", "last" }).status, 200, "%s", m_row.name);
+    }
+
+    void check(const Sent& sent) const
+    {
+        const auto* id = sent.id.c_str();
+        const auto& answer = sent.answer;
+        const auto runs = m_cluster.runs(sent.id);
+        const auto outcome = answer.field("Dogwoodhall-Outcome");
+        cr_assert(answer.status && answer.isWhole, "%s: %s was not answered whole", m_row.name, id);
+        cr_assert(answer.status != 200 || answer.body.ends_with(sent.expected), "%s: %s", m_row.name, id);
+        cr_assert(answer.status != 200 || runs >= 1, "%s: %s did not run", m_row.name, id);
+        cr_assert(answer.status == 200 || !outcome.empty(), "%s: %s has no outcome", m_row.name, id);
+        cr_assert(answer.status == 200 || sent.mayFail, "%s: %s got %u %s", m_row.name, id, answer.status,
+            answer.field("Dogwoodhall-Error").c_str());
+        cr_assert(outcome != "not-run" || runs == 0, "%s: %s ran", m_row.name, id);
+        cr_assert(sent.method == "GET" || runs <= 1, "%s: %s ran %zu times", m_row.name, id, runs);
+    }
+
+    const HomeRow& m_row;
+    Cluster m_cluster;
+    std::string m_homeName;
+    DaemonProcess* m_home = nullptr;
+    std::vector<const DaemonProcess*> m_all;
+    std::vector<const DaemonProcess*> m_others;
+    std::vector<Sent> m_sent;
+};
+
+} // namespace
+
+// Guards against a home whose failure loses or repeats requests of other members, or that is never replaced.
+ParameterizedTestParameters(Home, failsWithoutHarm) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, Home, failsWithoutHarm, .timeout = 120) { HomeCase(rows[*index]).run(); }
--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -58,9 +58,8 @@
     declared.push_back(name);
 }
 
-DaemonProcess& Cluster::startDaemon(const std::string& dataCentre)
+DaemonProcess Cluster::launchDaemon(const std::string& name, const std::string& dataCentre) const
 {
-    const std::string name = "e" + std::to_string(m_daemons.size());
     const auto settings = m_folder / (name + ".json");
     std::ofstream(settings) << json::object { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", dataCentre },
         { "callerAddress", kernelChosen }, { "peerAddress", kernelChosen }, { "adminAddress", kernelChosen },
@@ -70,10 +69,23 @@
     DaemonProcess daemon { name, dataCentre, std::move(process), addresses.at("caller"), addresses.at("admin"), {} };
     if (auto peer = addresses.find("peer"); peer != addresses.end())
         daemon.peer = peer->second;
-    m_daemons.push_back(std::move(daemon));
+    return daemon;
+}
+
+DaemonProcess& Cluster::startDaemon(const std::string& dataCentre)
+{
+    m_daemons.push_back(launchDaemon("e" + std::to_string(m_daemons.size()), dataCentre));
     return m_daemons.back();
 }
 
+void Cluster::restartDaemon(std::size_t n)
+{
+    auto& daemon = m_daemons.at(n);
+    daemon.process.kill();
+    daemon = launchDaemon(daemon.name, daemon.dataCentre);
+    publishHosts();
+}
+
 std::size_t Cluster::runs(const std::string& id) const
 {
     std::ifstream file(m_folder / "runs");
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -36,6 +36,7 @@
     ~Cluster();
 
     DaemonProcess& daemon(std::size_t n = 0) { return m_daemons.at(n); }
+    std::vector<DaemonProcess>& daemons() { return m_daemons; }
     UpstreamProcess& upstream(std::size_t n = 0) { return m_upstreams.at(n); }
     Process& platform() { return m_platform; }
     const NetworkAddress& caller() const { return m_daemons.front().caller; }
@@ -53,6 +54,8 @@
     void restartPlatform(const std::string& state);
     void waitReady(DaemonProcess&);
     DaemonProcess& startDaemon(const std::string& dataCentre);
+    // Kills the daemon and starts it anew as the same member, at other addresses that the host list then names.
+    void restartDaemon(std::size_t n);
 
     std::vector<std::string> declared; // Names of the upstreams that the service's record lists.
 
@@ -60,6 +63,7 @@
     Cluster();
 
     void startUpstream(const std::string& dataCentre, std::size_t slots);
+    DaemonProcess launchDaemon(const std::string& name, const std::string& dataCentre) const;
 
     std::filesystem::path m_folder;
     Process m_platform;
--- /dev/null
+++ b/tests/system/support/MemberStatus.cpp
@@ -0,0 +1,50 @@
+#include "MemberStatus.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <sstream>
+#include <stdexcept>
+
+namespace dogwoodhall {
+
+namespace json = boost::json;
+
+MemberStatus statusOf(const DaemonProcess& daemon)
+{
+    const auto document = json::parse(call(daemon.admin, { "GET", "/status", {}, {}, {} }).body);
+    MemberStatus status { document.at("ready").as_bool(), document.at("revision").to_number<std::uint64_t>(), {} };
+    for (const auto& item : document.at("homes").as_array()) {
+        const auto pool = json::value_to<std::string>(item.at("pool"));
+        if (pool.find(daemon.dataCentre) != std::string::npos && item.at("home").is_string())
+            status.home = json::value_to<std::string>(item.at("home"));
+    }
+    return status;
+}
+
+std::uint64_t counterOf(const DaemonProcess& daemon, const std::string& name)
+{
+    std::istringstream lines(call(daemon.admin, { "GET", "/metrics", {}, {}, {} }).body);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (line.starts_with(name + " "))
+            return std::stoull(line.substr(name.size() + 1));
+    }
+    throw std::runtime_error("no counter " + name);
+}
+
+std::string agreedHome(const std::vector<const DaemonProcess*>& members, const std::string& former)
+{
+    std::string home;
+    const bool areAgreed = eventually([&] {
+        home = statusOf(*members.front()).home;
+        return !home.empty() && home != former && std::all_of(members.begin(), members.end(), [&](const auto* member) {
+            const auto status = statusOf(*member);
+            return status.isReady && status.home == home;
+        });
+    });
+    if (!areAgreed)
+        throw std::runtime_error("the members do not agree on a home other than '" + former + "'");
+    return home;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/tests/system/support/MemberStatus.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "Cluster.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+// What a member's GET /status says.
+struct MemberStatus {
+    bool isReady = false;
+    std::uint64_t revision = 0;
+    std::string home; // Of the pool in the member's own data centre; empty for none.
+};
+
+MemberStatus statusOf(const DaemonProcess&);
+
+// A counter of GET /metrics by its whole name, labels included.
+std::uint64_t counterOf(const DaemonProcess&, const std::string& name);
+
+// Waits until these members are ready and name the same home for the pool of their data centre, other than `former`.
+// Gives the home's member id; throws at testDeadline.
+std::string agreedHome(const std::vector<const DaemonProcess*>&, const std::string& former = {});
+
+} // namespace dogwoodhall
