--- a/packages/configuration/tests/ConfigurationDiffTest.cpp
+++ b/packages/configuration/tests/ConfigurationDiffTest.cpp
@@ -69,7 +69,7 @@
         "~claims hostNames:>a,b" },
     { [](ConfigurationContent& c) { c.services[0].limits.retryShare = Fraction(0.25); },
         "~claims limits.retryShare:0.1>0.25" },
-    { [](ConfigurationContent& c) { c.services[0].limits.queuePerSlot = 5; }, "~claims limits.queuePerSlot:20>5" },
+    { [](ConfigurationContent& c) { c.services[0].limits.queuePerSlot = 5; }, "~claims limits.queuePerSlot:6>5" },
     { [](ConfigurationContent& c) { c.services[0].limits.longWorkShare = Fraction(0.1); },
         "~claims limits.longWorkShare:0.5>0.1" },
     { [](ConfigurationContent& c) { c.services[0].limits.coldRamp = 1s; },
--- a/packages/ctl/tests/ChangeReportTest.cpp
+++ b/packages/ctl/tests/ChangeReportTest.cpp
@@ -73,7 +73,7 @@
     { head + R"("dataCentres": []})", head + R"("dataCentres": [], "hostNames": ["h"], "limits": {"queuePerSlot": 3}})",
         "Service a matches other requests: hostNames from any to h. Requests that it no longer matches go to another "
         "matching service or are answered 404.\n"
-        "The limits of service a change: queuePerSlot from 20 to 3. They apply to requests that arrive from then "
+        "The limits of service a change: queuePerSlot from 6 to 3. They apply to requests that arrive from then "
         "on.\n" },
 };
 
--- a/packages/declarations/tests/RecordMeaningTest.cpp
+++ b/packages/declarations/tests/RecordMeaningTest.cpp
@@ -54,7 +54,7 @@
         { RuleId("lookups"), { "POST" }, "/claims/lookups", true, WorkClass::Short, Priority::Normal, 1500ms },
         { RuleId("exports"), {}, "/", {}, WorkClass::Long, Priority::Normal, 10s },
     };
-    service.limits = { 20, Fraction(0.5), Fraction(0.1), 10s };
+    service.limits = { 6, Fraction(0.5), Fraction(0.1), 10s };
     return service;
 }
 
--- a/packages/wire/src/GossipCodec.cpp
+++ b/packages/wire/src/GossipCodec.cpp
@@ -154,6 +154,8 @@
     message.configuration.hash = from.configuration().hash();
     message.dataCentreRoster = from.data_centre_roster();
     message.fleetRoster = from.fleet_roster();
+    rejection.unless(from.roster_after().size() <= maxNameBytes.count(), "roster position", "too long");
+    message.rosterAfter = MemberId(from.roster_after());
     for (const wire::Member& entry : from.members()) {
         if (auto member = fromWire(entry, rejection))
             message.members.push_back(std::move(*member));
@@ -176,6 +178,7 @@
     to.mutable_configuration()->set_hash(message.configuration.hash);
     to.set_data_centre_roster(message.dataCentreRoster);
     to.set_fleet_roster(message.fleetRoster);
+    to.set_roster_after(message.rosterAfter.value());
     for (const Member& member : message.members)
         toWire(member, *to.add_members());
     for (const PoolLoadSummary& load : message.poolLoads) {
--- a/packages/wire/tests/GossipCodecTest.cpp
+++ b/packages/wire/tests/GossipCodecTest.cpp
@@ -39,6 +39,7 @@
     message.kind = GossipMessage::Kind::Reply;
     message.configuration = { Revision(1ULL << 60), ~0ULL };
     message.dataCentreRoster = 1;
+    message.rosterAfter = MemberId("entry-9");
     message.fleetRoster = 2;
     for (MemberState state : { MemberState::Alive, MemberState::Leaving, MemberState::Suspect, MemberState::Gone })
         message.members.push_back(makeMember("m" + std::to_string(message.members.size()), state));
