Keep the closures of ticket calls in named variables

The issuer ended with SIGABRT (munmap_chunk: invalid pointer) at the first use of any ticket. gdb shows the destructor of a lambda with a Ticket in TicketService::runAsIssuer: g++ 12 copies a temporary lambda in a co_await expression bytewise into the frame and destroys both, which frees a short std::string's inner buffer.

Before: 2 of 20 rows of TicketTest pass. After: 19 of 20; the last is a request that did not start, looked into next.

--- a/packages/daemon/src/TicketService.cpp
+++ b/packages/daemon/src/TicketService.cpp
@@ -20,7 +20,8 @@
 constexpr ByteCount maxTicketAnswer { 1024 * 1024 };
 constexpr Duration forwardTimeout = std::chrono::seconds(60);
 
-// Runs the function on the ledger's thread and gives its result on this one.
+// Runs the function on the ledger's thread and gives its result on this one. A function that captures strings must be a
+// named variable: g++ 12 copies a temporary lambda in a co_await expression bytewise, and destroys it twice.
 template <typename Result>
 asio::awaitable<Result> onDesk(TicketDesk& desk, std::function<Result(TicketLedger&, DecisionContext)> function)
 {
@@ -95,10 +96,10 @@
     if (!body)
         co_return co_await refuse(writer, body.error().kind, Outcome::Unknown);
     const auto fingerprint = fingerprintOf(request.head, *body);
-    auto decision = co_await onDesk<TicketDecision>(
-        *m_desk, [ticket, fingerprint](TicketLedger& ledger, DecisionContext context) {
-            return ledger.begin(ticket, fingerprint, context);
-        });
+    const auto begin = [ticket, fingerprint](TicketLedger& ledger, DecisionContext context) {
+        return ledger.begin(ticket, fingerprint, context);
+    };
+    auto decision = co_await onDesk<TicketDecision>(*m_desk, begin);
     if (const auto* denied = std::get_if<DenyTicket>(&decision))
         co_return co_await refuse(writer, denied->kind, answerFor(denied->kind).outcome.value_or(Outcome::Unknown));
     if (const auto* replay = std::get_if<ReplayAnswer>(&decision)) {
@@ -148,7 +149,7 @@
                 outcome = outcomeFromName(value);
         }
     }
-    co_await onDesk<bool>(*m_desk, [ticket, whole, outcome](TicketLedger& ledger, DecisionContext) {
+    const auto finish = [ticket, whole, outcome](TicketLedger& ledger, DecisionContext) {
         if (outcome == Outcome::NotRun)
             ledger.forget(ticket);
         else if (whole && !outcome)
@@ -156,7 +157,8 @@
         else
             ledger.finishUnknown(ticket);
         return true;
-    });
+    };
+    co_await onDesk<bool>(*m_desk, finish);
 }
 
 void TicketService::release(RequestId id)
