Stop the upstream stand-in's surplus answers at the first failed write

Cause: WholeAnswerTest "many surplus answers" waited 30 s for the stand-in to become idle. A loop of requests to the stand-in alone shows it: once the caller has reset the connection and the watch for a closed connection has read its end, the third write after a failed one never completes (strace: EPIPE, then no further event). Ruled out: the watch ending the handler (it stays in its wait), a blocked socket (the write returns EPIPE at once). Why the operation's completion is lost is not known. The daemon never writes after a failed write.

Change: the stand-in stops at the first failed write, and ResponseWriter says that no call may follow an error.

--- a/packages/exchange/include/dogwoodhall/exchange/Exchange.h
+++ b/packages/exchange/include/dogwoodhall/exchange/Exchange.h
@@ -49,8 +49,9 @@
     std::string remote; // Address of the sender, for logs.
 };
 
-// Writes one answer. A handler that returns without a successful finish() breaks the connection or stream visibly, so
-// that the receiver cannot take a part for the whole.
+// Writes one answer. After an error no further call may be made: a later write need not complete. A handler that
+// returns without a successful finish() breaks the connection or stream visibly, so that the receiver cannot take a
+// part for the whole.
 struct ResponseWriter {
     std::function<ExchangeResult<void>(const ResponseHead&)> writeHead;
     std::function<ExchangeResult<void>(asio::const_buffer)> writeBody;
--- a/tools/src/UpstreamStandIn.cpp
+++ b/tools/src/UpstreamStandIn.cpp
@@ -209,8 +209,11 @@
         co_return;
     if (const auto surplus = target.number("surplus", 0)) {
         co_await pause(target.number("surplus_delay_ms", 0));
-        for (std::uint64_t n = 0; n < surplus; ++n)
-            co_await writer.writeBody(asio::buffer(surplusAnswer));
+        for (std::uint64_t n = 0; n < surplus; ++n) {
+            auto written = co_await writer.writeBody(asio::buffer(surplusAnswer));
+            if (!written)
+                co_return;
+        }
     }
     co_await writer.finish();
 }
