Read small bodies before a slot is taken, and be ready only with a service

Cause: a slow sender held an upstream slot while its body arrived. /ready answered 200 while the only service record was rejected. A HEAD answer without a known length carried Content-Length: 0.

Readiness needs a service in force. HEAD answers get a Content-Length only from the upstream.

--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -210,7 +210,8 @@
 void ControlThread::updateReadiness()
 {
     const Revision held = m_configuration.highestRevision();
-    const bool isReady = held > Revision(0) && m_joinBarrier.isReady(held, monotonicNow());
+    const bool hasServices = !m_configuration.sharedServices().empty();
+    const bool isReady = hasServices && m_joinBarrier.isReady(held, monotonicNow());
     if (isReady == m_isReady)
         return;
     m_isReady = isReady;
--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -101,6 +101,11 @@
 asio::awaitable<void> RequestRunner::runAttempts(RequestWork& work, const ResponseWriter& writer)
 {
     RetryBudget& budget = retryBudget(work.route.service);
+    if (work.head.bodyLength.kind != BodyLength::Kind::None) {
+        auto prefetched = co_await work.body.prefetch();
+        if (!prefetched)
+            co_return co_await answer(work, writer, { prefetched.error().kind, Outcome::NotRun });
+    }
     while (true) {
         const auto result = co_await m_attempts.attempt(work, writer);
         if (std::holds_alternative<Finished>(result))
--- a/packages/exchange/include/dogwoodhall/exchange/ReplayableBody.h
+++ b/packages/exchange/include/dogwoodhall/exchange/ReplayableBody.h
@@ -14,6 +14,10 @@
     // Reads from the current position. The object must outlive the hook.
     ReadBody reader();
 
+    // Reads ahead up to the limit, so that a slow sender's small body arrives before anything is reserved for it.
+    // Reading starts at the first byte afterwards.
+    ExchangeResult<void> prefetch();
+
     bool canRewind() const { return !m_overflowed; }
     void rewind();
 
--- a/packages/exchange/src/ReplayableBody.cpp
+++ b/packages/exchange/src/ReplayableBody.cpp
@@ -6,6 +6,12 @@
 
 namespace dogwoodhall {
 
+namespace {
+
+constexpr std::size_t prefetchBufferBytes = 16 * 1024;
+
+} // namespace
+
 ReplayableBody::ReplayableBody(ReadBody source, ByteCount limit)
     : m_source(std::move(source))
     , m_limit(limit)
@@ -17,6 +23,19 @@
     return [this](asio::mutable_buffer buf) { return read(buf); };
 }
 
+ExchangeResult<void> ReplayableBody::prefetch()
+{
+    std::string buf(std::min<std::size_t>(m_limit.count(), prefetchBufferBytes), '\0');
+    while (!m_ended && m_kept.size() < m_limit.count()) {
+        const std::size_t wanted = std::min<std::size_t>(buf.size(), m_limit.count() - m_kept.size());
+        auto n = co_await read(asio::buffer(buf.data(), wanted));
+        if (!n)
+            co_return tl::unexpected(n.error());
+    }
+    rewind();
+    co_return tl::expected<void, ExchangeError> {};
+}
+
 void ReplayableBody::rewind() { m_position = 0; }
 
 ExchangeResult<std::size_t> ReplayableBody::read(asio::mutable_buffer buf)
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -316,7 +316,7 @@
     response.keep_alive(m_current->keepAlive);
     if (head.bodyLength.kind == BodyLength::Kind::Streamed)
         response.chunked(true);
-    else if (head.status >= 200 && head.status != 204 && head.status != 304)
+    else if (!m_current->isHead && head.status >= 200 && head.status != 204 && head.status != 304)
         response.content_length(head.bodyLength.bytes.count());
     if (head.bodyLength.kind != BodyLength::Kind::Streamed)
         m_current->bytesLeft = m_current->isHead ? 0 : head.bodyLength.bytes.count();
