--- a/tests/system/support/MemberStatus.cpp
+++ b/tests/system/support/MemberStatus.cpp
@@ -12,7 +12,9 @@
 MemberStatus statusOf(const DaemonProcess& daemon)
 {
     const auto document = json::parse(call(daemon.admin, { "GET", "/status", {}, {}, {} }).body);
-    MemberStatus status { document.at("ready").as_bool(), document.at("revision").to_number<std::uint64_t>(), {} };
+    MemberStatus status { document.at("ready").as_bool(), document.at("revision").to_number<std::uint64_t>(), 0, {} };
+    for (const auto& item : document.at("members").as_array())
+        status.alivePeers += item.at("state").as_string() == "alive";
     for (const auto& item : document.at("homes").as_array()) {
         const auto pool = json::value_to<std::string>(item.at("pool"));
         if (pool.find(daemon.dataCentre) != std::string::npos && item.at("home").is_string())
@@ -32,6 +34,14 @@
     throw std::runtime_error("no counter " + name);
 }
 
+std::string takeTicket(const DaemonProcess& daemon)
+{
+    const auto answer = call(daemon.caller, { "POST", "/.dogwoodhall/tickets", {}, {}, {} });
+    if (answer.status != 201)
+        throw std::runtime_error("no ticket, but status " + std::to_string(answer.status));
+    return json::value_to<std::string>(json::parse(answer.body).at("ticket"));
+}
+
 std::string agreedHome(const std::vector<const DaemonProcess*>& members, const std::string& former)
 {
     std::string home;
@@ -39,7 +49,7 @@
         home = statusOf(*members.front()).home;
         return !home.empty() && home != former && std::all_of(members.begin(), members.end(), [&](const auto* member) {
             const auto status = statusOf(*member);
-            return status.isReady && status.home == home;
+            return status.isReady && status.home == home && status.alivePeers + 1 >= members.size();
         });
     });
     if (!areAgreed)
--- a/tests/system/support/MemberStatus.h
+++ b/tests/system/support/MemberStatus.h
@@ -12,6 +12,7 @@
 struct MemberStatus {
     bool isReady = false;
     std::uint64_t revision = 0;
+    std::size_t alivePeers = 0; // Other members in the host list that it knows to be alive.
     std::string home; // Of the pool in the member's own data centre; empty for none.
 };
 
@@ -20,8 +21,11 @@
 // A counter of GET /metrics by its whole name, labels included.
 std::uint64_t counterOf(const DaemonProcess&, const std::string& name);
 
-// Waits until these members are ready and name the same home for the pool of their data centre, other than `former`.
-// Gives the home's member id; throws at testDeadline.
+// The ticket that POST /.dogwoodhall/tickets answers; throws where it answers none.
+std::string takeTicket(const DaemonProcess&);
+
+// Waits until these members are ready, know one another and name the same home for the pool of their data centre, other
+// than `former`. Gives the home's member id; throws at testDeadline.
 std::string agreedHome(const std::vector<const DaemonProcess*>&, const std::string& former = {});
 
 } // namespace dogwoodhall
