Queue a request again at endpoints that refused it

Cause: an endpoint that refused a request, because the allowance went above its slots, was excluded for the rest of the request; with all endpoints excluded the request got 503 no-endpoint although slots came free (seen by HomeTest with 8 requests on 6 slots).

Change: only the last refusing endpoint is avoided, and not where no other is left. Endpoints that failed stay excluded.

--- a/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -42,6 +42,7 @@
 
 private:
     const PoolHome* homeFor(const RequestWork&) const;
+    asio::awaitable<tl::expected<SlotLease, ErrorKind>> acquireSlot(const RequestWork&);
     asio::awaitable<AttemptResult> direct(RequestWork&, const ResponseWriter&);
     asio::awaitable<AttemptResult> viaHome(RequestWork&, const ResponseWriter&, PoolHome);
     asio::awaitable<AttemptResult> withPermit(RequestWork&, const ResponseWriter&, PoolHome);
--- a/packages/daemon/include/dogwoodhall/daemon/RequestWork.h
+++ b/packages/daemon/include/dogwoodhall/daemon/RequestWork.h
@@ -25,7 +25,9 @@
     bool isForwarded = false; // By another member to this one, the pool's home.
     bool mayUseHome = true; // False at the home itself, and after the home did not answer.
     bool hasSpilled = false; // Was turned away by its first pool.
-    std::vector<EndpointId> excluded {}; // Endpoints that refused or failed this request.
+    std::vector<EndpointId> excluded {}; // Endpoints that failed this request.
+    // The last endpoint that refused it. Avoided while there is another; it may have a free slot again later.
+    std::optional<EndpointId> refusedBy {};
     bool isAnswered = false; // An upstream's whole answer was handed on.
     Duration upstreamTime {}; // Spent waiting for upstreams' answers to start.
 };
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -88,12 +88,25 @@
     return &it->second;
 }
 
+asio::awaitable<tl::expected<SlotLease, ErrorKind>> AttemptRunner::acquireSlot(const RequestWork& work)
+{
+    PoolRequest wanted { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+    if (work.refusedBy)
+        wanted.excluded.push_back(*work.refusedBy);
+    auto lease = co_await m_services.slots.acquire(work.pool, wanted);
+    // An endpoint that was full may have a free slot by the time the pool dispatches to it again.
+    const bool isOnlyRefuserLeft = !lease && lease.error() == ErrorKind::NoEndpoint && work.refusedBy.has_value();
+    if (!isOnlyRefuserLeft)
+        co_return lease;
+    wanted.excluded = work.excluded;
+    co_return co_await m_services.slots.acquire(work.pool, wanted);
+}
+
 asio::awaitable<AttemptResult> AttemptRunner::direct(RequestWork& work, const ResponseWriter& writer)
 {
     RequestTrace::Hop queueHop(work.trace, "queue", work.entryHop.id());
     const TimePoint queuedAt = monotonicNow();
-    PoolRequest wanted { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
-    auto lease = co_await m_services.slots.acquire(work.pool, wanted);
+    auto lease = co_await acquireSlot(work);
     m_services.metrics.queueWait.observe(monotonicNow() - queuedAt);
     if (!lease) {
         queueHop.fail(answerFor(lease.error()).name);
@@ -171,6 +184,8 @@
     if (isRefusal(response.head)) {
         response.abandon();
         hop.fail("upstream-refused");
+        work.refusedBy = work.excluded.back();
+        work.excluded.pop_back();
         completion.result = CompletionResult::Refused;
         co_return AttemptFailure { ErrorKind::UpstreamRefused, true, true, true };
     }
