--- a/packages/ctl/src/AdminCommands.cpp
+++ b/packages/ctl/src/AdminCommands.cpp
@@ -1,7 +1,7 @@
 #include "dogwoodhall/ctl/AdminClient.h"
 #include "dogwoodhall/ctl/Command.h"
+#include "dogwoodhall/declarations/AddressText.h"
 
-#include <arpa/inet.h>
 #include <boost/json.hpp>
 
 namespace dogwoodhall {
@@ -25,16 +25,6 @@
     return status;
 }
 
-std::optional<NetworkAddress> adminAddress(const Invocation& invocation)
-{
-    auto address = parseNetworkAddress(invocation.text("admin"));
-    in6_addr binary {};
-    const bool isIpv6 = address && address->ip.find(':') != std::string::npos;
-    if (!address || address->port == 0 || inet_pton(isIpv6 ? AF_INET6 : AF_INET, address->ip.c_str(), &binary) != 1)
-        return std::nullopt;
-    return address;
-}
-
 std::string badAddress(const Invocation& invocation)
 {
     return "--admin: expected IP:PORT with a port from 1 to 65535, found \"" + invocation.text("admin") + "\"";
@@ -59,7 +49,7 @@
 
 int runStatus(const Invocation& invocation)
 {
-    const auto address = adminAddress(invocation);
+    const auto address = parseRemoteAddress(invocation.text("admin"));
     if (!address)
         return fail(invocation, "status", badAddress(invocation), badInputStatus);
     const auto reply = AdminClient(*address).request("GET", "/status", requestTimeout);
@@ -99,7 +89,7 @@
 
 int runDrain(const Invocation& invocation)
 {
-    const auto address = adminAddress(invocation);
+    const auto address = parseRemoteAddress(invocation.text("admin"));
     if (!address)
         return fail(invocation, "drain", badAddress(invocation), badInputStatus);
     const auto waitSeconds = invocation.arguments["wait-seconds"].as<std::int64_t>();
--- a/packages/ctl/tests/ChangeReportTest.cpp
+++ b/packages/ctl/tests/ChangeReportTest.cpp
@@ -88,3 +88,38 @@
         sentences += change.sentence + "\n";
     cr_assert_str_eq(sentences.c_str(), row.sentences.c_str());
 }
+
+struct TopologyRow {
+    const char* before;
+    const char* after;
+    const char* sentences;
+};
+
+const TopologyRow topologyRows[] = {
+    { R"({"dataCentres": [{"id": "c1", "region": "c"}]})",
+        R"({"schemaVersion": 2, "dataCentres": [{"id": "c1", "region": "c"}]})", "" },
+    { R"({"dataCentres": [{"id": "c1", "region": "c"}, {"id": "c2", "region": "c"}]})",
+        R"({"dataCentres": [{"id": "c2", "region": "d"}, {"id": "c3", "region": "d"}]})",
+        "Data centre c1 is removed.\nData centre c2 moves from region c to d.\nData centre c3 is added in region "
+        "d.\n" },
+    { R"({"schemaVersion": 2, "dataCentres": []})",
+        R"({"schemaVersion": 2, "dataCentres": [], "delayWithinRegionMs": 1.5, "linkBytesPerSecond": 5})",
+        "The links change: delayWithinRegionMs from 1 ms to 1.5 ms, linkBytesPerSecond from 20000000 to 5. The choice "
+        "of "
+        "another data centre follows the new values.\n" },
+};
+
+// Guards against a change of the topology that the operator is not told of.
+ParameterizedTestParameters(TopologyChangeReport, saysWhatChanges) { return rowIndices(topologyRows); }
+
+ParameterizedTest(std::size_t* index, TopologyChangeReport, saysWhatChanges)
+{
+    const TopologyRow& row = topologyRows[*index];
+    const auto topologyOf = [](const char* text) {
+        return std::get<TopologyDeclaration>(readDeclarationFile(text, "").records.at(0).declaration);
+    };
+    std::string sentences;
+    for (const auto& change : describeChanges(topologyOf(row.before), topologyOf(row.after)))
+        sentences += change.sentence + "\n";
+    cr_assert_str_eq(sentences.c_str(), row.sentences);
+}
--- a/packages/declarations/src/TextRules.cpp
+++ b/packages/declarations/src/TextRules.cpp
@@ -1,9 +1,8 @@
 #include "TextRules.h"
 
-#include "dogwoodhall/core/NetworkAddress.h"
+#include "dogwoodhall/declarations/AddressText.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 
 namespace dogwoodhall {
 
@@ -35,16 +34,6 @@
         && std::all_of(text.begin(), text.end(), [](char c) { return (c >= 'A' && c <= 'Z') || c == '-'; });
 }
 
-bool isAddress(std::string_view text, std::uint16_t lowestPort)
-{
-    const auto address = parseNetworkAddress(text);
-    if (!address || address->port < lowestPort)
-        return false;
-    in6_addr binary {};
-    const bool isIpv6 = address->ip.find(':') != std::string::npos;
-    return inet_pton(isIpv6 ? AF_INET6 : AF_INET, address->ip.c_str(), &binary) == 1;
-}
-
 } // namespace
 
 const TextRule& idText()
@@ -75,14 +64,15 @@
 
 const TextRule& listeningAddressText()
 {
-    static const TextRule rule { "IP:PORT", [](std::string_view text) { return isAddress(text, 0); } };
+    static const TextRule rule { "IP:PORT",
+        [](std::string_view text) { return parseListeningAddress(text).has_value(); } };
     return rule;
 }
 
 const TextRule& remoteAddressText()
 {
     static const TextRule rule { "IP:PORT with a port from 1 to 65535",
-        [](std::string_view text) { return isAddress(text, 1); } };
+        [](std::string_view text) { return parseRemoteAddress(text).has_value(); } };
     return rule;
 }
 
