Repeat the exchange id in the upstream stand-in's refusals

The stand-in refused without the id on connections that had carried it, so the refusal counted as an answer to another request.

Ruled out: accepting an answer without the id on such a connection. It could be one to another request, and the outcome unknown is the safe one.

--- a/tools/src/UpstreamStandIn.cpp
+++ b/tools/src/UpstreamStandIn.cpp
@@ -36,6 +36,12 @@
 constexpr std::size_t partBytes = 16 * 1024;
 constexpr std::uint64_t coldFactor = 10;
 
+// What the answer repeats; empty for nothing.
+std::string exchangeIdFor(const HeaderFields& requestFields, const Target& target)
+{
+    return std::string(target.number("echo", 1) ? requestFields.find(fields::exchange).value_or("") : "");
+}
+
 struct UpstreamOptions {
     NetworkAddress address;
     std::string name;
@@ -164,6 +170,8 @@
     if (m_inUse >= m_options.slots || target.number("refuse", 0)) {
         HeaderFields refusal;
         refusal.add(std::string(fields::refused), "1");
+        if (const auto id = exchangeIdFor(request.head.fields, target); !id.empty())
+            refusal.add(std::string(fields::exchange), id);
         co_await writeAnswer(writer, 503, "refused\n", refusal);
         co_return;
     }
@@ -186,10 +194,7 @@
     if (faultStrikes(target, "after"))
         co_return;
     co_await pause(target.number("delay_ms", 0) * (target.number("cold", 0) ? coldFactor : 1));
-    std::string exchangeId;
-    if (target.number("echo", 1))
-        exchangeId = request.head.fields.find(fields::exchange).value_or("");
-    co_await answer(writer, target, *received, std::move(exchangeId));
+    co_await answer(writer, target, *received, exchangeIdFor(request.head.fields, target));
 }
 
 asio::awaitable<void> UpstreamStandIn::answer(
