Build requests to a pool's home outside the coroutines

Change: requestToHome() builds the request in a plain function, and homeFailed() takes the error's kind and proof, which are all that it used.

--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -227,14 +227,13 @@
     RequestTrace::Hop hop(work.trace, "peer", work.entryHop.id());
     hop.note("home", home.member.value());
     m_services.metrics.forwarded.add();
-    auto request = outgoing(work, hop, true);
-    writeEnvelope({ ForwardEnvelope::Purpose::Forward, work.pool, work.route }, request.head.fields);
+    auto request = requestToHome(work, hop, ForwardEnvelope::Purpose::Forward);
     work.lifecycle.attemptStarted();
     auto response
         = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
     if (!response) {
         hop.fail(answerFor(response.error().kind).name);
-        co_return homeFailed(work, home, response.error());
+        co_return homeFailed(work, home, response.error().kind, response.error().provenNotRun);
     }
     const auto kind = errorKindFromName(response->head.fields.find(fields::error).value_or(""));
     if (!kind)
@@ -243,7 +242,7 @@
     response->abandon();
     hop.fail(answerFor(*kind).name);
     if (isNotRun && isNoLongerHome(*kind))
-        co_return homeFailed(work, home, { *kind, true, "the home takes no requests" });
+        co_return homeFailed(work, home, *kind, true);
     // The home has made the attempts that its budget allows, so its word is final unless no upstream was reached.
     if (isNotRun) {
         work.lifecycle.attemptTurnedAway();
@@ -272,15 +271,14 @@
 {
     RequestTrace::Hop hop(work.trace, "permit", work.entryHop.id());
     hop.note("home", home.member.value());
-    auto request = outgoing(work, hop, false);
-    writeEnvelope({ ForwardEnvelope::Purpose::Permit, work.pool, work.route }, request.head.fields);
+    auto request = requestToHome(work, hop, ForwardEnvelope::Purpose::Permit);
     auto permit
         = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
     if (!permit) {
         hop.fail(answerFor(permit.error().kind).name);
         // A permit runs nothing, so its loss is no loss of the request.
         work.lifecycle.attemptStarted();
-        co_return homeFailed(work, home, { permit.error().kind, true, permit.error().detail });
+        co_return homeFailed(work, home, permit.error().kind, true);
     }
     // The slot is held by the open stream, and returned when it is reset.
     struct Guard {
@@ -295,7 +293,7 @@
         if (!isNoLongerHome(kind))
             co_return TurnedAway { kind };
         work.lifecycle.attemptStarted();
-        co_return homeFailed(work, home, { kind, true, "the home grants no permits" });
+        co_return homeFailed(work, home, kind, true);
     }
     m_services.metrics.permits.add();
     hop.note("endpoint", std::string(*named));
@@ -334,16 +332,24 @@
     return request;
 }
 
-AttemptResult AttemptRunner::homeFailed(RequestWork& work, const PoolHome& home, const ExchangeError& error)
+OutgoingRequest AttemptRunner::requestToHome(
+    RequestWork& work, const RequestTrace::Hop& hop, ForwardEnvelope::Purpose purpose) const
+{
+    auto request = outgoing(work, hop, purpose == ForwardEnvelope::Purpose::Forward);
+    writeEnvelope({ purpose, work.pool, work.route }, request.head.fields);
+    return request;
+}
+
+AttemptResult AttemptRunner::homeFailed(RequestWork& work, const PoolHome& home, ErrorKind kind, bool provenNotRun)
 {
     work.mayUseHome = false;
-    if (error.kind != ErrorKind::DeadlineExceeded) {
+    if (kind != ErrorKind::DeadlineExceeded) {
         m_services.metrics.bypassedHomes.add();
         m_bypassUntil[home.member] = monotonicNow() + homeBypassTime;
         m_services.reportSilentMember(home.member);
     }
-    const auto kind = error.kind == ErrorKind::UpstreamFailed ? ErrorKind::PeerFailed : error.kind;
-    return AttemptFailure { kind, error.provenNotRun, true, !error.provenNotRun };
+    const auto reported = kind == ErrorKind::UpstreamFailed ? ErrorKind::PeerFailed : kind;
+    return AttemptFailure { reported, provenNotRun, true, !provenNotRun };
 }
 
 } // namespace dogwoodhall
