Abandon oversized answers in one place

Cause: PlatformClient::get repeated the loop of readWhole(), and only it and HealthProber abandoned an answer above the limit.

--- a/packages/daemon/include/dogwoodhall/daemon/BufferedAnswer.h
+++ b/packages/daemon/include/dogwoodhall/daemon/BufferedAnswer.h
@@ -34,6 +34,10 @@
 // Reads a body whole, up to a bound; larger ones are ErrorKind::BodyTooLarge.
 ExchangeResult<std::string> readWhole(const ReadBody&, ByteCount limit);
 
+// Reads the body of an answer whole, up to a bound. A larger one is ErrorKind::BodyTooLarge, and its connection or
+// stream is closed instead of being held with the rest unread. The answer must outlive the call.
+ExchangeResult<std::string> readWhole(IncomingResponse&, ByteCount limit);
+
 // A body in memory.
 ReadBody bodyFrom(std::string);
 
--- a/packages/daemon/src/BufferedAnswer.cpp
+++ b/packages/daemon/src/BufferedAnswer.cpp
@@ -70,6 +70,14 @@
     }
 }
 
+ExchangeResult<std::string> readWhole(IncomingResponse& response, ByteCount limit)
+{
+    auto body = co_await readWhole(response.readBody, limit);
+    if (!body)
+        response.abandon();
+    co_return body;
+}
+
 ReadBody bodyFrom(std::string body)
 {
     return [body = std::move(body), position = std::size_t { 0 }](
--- a/packages/daemon/src/GossipDriver.cpp
+++ b/packages/daemon/src/GossipDriver.cpp
@@ -105,7 +105,7 @@
     auto response = co_await m_peers.exchange(address, std::move(request), deadline);
     if (!response)
         co_return tl::unexpected(response.error());
-    auto body = co_await readWhole(response->readBody, maxReply);
+    auto body = co_await readWhole(*response, maxReply);
     if (body && response->head.status != 200)
         co_return tl::unexpected(unexpectedStatus());
     co_return body;
--- a/packages/daemon/src/HealthProber.cpp
+++ b/packages/daemon/src/HealthProber.cpp
@@ -80,11 +80,9 @@
         target.address, std::move(request), std::chrono::steady_clock::now() + probeTimeout);
     if (!response)
         co_return;
-    auto body = co_await readWhole(response->readBody, maxReport);
-    if (!body) {
-        response->abandon();
+    auto body = co_await readWhole(*response, maxReport);
+    if (!body)
         co_return;
-    }
     if (auto report = parseReport(*body))
         m_hooks.report(target, *report);
 }
--- a/packages/daemon/src/PlatformClient.cpp
+++ b/packages/daemon/src/PlatformClient.cpp
@@ -1,6 +1,7 @@
 #include "dogwoodhall/daemon/PlatformClient.h"
 
-#include <array>
+#include "dogwoodhall/daemon/BufferedAnswer.h"
+
 #include <boost/json.hpp>
 #include <utility>
 
@@ -94,20 +95,9 @@
     auto response = co_await m_client.exchange(m_address, std::move(request), deadline);
     if (!response)
         co_return tl::unexpected(response.error());
-    std::string body;
-    std::array<char, 16 * 1024> buf;
-    while (true) {
-        auto n = co_await response->readBody(asio::buffer(buf));
-        if (!n)
-            co_return tl::unexpected(n.error());
-        if (*n == 0)
-            break;
-        body.append(buf.data(), *n);
-        if (body.size() > maxAnswer.count()) {
-            response->abandon();
-            co_return tl::unexpected(ExchangeError { ErrorKind::Internal, true, "platform answer too large" });
-        }
-    }
+    auto body = co_await readWhole(*response, maxAnswer);
+    if (!body)
+        co_return tl::unexpected(body.error());
     if (response->head.status != 200)
         co_return tl::unexpected(
             ExchangeError { ErrorKind::Internal, true, "platform answered " + std::to_string(response->head.status) });
