Accept connections in one class

Cause: opening a listening socket and the accept loop stood in TrafficThread, OperatorServer, PeerServer and StandInServer. Only PeerServer paused after an error. In the others a persistent error, such as EMFILE, made the loop spin: asynchronous accept fails at once while no file descriptor is left.

Change: Acceptor in package exchange, on which both http and peer depend, listens, accepts with a pause of 50 ms after an error, and closes. SO_REUSEPORT is an argument, since the operators' port is not shared between processes. A port that cannot be bound ends the daemon as before, with a message that names the port. Ruled out: a base class for servers, because the four keep their connections in different ways.

--- a/packages/daemon/include/dogwoodhall/daemon/OperatorServer.h
+++ b/packages/daemon/include/dogwoodhall/daemon/OperatorServer.h
@@ -2,10 +2,10 @@
 
 #include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/NetworkAddress.h"
+#include "dogwoodhall/exchange/Acceptor.h"
 #include "dogwoodhall/http/CallerSession.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
 #include <string>
@@ -26,17 +26,17 @@
 
     OperatorServer(asio::io_context&, Hooks);
 
-    // Binds and starts to serve; gives the bound address.
+    // Binds and starts to serve; gives the bound address. Throws std::runtime_error where it cannot listen there.
     NetworkAddress listen(const NetworkAddress&);
 
 private:
-    asio::awaitable<void> accept();
+    void startSession(asio::ip::tcp::socket);
     asio::awaitable<void> serve(ConnectionId);
     asio::awaitable<void> handle(IncomingRequest, ResponseWriter);
 
     asio::io_context& m_io;
     Hooks m_hooks;
-    asio::ip::tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
     std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
     std::uint64_t m_nextConnection = 1;
 };
--- a/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
@@ -3,12 +3,12 @@
 #include "dogwoodhall/daemon/RequestRunner.h"
 #include "dogwoodhall/daemon/TicketService.h"
 #include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/exchange/Acceptor.h"
 #include "dogwoodhall/fleet/PauseDetector.h"
 #include "dogwoodhall/http/CallerSession.h"
 #include "dogwoodhall/peer/PeerServer.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <memory>
 #include <thread>
 #include <unordered_map>
@@ -71,7 +71,7 @@
     PoolShard& shard() { return m_shard; }
 
 private:
-    asio::awaitable<void> accept();
+    void startSession(asio::ip::tcp::socket);
     asio::awaitable<void> serve(ConnectionId);
     asio::awaitable<void> heartbeat();
     asio::awaitable<void> finishDrain();
@@ -85,7 +85,7 @@
     DaemonMetrics& m_metrics;
     asio::io_context m_io { 1 };
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
-    asio::ip::tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
     RandomEngine m_random;
     PoolShard m_shard;
     SlotGateway m_slots;
--- a/packages/daemon/src/OperatorServer.cpp
+++ b/packages/daemon/src/OperatorServer.cpp
@@ -2,18 +2,15 @@
 
 #include "dogwoodhall/daemon/BufferedAnswer.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <stdexcept>
 #include <utility>
 
 namespace dogwoodhall {
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-
 StoredAnswer makeAnswer(unsigned status, std::string body, std::string contentType = "text/plain")
 {
     StoredAnswer answer;
@@ -28,37 +25,29 @@
 OperatorServer::OperatorServer(asio::io_context& io, Hooks hooks)
     : m_io(io)
     , m_hooks(std::move(hooks))
-    , m_acceptor(io)
+    , m_acceptor(io.get_executor())
 {
 }
 
 NetworkAddress OperatorServer::listen(const NetworkAddress& address)
 {
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address.ip), address.port);
-    m_acceptor.open(endpoint.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
-    m_acceptor.bind(endpoint);
-    m_acceptor.listen();
-    asio::co_spawn(m_io, accept(), asio::detached);
-    return { address.ip, m_acceptor.local_endpoint().port() };
+    auto bound = m_acceptor.listen(address, PortSharing::Exclusive);
+    if (!bound)
+        throw std::runtime_error("operators' port: " + bound.error());
+    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { startSession(std::move(socket)); }),
+        asio::detached);
+    return *bound;
 }
 
-asio::awaitable<void> OperatorServer::accept()
+void OperatorServer::startSession(asio::ip::tcp::socket socket)
 {
-    while (true) {
-        auto [ec, socket] = co_await m_acceptor.async_accept(useTuple);
-        if (ec == asio::error::operation_aborted)
-            co_return;
-        if (ec)
-            continue;
-        const ConnectionId id(m_nextConnection++);
-        m_sessions.emplace(id,
-            std::make_unique<CallerSession>(
-                std::move(socket), CallerLimits {}, [this](IncomingRequest request, ResponseWriter writer) {
-                    return handle(std::move(request), std::move(writer));
-                }));
-        asio::co_spawn(m_io, serve(id), asio::detached);
-    }
+    const ConnectionId id(m_nextConnection++);
+    m_sessions.emplace(id,
+        std::make_unique<CallerSession>(
+            std::move(socket), CallerLimits {}, [this](IncomingRequest request, ResponseWriter writer) {
+                return handle(std::move(request), std::move(writer));
+            }));
+    asio::co_spawn(m_io, serve(id), asio::detached);
 }
 
 asio::awaitable<void> OperatorServer::serve(ConnectionId id)
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 // Also how old the load of a pool on another thread can be.
 constexpr auto heartbeatPeriod = std::chrono::milliseconds(100);
@@ -34,7 +33,7 @@
     : m_options(std::move(options))
     , m_metrics(metrics)
     , m_work(asio::make_work_guard(m_io))
-    , m_acceptor(m_io)
+    , m_acceptor(m_io.get_executor())
     , m_random(m_options.seed)
     , m_shard(m_io, m_options.seed + 1)
     , m_slots(m_io, m_options.index, m_options.postToShard)
@@ -63,20 +62,17 @@
 
 TrafficThread::Bound TrafficThread::listen()
 {
-    const asio::ip::tcp::endpoint address(
-        asio::ip::make_address(m_options.callerAddress.ip), m_options.callerAddress.port);
-    m_acceptor.open(address.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
-    // Each traffic thread accepts on a socket of its own; the kernel spreads connections over them.
-    m_acceptor.set_option(ReusePort(true));
-    m_acceptor.bind(address);
-    m_acceptor.listen();
+    // Each traffic thread accepts on a socket of its own.
+    auto caller = m_acceptor.listen(m_options.callerAddress, PortSharing::Shared);
+    if (!caller)
+        throw std::runtime_error("caller port: " + caller.error());
     auto peer = m_peerServer.listen(m_options.peerAddress);
     if (!peer)
         throw std::runtime_error("peer port: " + peer.error());
-    asio::co_spawn(m_io, accept(), asio::detached);
+    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { startSession(std::move(socket)); }),
+        asio::detached);
     asio::co_spawn(m_io, heartbeat(), asio::detached);
-    return { { m_options.callerAddress.ip, m_acceptor.local_endpoint().port() }, *peer };
+    return { *caller, *peer };
 }
 
 void TrafficThread::start()
@@ -133,24 +129,17 @@
     apply(std::move(expired));
 }
 
-asio::awaitable<void> TrafficThread::accept()
-{
-    while (m_acceptor.is_open()) {
-        auto [ec, socket] = co_await m_acceptor.async_accept(useTuple);
-        if (ec == asio::error::operation_aborted)
-            co_return;
-        if (ec)
-            continue;
-        boost::system::error_code optionError;
-        socket.set_option(asio::ip::tcp::no_delay(true), optionError);
-        const ConnectionId id(m_nextConnection++);
-        m_sessions.emplace(id,
-            std::make_unique<CallerSession>(
-                std::move(socket), m_options.callerLimits, [this](IncomingRequest request, ResponseWriter writer) {
-                    return handleCaller(std::move(request), std::move(writer));
-                }));
-        asio::co_spawn(m_io, serve(id), asio::detached);
-    }
+void TrafficThread::startSession(asio::ip::tcp::socket socket)
+{
+    boost::system::error_code ec;
+    socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    const ConnectionId id(m_nextConnection++);
+    m_sessions.emplace(id,
+        std::make_unique<CallerSession>(
+            std::move(socket), m_options.callerLimits, [this](IncomingRequest request, ResponseWriter writer) {
+                return handleCaller(std::move(request), std::move(writer));
+            }));
+    asio::co_spawn(m_io, serve(id), asio::detached);
 }
 
 asio::awaitable<void> TrafficThread::serve(ConnectionId id)
@@ -217,8 +206,7 @@
 {
     asio::steady_timer grace(m_io, drainGrace);
     co_await grace.async_wait(useTuple);
-    boost::system::error_code ec;
-    m_acceptor.close(ec);
+    m_acceptor.close();
     for (auto& [id, session] : m_sessions)
         session->stopAfterCurrentRequest();
     m_peerServer.shutdown([this] {
--- a/packages/peer/src/PeerServer.cpp
+++ b/packages/peer/src/PeerServer.cpp
@@ -3,15 +3,13 @@
 #include "PeerSession.h"
 
 #include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/exchange/Acceptor.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <exception>
-#include <sys/socket.h>
 #include <unordered_map>
 #include <utility>
 
@@ -19,12 +17,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-// Before the next accept after one has failed, for example because no file descriptor is left.
-constexpr auto acceptRetryDelay = std::chrono::milliseconds(50);
-
-using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-
 std::string describe(std::exception_ptr e)
 {
     try {
@@ -47,7 +39,6 @@
         , m_acceptsAddress(std::move(acceptsAddress))
         , m_diagnostics(std::make_shared<PeerDiagnostics>())
         , m_acceptor(m_executor)
-        , m_acceptRetry(m_executor)
     {
     }
 
@@ -61,7 +52,7 @@
     ByteCount bufferedBytes() const;
 
 private:
-    static asio::awaitable<void> acceptLoop(std::shared_ptr<Impl>);
+    static asio::awaitable<void> accept(std::shared_ptr<Impl>);
     static asio::awaitable<void> runSession(std::shared_ptr<Impl>, std::shared_ptr<PeerSession>, ConnectionId);
     static asio::awaitable<void> runHandler(
         std::shared_ptr<Impl>, std::shared_ptr<PeerSession>, StreamId, IncomingRequest);
@@ -75,8 +66,7 @@
     RequestHandler m_handler;
     AcceptsAddress m_acceptsAddress;
     std::shared_ptr<PeerDiagnostics> m_diagnostics;
-    asio::ip::tcp::acceptor m_acceptor;
-    asio::steady_timer m_acceptRetry;
+    Acceptor m_acceptor;
     std::unordered_map<ConnectionId, std::shared_ptr<PeerSession>> m_sessions;
     std::uint64_t m_nextConnection = 1;
     std::size_t m_runningStreams = 0;
@@ -86,36 +76,17 @@
 
 tl::expected<NetworkAddress, std::string> PeerServer::Impl::listen(const NetworkAddress& address)
 {
-    boost::system::error_code ec;
-    const asio::ip::tcp::endpoint local(asio::ip::make_address(address.ip, ec), address.port);
-    if (!ec)
-        m_acceptor.open(local.protocol(), ec);
-    if (!ec)
-        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
-    if (!ec)
-        m_acceptor.set_option(ReusePort(true), ec);
-    if (!ec)
-        m_acceptor.bind(local, ec);
-    if (!ec)
-        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
-    if (ec)
-        return tl::unexpected("cannot listen on " + toString(address) + ": " + ec.message());
-    const auto bound = m_acceptor.local_endpoint(ec);
-    asio::co_spawn(m_executor, acceptLoop(shared_from_this()), asio::detached);
-    return NetworkAddress { bound.address().to_string(), bound.port() };
+    auto bound = m_acceptor.listen(address, PortSharing::Shared);
+    if (bound)
+        asio::co_spawn(m_executor, accept(shared_from_this()), asio::detached);
+    return bound;
 }
 
-asio::awaitable<void> PeerServer::Impl::acceptLoop(std::shared_ptr<Impl> self)
+asio::awaitable<void> PeerServer::Impl::accept(std::shared_ptr<Impl> self)
 {
-    while (self->m_acceptor.is_open()) {
-        auto [ec, socket] = co_await self->m_acceptor.async_accept(useTuple);
-        if (!ec) {
-            self->serveConnection(std::move(socket));
-        } else if (self->m_acceptor.is_open()) {
-            self->m_acceptRetry.expires_after(acceptRetryDelay);
-            co_await self->m_acceptRetry.async_wait(useTuple);
-        }
-    }
+    Acceptor::TakeConnection serve
+        = [impl = self.get()](asio::ip::tcp::socket socket) { impl->serveConnection(std::move(socket)); };
+    co_await self->m_acceptor.run(std::move(serve));
 }
 
 void PeerServer::Impl::serveConnection(asio::ip::tcp::socket socket)
@@ -188,8 +159,7 @@
 {
     m_shutdownDone = std::move(done);
     m_isShuttingDown = true;
-    boost::system::error_code ec;
-    m_acceptor.close(ec);
+    m_acceptor.close();
     for (auto& [id, session] : m_sessions)
         session->startShutdown();
     asio::post(m_executor, [self = shared_from_this()] { self->checkShutdown(); });
@@ -203,9 +173,7 @@
 
 void PeerServer::Impl::closeAll()
 {
-    boost::system::error_code ec;
-    m_acceptor.close(ec);
-    m_acceptRetry.cancel();
+    m_acceptor.close();
     for (auto& [id, session] : m_sessions)
         session->close("the server was closed");
 }
--- a/tools/include/StandInServer.h
+++ b/tools/include/StandInServer.h
@@ -2,10 +2,10 @@
 
 #include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/NetworkAddress.h"
+#include "dogwoodhall/exchange/Acceptor.h"
 #include "dogwoodhall/http/CallerSession.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -17,7 +17,8 @@
 // A single-threaded HTTP/1.1 server for the stand-ins.
 class StandInServer {
 public:
-    StandInServer(NetworkAddress, RequestHandler);
+    // Binds; throws std::runtime_error where it cannot listen there.
+    StandInServer(const NetworkAddress&, RequestHandler);
 
     asio::io_context& io() { return m_io; }
 
@@ -25,13 +26,13 @@
     void run();
 
 private:
-    asio::awaitable<void> accept();
+    void startSession(asio::ip::tcp::socket);
     asio::awaitable<void> serve(ConnectionId);
 
-    NetworkAddress m_address;
     RequestHandler m_handler;
     asio::io_context m_io { 1 };
-    asio::ip::tcp::acceptor m_acceptor;
+    Acceptor m_acceptor;
+    NetworkAddress m_address; // Bound.
     std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
     std::uint64_t m_nextConnection = 1;
 };
--- a/tools/src/StandInServer.cpp
+++ b/tools/src/StandInServer.cpp
@@ -1,21 +1,17 @@
 #include "StandInServer.h"
 
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <iostream>
 #include <limits>
+#include <stdexcept>
 #include <utility>
 
 namespace dogwoodhall {
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-
 // Bodies are counted or are small control documents, so that the size of a body needs no bound here.
 CallerLimits unlimitedBody()
 {
@@ -26,39 +22,32 @@
 
 } // namespace
 
-StandInServer::StandInServer(NetworkAddress address, RequestHandler handler)
-    : m_address(std::move(address))
-    , m_handler(std::move(handler))
-    , m_acceptor(m_io)
+StandInServer::StandInServer(const NetworkAddress& address, RequestHandler handler)
+    : m_handler(std::move(handler))
+    , m_acceptor(m_io.get_executor())
 {
-    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(m_address.ip), m_address.port);
-    m_acceptor.open(endpoint.protocol());
-    m_acceptor.set_option(asio::socket_base::reuse_address(true));
     // A test may hold the port with a socket of its own, so that no other process gets it while this one is down.
-    m_acceptor.set_option(ReusePort(true));
-    m_acceptor.bind(endpoint);
-    m_acceptor.listen();
+    auto bound = m_acceptor.listen(address, PortSharing::Shared);
+    if (!bound)
+        throw std::runtime_error(bound.error());
+    m_address = *bound;
 }
 
 void StandInServer::run()
 {
-    std::cout << "listening " << toString({ m_address.ip, m_acceptor.local_endpoint().port() }) << std::endl;
-    asio::co_spawn(m_io, accept(), asio::detached);
+    std::cout << "listening " << toString(m_address) << std::endl;
+    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { startSession(std::move(socket)); }),
+        asio::detached);
     m_io.run();
 }
 
-asio::awaitable<void> StandInServer::accept()
+void StandInServer::startSession(asio::ip::tcp::socket socket)
 {
-    while (true) {
-        auto [ec, socket] = co_await m_acceptor.async_accept(useTuple);
-        if (ec)
-            continue;
-        boost::system::error_code optionError;
-        socket.set_option(asio::ip::tcp::no_delay(true), optionError);
-        const ConnectionId id(m_nextConnection++);
-        m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), unlimitedBody(), m_handler));
-        asio::co_spawn(m_io, serve(id), asio::detached);
-    }
+    boost::system::error_code ec;
+    socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    const ConnectionId id(m_nextConnection++);
+    m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), unlimitedBody(), m_handler));
+    asio::co_spawn(m_io, serve(id), asio::detached);
 }
 
 asio::awaitable<void> StandInServer::serve(ConnectionId id)
