Parse the command line of both stand-ins in one place

Change: parseStandInArguments takes the further options of a stand-in and gives the address. Unknown options still end in an exception of Boost.Program_options; the parser of package commandline was not used, because stand-ins depend on no shipped front end.

--- /dev/null
+++ b/tools/include/StandInOptions.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "dogwoodhall/core/NetworkAddress.h"
+
+#include <boost/program_options.hpp>
+
+namespace dogwoodhall {
+
+// The command line of a stand-in.
+struct StandInArguments {
+    NetworkAddress listen;
+    boost::program_options::variables_map others;
+};
+
+// Parses the command line: --listen IP:PORT, by default a port of 127.0.0.1 that the kernel chooses, and the options of
+// `others`. Prints the reason and ends the process with status 2 where --listen is malformed; throws
+// boost::program_options::error for an unknown option.
+StandInArguments parseStandInArguments(
+    int argc, const char* const* argv, boost::program_options::options_description others);
+
+} // namespace dogwoodhall
--- a/tools/src/PlatformStandIn.cpp
+++ b/tools/src/PlatformStandIn.cpp
@@ -1,3 +1,4 @@
+#include "StandInOptions.h"
 #include "StandInServer.h"
 
 #include "dogwoodhall/configuration/Record.h"
@@ -6,8 +7,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
-#include <boost/program_options.hpp>
-#include <iostream>
 
 // Stand-in for the configuration service and the host list. Tests write through /control, which daemons never call:
 //   PUT or DELETE /control/records/<key>   replaces or deletes a record, at the next revision
@@ -28,8 +27,8 @@
 
 class PlatformStandIn {
 public:
-    explicit PlatformStandIn(NetworkAddress address)
-        : m_server(std::move(address),
+    explicit PlatformStandIn(const NetworkAddress& address)
+        : m_server(address,
             [this](IncomingRequest request, ResponseWriter writer) {
                 return handle(std::move(request), std::move(writer));
             })
@@ -189,14 +188,7 @@
 
 int main(int argc, char** argv)
 {
-    options::options_description description("platform-standin");
-    description.add_options()("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address");
-    options::variables_map arguments;
-    options::store(options::parse_command_line(argc, argv, description), arguments);
-    auto address = dogwoodhall::parseNetworkAddress(arguments["listen"].as<std::string>());
-    if (!address) {
-        std::cerr << "--listen: expected IP:PORT\n";
-        return 2;
-    }
-    dogwoodhall::PlatformStandIn(*address).run();
+    const auto arguments
+        = dogwoodhall::parseStandInArguments(argc, argv, options::options_description("platform-standin"));
+    dogwoodhall::PlatformStandIn(arguments.listen).run();
 }
--- a/tools/src/UpstreamStandIn.cpp
+++ b/tools/src/UpstreamStandIn.cpp
@@ -1,10 +1,10 @@
+#include "StandInOptions.h"
 #include "StandInServer.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
-#include <boost/program_options.hpp>
 #include <csignal>
 #include <fcntl.h>
 #include <iostream>
@@ -243,18 +243,12 @@
 int main(int argc, char** argv)
 {
     options::options_description description("upstream-standin");
-    description.add_options()("listen", options::value<std::string>()->default_value("127.0.0.1:0"), "address");
     description.add_options()("name", options::value<std::string>()->default_value("endpoint"), "name in answers");
     description.add_options()("slots", options::value<std::uint64_t>()->default_value(3), "requests run at one time");
     description.add_options()("runs-file", options::value<std::string>()->default_value(""), "appended at each run");
-    options::variables_map arguments;
-    options::store(options::parse_command_line(argc, argv, description), arguments);
-    auto address = dogwoodhall::parseNetworkAddress(arguments["listen"].as<std::string>());
-    if (!address) {
-        std::cerr << "--listen: expected IP:PORT\n";
-        return 2;
-    }
-    dogwoodhall::UpstreamStandIn({ *address, arguments["name"].as<std::string>(),
-                                     arguments["slots"].as<std::uint64_t>(), arguments["runs-file"].as<std::string>() })
+    const auto arguments = dogwoodhall::parseStandInArguments(argc, argv, std::move(description));
+    const auto& others = arguments.others;
+    dogwoodhall::UpstreamStandIn({ arguments.listen, others["name"].as<std::string>(),
+                                     others["slots"].as<std::uint64_t>(), others["runs-file"].as<std::string>() })
         .run();
 }
