Walk services and members once in ControlThread

Change: knownEntryHosts() and placedPools() are used by both.

RouteTableTest and the system tests pass.

--- a/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
@@ -11,6 +11,7 @@
 #include "dogwoodhall/daemon/PlatformWatcher.h"
 #include "dogwoodhall/daemon/Snapshot.h"
 #include "dogwoodhall/daemon/SpanExporter.h"
+#include "dogwoodhall/daemon/StatusReport.h"
 #include "dogwoodhall/declarations/Settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -61,7 +62,9 @@
     void updateReadiness();
     void publish();
     void addHomes(Snapshot&) const;
-    std::string statusJson() const;
+    std::vector<const Member*> knownEntryHosts() const;
+    std::vector<PlacedPool> placedPools() const;
+    StatusReport statusReport() const;
     std::vector<ProbeTarget> probeTargets() const;
     std::vector<PoolLoadSummary> ownLoads(std::size_t most);
     bool pay(MeasuringCategory, ByteCount);
--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/StatusReport.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "dogwoodhall/configuration/Record.h"
+#include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/fleet/Member.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+// A pool of a service in force and the member that is its home; empty where none can be.
+struct PlacedPool {
+    PoolId pool;
+    std::optional<MemberId> home;
+};
+
+// What this member knows, for operators.
+struct StatusReport {
+    MemberId member;
+    Incarnation incarnation;
+    DataCentreId dataCentre;
+    bool isReady = false;
+    bool isDraining = false;
+    bool isWatcher = false; // Reads the configuration service for its data centre.
+    Revision revision; // Highest seen.
+    std::uint64_t hostListVersion = 0;
+    std::size_t requestsRunning = 0;
+    std::vector<const Member*> members; // Entry hosts of the host list that are known. Must outlive the report.
+    std::vector<PlacedPool> homes;
+};
+
+// The body of GET /status, a JSON object with a line end; docs/operations.md describes its fields.
+std::string toJson(const StatusReport&);
+
+} // namespace dogwoodhall
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -5,17 +5,13 @@
 #include "dogwoodhall/telemetry/Logging.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/json.hpp>
 #include <set>
 #include <utility>
 
 namespace dogwoodhall {
 
-namespace json = boost::json;
-
 namespace {
 
 // Ten times what the design size's changes need on average; a member that joins gets all records in minutes at that
@@ -47,7 +43,8 @@
           metrics)
     , m_operators(m_io,
           { [this] { return m_isReady && !m_isDraining; }, [this] { return m_hooks.metricsText(); },
-              [this] { return statusJson(); }, [this] { m_hooks.beginDrain(); }, [this] { m_hooks.stopNow(); } })
+              [this] { return toJson(statusReport()); }, [this] { m_hooks.beginDrain(); },
+              [this] { m_hooks.stopNow(); } })
     , m_spans(m_io, settings.traceCollector, settings.member.value(), metrics.spansDropped)
     , m_prober(m_io,
           { [this] { return probeTargets(); }, [this](ByteCount size) { return pay(MeasuringCategory::Health, size); },
@@ -145,9 +142,9 @@
 std::vector<ProbeTarget> ControlThread::probeTargets() const
 {
     std::vector<ProbeTarget> targets;
-    for (const auto& service : m_configuration.services()) {
-        for (const auto& endpoint : service.endpoints) {
-            const PoolId pool { service.id, endpoint.dataCentre };
+    for (const auto& service : m_configuration.sharedServices()) {
+        for (const auto& endpoint : service->endpoints) {
+            const PoolId pool { service->id, endpoint.dataCentre };
             if (m_gossip->fleet().homeOf(pool) == m_settings.member)
                 targets.push_back({ pool, endpoint.id, endpoint.address });
         }
@@ -224,7 +221,7 @@
 {
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->revision = m_configuration.highestRevision();
-    snapshot->routes = RouteTable(m_configuration.services());
+    snapshot->routes = RouteTable(m_configuration.sharedServices());
     snapshot->topology = m_configuration.topology();
     snapshot->memberIps.insert(m_settings.peerAddress.ip);
     for (const auto& host : m_hosts.hosts) {
@@ -242,25 +239,44 @@
 void ControlThread::addHomes(Snapshot& snapshot) const
 {
     const Fleet& fleet = m_gossip->fleet();
-    for (const auto& host : m_hosts.hosts) {
-        const Member* member = host.isEntry ? fleet.find(MemberId(host.id.value())) : nullptr;
-        if (member && member->state != MemberState::Gone)
+    for (const auto* member : knownEntryHosts()) {
+        if (member->state != MemberState::Gone)
             snapshot.members[member->id] = { member->id, member->peerAddress };
     }
-    for (const auto& service : snapshot.routes.services()) {
+    for (const auto& [pool, home] : placedPools()) {
+        const Member* member = home ? fleet.find(*home) : nullptr;
+        if (member)
+            snapshot.remoteHomes.emplace(pool, PoolHome { member->id, member->peerAddress });
+        const bool isReachable = home.has_value() || pool.dataCentre == m_settings.dataCentre;
+        snapshot.poolsOf[pool.service].push_back({ pool.dataCentre, isReachable });
+    }
+}
+
+// Members of the host list, in its order. This member is not among them, and neither is one that was never heard of.
+std::vector<const Member*> ControlThread::knownEntryHosts() const
+{
+    std::vector<const Member*> members;
+    for (const auto& host : m_hosts.hosts) {
+        if (const Member* member = host.isEntry ? m_gossip->fleet().find(MemberId(host.id.value())) : nullptr)
+            members.push_back(member);
+    }
+    return members;
+}
+
+// The pools of the services in force, by service and data centre.
+std::vector<PlacedPool> ControlThread::placedPools() const
+{
+    std::vector<PlacedPool> pools;
+    for (const auto& service : m_configuration.sharedServices()) {
         std::set<DataCentreId> dataCentres;
-        for (const auto& endpoint : service.endpoints)
+        for (const auto& endpoint : service->endpoints)
             dataCentres.insert(endpoint.dataCentre);
         for (const auto& dataCentre : dataCentres) {
-            const PoolId pool { service.id, dataCentre };
-            const auto home = fleet.homeOf(pool);
-            const Member* member = home ? fleet.find(*home) : nullptr;
-            if (member)
-                snapshot.remoteHomes.emplace(pool, PoolHome { member->id, member->peerAddress });
-            const bool isReachable = home.has_value() || dataCentre == m_settings.dataCentre;
-            snapshot.poolsOf[service.id].push_back({ dataCentre, isReachable });
+            const PoolId pool { service->id, dataCentre };
+            pools.push_back({ pool, m_gossip->fleet().homeOf(pool) });
         }
     }
+    return pools;
 }
 
 void ControlThread::setDraining()
@@ -270,36 +286,21 @@
     publish();
 }
 
-std::string ControlThread::statusJson() const
+StatusReport ControlThread::statusReport() const
 {
-    const Fleet& fleet = m_gossip->fleet();
-    json::array members;
-    for (const auto& host : m_hosts.hosts) {
-        const Member* member = host.isEntry ? fleet.find(MemberId(host.id.value())) : nullptr;
-        if (!member)
-            continue;
-        static constexpr std::array<std::string_view, 4> stateNames { "alive", "leaving", "suspect", "gone" };
-        members.push_back(json::object { { "id", member->id.value() },
-            { "state", stateNames[static_cast<std::size_t>(member->state)] }, { "ready", member->isReady } });
-    }
-    json::array homes;
-    for (const auto& service : m_configuration.services()) {
-        std::set<DataCentreId> dataCentres;
-        for (const auto& endpoint : service.endpoints)
-            dataCentres.insert(endpoint.dataCentre);
-        for (const auto& dataCentre : dataCentres) {
-            const auto home = fleet.homeOf({ service.id, dataCentre });
-            homes.push_back(json::object { { "pool", toString({ service.id, dataCentre }) },
-                { "home", home ? json::value(home->value()) : json::value(nullptr) } });
-        }
-    }
-    const json::object status { { "member", m_settings.member.value() },
-        { "incarnation", std::to_string(m_incarnation.value()) }, { "dataCentre", m_settings.dataCentre.value() },
-        { "ready", m_isReady }, { "draining", m_isDraining }, { "watcher", fleet.isWatcher() },
-        { "revision", m_configuration.highestRevision().value() }, { "hostListVersion", m_hosts.version },
-        { "requestsRunning", m_hooks.requestsRunning() }, { "members", std::move(members) },
-        { "homes", std::move(homes) } };
-    return json::serialize(status) + "\n";
+    StatusReport report;
+    report.member = m_settings.member;
+    report.incarnation = m_incarnation;
+    report.dataCentre = m_settings.dataCentre;
+    report.isReady = m_isReady;
+    report.isDraining = m_isDraining;
+    report.isWatcher = m_gossip->fleet().isWatcher();
+    report.revision = m_configuration.highestRevision();
+    report.hostListVersion = m_hosts.version;
+    report.requestsRunning = m_hooks.requestsRunning();
+    report.members = knownEntryHosts();
+    report.homes = placedPools();
+    return report;
 }
 
 } // namespace dogwoodhall
--- /dev/null
+++ b/packages/daemon/src/StatusReport.cpp
@@ -0,0 +1,49 @@
+#include "dogwoodhall/daemon/StatusReport.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <string_view>
+#include <utility>
+
+namespace dogwoodhall {
+
+namespace json = boost::json;
+
+namespace {
+
+json::array membersAsJson(const std::vector<const Member*>& members)
+{
+    // In the order of MemberState.
+    static constexpr std::array<std::string_view, 4> stateNames { "alive", "leaving", "suspect", "gone" };
+    json::array items;
+    for (const auto* member : members) {
+        items.push_back(json::object { { "id", member->id.value() },
+            { "state", stateNames[static_cast<std::size_t>(member->state)] }, { "ready", member->isReady } });
+    }
+    return items;
+}
+
+json::array homesAsJson(const std::vector<PlacedPool>& pools)
+{
+    json::array items;
+    for (const auto& [pool, home] : pools) {
+        items.push_back(json::object {
+            { "pool", toString(pool) }, { "home", home ? json::value(home->value()) : json::value(nullptr) } });
+    }
+    return items;
+}
+
+} // namespace
+
+std::string toJson(const StatusReport& report)
+{
+    const json::object status { { "member", report.member.value() },
+        { "incarnation", std::to_string(report.incarnation.value()) }, { "dataCentre", report.dataCentre.value() },
+        { "ready", report.isReady }, { "draining", report.isDraining }, { "watcher", report.isWatcher },
+        { "revision", report.revision.value() }, { "hostListVersion", report.hostListVersion },
+        { "requestsRunning", report.requestsRunning }, { "members", membersAsJson(report.members) },
+        { "homes", homesAsJson(report.homes) } };
+    return json::serialize(status) + "\n";
+}
+
+} // namespace dogwoodhall
--- a/packages/routing/include/dogwoodhall/routing/RouteTable.h
+++ b/packages/routing/include/dogwoodhall/routing/RouteTable.h
@@ -2,6 +2,7 @@
 
 #include "dogwoodhall/configuration/ServiceDeclaration.h"
 
+#include <memory>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -26,17 +27,20 @@
 };
 
 // Maps requests to services and rules. The service with a matching host name and the longest matching path prefix
-// wins; its first matching rule applies. Immutable.
+// wins; its first matching rule applies. Immutable. Copies share the declarations.
 class RouteTable {
 public:
-    explicit RouteTable(std::vector<ServiceDeclaration> services = {});
+    using Services = std::vector<std::shared_ptr<const ServiceDeclaration>>;
+
+    RouteTable() = default;
+    explicit RouteTable(Services);
+    explicit RouteTable(const std::vector<ServiceDeclaration>&);
 
     std::optional<Route> find(const RouteQuery&) const;
     const ServiceDeclaration* service(const ServiceId&) const;
-    const std::vector<ServiceDeclaration>& services() const { return m_services; }
 
 private:
-    std::vector<ServiceDeclaration> m_services;
+    Services m_services;
 };
 
 // True for the methods that HTTP defines as safe: GET, HEAD and OPTIONS.
--- a/packages/routing/src/RouteTable.cpp
+++ b/packages/routing/src/RouteTable.cpp
@@ -37,19 +37,26 @@
 
 } // namespace
 
-RouteTable::RouteTable(std::vector<ServiceDeclaration> services)
+RouteTable::RouteTable(Services services)
     : m_services(std::move(services))
 {
 }
 
+RouteTable::RouteTable(const std::vector<ServiceDeclaration>& services)
+{
+    m_services.reserve(services.size());
+    for (const auto& service : services)
+        m_services.push_back(std::make_shared<const ServiceDeclaration>(service));
+}
+
 std::optional<Route> RouteTable::find(const RouteQuery& query) const
 {
     const ServiceDeclaration* best = nullptr;
     for (const auto& service : m_services) {
-        if (!matchesHost(service, query.hostName) || !matchesPrefix(query.path, service.pathPrefix))
+        if (!matchesHost(*service, query.hostName) || !matchesPrefix(query.path, service->pathPrefix))
             continue;
-        if (!best || service.pathPrefix.size() > best->pathPrefix.size())
-            best = &service;
+        if (!best || service->pathPrefix.size() > best->pathPrefix.size())
+            best = service.get();
     }
     if (!best)
         return std::nullopt;
@@ -62,8 +69,9 @@
 
 const ServiceDeclaration* RouteTable::service(const ServiceId& id) const
 {
-    auto it = std::find_if(m_services.begin(), m_services.end(), [&](const auto& service) { return service.id == id; });
-    return it == m_services.end() ? nullptr : &*it;
+    auto it
+        = std::find_if(m_services.begin(), m_services.end(), [&](const auto& service) { return service->id == id; });
+    return it == m_services.end() ? nullptr : it->get();
 }
 
 bool isIdempotentMethod(std::string_view method) { return method == "GET" || method == "HEAD" || method == "OPTIONS"; }
