Add settings for the log's format and level

Cause: startLogging always had its defaults, so that the JSON form and other levels could not be chosen.

Change: the settings logFormat ("text" or "json") and logLevel ("debug", "info", "warning" or "error") are checked like other fields and passed to startLogging. The levels trace and fatal are not offered: no line has them.

--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -32,7 +32,7 @@
         return 0;
     }
     // Standard output carries the listening addresses only.
-    dogwoodhall::startLogging(std::clog, {});
+    dogwoodhall::startLogging(std::clog, settings->log);
     dogwoodhall::Daemon daemon(*settings);
     // Ends without destructors: coroutines that still wait in the event loops refer to objects that would be destroyed
     // before the loops, and all that the process holds is memory.
--- a/packages/declarations/include/dogwoodhall/declarations/Settings.h
+++ b/packages/declarations/include/dogwoodhall/declarations/Settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/core/LogOptions.h"
 #include "dogwoodhall/core/NetworkAddress.h"
 #include "dogwoodhall/core/Units.h"
 
@@ -19,6 +20,7 @@
     NetworkAddress platformAddress; // Configuration service and host list.
     std::optional<NetworkAddress> traceCollector; // OTLP JSON over HTTP.
     Fraction traceSampling { 0.01 };
+    LogOptions log;
     std::uint32_t trafficThreads = 2;
     ByteCount maxHeaderBytes { 16 * 1024 };
     ByteCount maxBodyBytes { 64ULL * 1024 * 1024 };
--- a/packages/declarations/src/SettingsSchema.cpp
+++ b/packages/declarations/src/SettingsSchema.cpp
@@ -40,6 +40,14 @@
     }
 }
 
+void readLog(ObjectReader& reader, LogOptions& log)
+{
+    if (auto format = reader.text("logFormat", Presence::Optional, logFormatText()))
+        log.format = *format == "json" ? LogFormat::Json : LogFormat::Text;
+    if (auto level = reader.text("logLevel", Presence::Optional, logLevelText()))
+        log.level = *findLogLevel(*level);
+}
+
 ByteCount bytes(ObjectReader& reader, const std::string& name, IntegerRange range, ByteCount absent)
 {
     const auto value = reader.integer(name, Presence::Optional, range);
@@ -76,6 +84,7 @@
     if (const auto* dataCentre = reader.node("dataCentre"))
         context.refer(*dataCentre, reader.pointerTo("dataCentre"));
     readAddresses(reader, settings);
+    readLog(reader, settings.log);
     readLimits(reader, settings);
     reader.finish();
     return settings;
--- a/packages/declarations/src/TextRules.cpp
+++ b/packages/declarations/src/TextRules.cpp
@@ -3,6 +3,7 @@
 #include "dogwoodhall/declarations/AddressText.h"
 
 #include <algorithm>
+#include <array>
 
 namespace dogwoodhall {
 
@@ -90,4 +91,28 @@
     return rule;
 }
 
+const TextRule& logFormatText()
+{
+    static const TextRule rule { "\"text\" or \"json\"",
+        [](std::string_view text) { return text == "text" || text == "json"; } };
+    return rule;
+}
+
+const TextRule& logLevelText()
+{
+    static const TextRule rule { "\"debug\", \"info\", \"warning\" or \"error\"",
+        [](std::string_view text) { return findLogLevel(text).has_value(); } };
+    return rule;
+}
+
+std::optional<LogLevel> findLogLevel(std::string_view name)
+{
+    // In the order of LogLevel.
+    static constexpr std::array<std::string_view, 4> names { "debug", "info", "warning", "error" };
+    const auto it = std::find(names.begin(), names.end(), name);
+    if (it == names.end())
+        return std::nullopt;
+    return static_cast<LogLevel>(it - names.begin());
+}
+
 } // namespace dogwoodhall
--- a/packages/declarations/src/TextRules.h
+++ b/packages/declarations/src/TextRules.h
@@ -2,6 +2,8 @@
 
 #include "ObjectReader.h"
 
+#include "dogwoodhall/core/LogOptions.h"
+
 namespace dogwoodhall {
 
 // 1 to 100 letters, digits, '.', '_' and '-'.
@@ -15,5 +17,10 @@
 const TextRule& remoteAddressText();
 const TextRule& workClassText();
 const TextRule& priorityText();
+const TextRule& logFormatText();
+const TextRule& logLevelText();
+
+// The level with this name; empty where there is none.
+std::optional<LogLevel> findLogLevel(std::string_view name);
 
 } // namespace dogwoodhall
--- a/packages/declarations/tests/SettingsParserTest.cpp
+++ b/packages/declarations/tests/SettingsParserTest.cpp
@@ -53,6 +53,11 @@
         "s:3:59: /traceSamplingPercent: expected a number from 0 to 100, found 100.5" },
     { " }", ", \"ticketBytes\": 999999999999999999999 }",
         "s:3:50: /ticketBytes: expected a whole number from 0 to 134217728, found 999999999999999999999" },
+    { " }", ",\n\"logFormat\": \"jsonl\" }", "s:4:14: /logFormat: expected \"text\" or \"json\", found \"jsonl\"" },
+    { " }", ", \"logLevel\": \"fatal\" }",
+        "s:3:47: /logLevel: expected \"debug\", \"info\", \"warning\" or \"error\", found \"fatal\"" },
+    { " }", ", \"logLevel\": 3 }",
+        "s:3:47: /logLevel: expected \"debug\", \"info\", \"warning\" or \"error\", found 3" },
     { " }", ", }", "s:3:35: expected JSON with comments, found '}' (syntax error)" },
 };
 
@@ -74,7 +79,8 @@
 {
     auto settings = parseSettings(replaced(goodSettings, " }", R"(, "traceCollectorAddress": "127.0.0.1:4318",
         "traceSamplingPercent": 50, "trafficThreads": 3, "maxHeaderBytes": 2048, "maxBodyBytes": 5,
-        "slowSenderTimeoutMs": 700, "measuringBytesPerSecond": 2000, "measuringCallsPerSecond": 9, "ticketBytes": 0 })"));
+        "slowSenderTimeoutMs": 700, "measuringBytesPerSecond": 2000, "measuringCallsPerSecond": 9, "ticketBytes": 0, "logFormat": "json",
+        "logLevel": "warning" })"));
     cr_assert(settings);
     cr_assert_eq(settings->member, MemberId("entry-1"));
     cr_assert_eq(settings->dataCentre, DataCentreId("cairo-1"));
@@ -89,6 +95,8 @@
     cr_assert_eq(settings->measuringBytesPerSecond, ByteCount(2000));
     cr_assert_eq(settings->measuringCallsPerSecond, CallCount(9));
     cr_assert_eq(settings->ticketBytes, ByteCount(0));
+    cr_assert_eq(settings->log.format, LogFormat::Json);
+    cr_assert_eq(settings->log.level, LogLevel::Warning);
 }
 
 // Guards against an oversized settings file that is read into memory as a tree.
--- a/packages/telemetry/src/Logging.cpp
+++ b/packages/telemetry/src/Logging.cpp
@@ -18,6 +18,21 @@
 
 namespace log = boost::log;
 
+log::trivial::severity_level severityOf(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log::trivial::debug;
+    case LogLevel::Info:
+        return log::trivial::info;
+    case LogLevel::Warning:
+        return log::trivial::warning;
+    case LogLevel::Error:
+        break;
+    }
+    return log::trivial::error;
+}
+
 std::string utcNow()
 {
     const auto now = std::chrono::system_clock::now();
@@ -83,7 +98,7 @@
     sink->set_formatter(log::expressions::stream << log::expressions::smessage);
     log::core::get()->remove_all_sinks();
     log::core::get()->add_sink(sink);
-    log::core::get()->set_filter(log::trivial::severity >= options.level);
+    log::core::get()->set_filter(log::trivial::severity >= severityOf(options.level));
 }
 
 } // namespace dogwoodhall
