Test the trace export against a collector stand-in

Cause: nothing showed that the spans of a request form one trace across members, or what happens when the collector does not take them.

TraceTest follows one request at the home and through a hop: one trace id, each span's parent is the one before, and a caller's traceparent is continued with its sampling flag. With an unreachable, a silent and a refusing collector 200 requests are answered whole and every span is counted as dropped. A request that waited for the next export (1 s) or for the timeout of one (2 s) would make the row exceed its limit of 90 s. Cluster::Builder::setting sets a field of the daemons' settings.

--- /dev/null
+++ b/tests/system/TraceTest.cpp
@@ -0,0 +1,164 @@
+#include "MemberStatus.h"
+#include "TableRows.h"
+#include "TraceCollector.h"
+
+#include <algorithm>
+
+using namespace dogwoodhall;
+
+namespace {
+
+constexpr const char* callerTrace = "4bf92f3577b34da6a3ce929d0e0e4736";
+constexpr const char* callerSpan = "00f067aa0ba902b7";
+
+Cluster startTraced(std::size_t daemons, const NetworkAddress& collector, double samplingPercent)
+{
+    return Cluster::Builder()
+        .daemons(daemons)
+        .slots(8)
+        .setting("traceCollectorAddress", toString(collector).c_str())
+        .setting("traceSamplingPercent", samplingPercent)
+        .start();
+}
+
+// The only span of this name; fails the test where there are none or several.
+CollectedSpan only(const std::vector<CollectedSpan>& spans, const std::string& name)
+{
+    const auto isNamed = [&](const auto& span) { return span.name == name; };
+    cr_assert_eq(std::count_if(spans.begin(), spans.end(), isNamed), 1, "spans named %s", name.c_str());
+    return *std::find_if(spans.begin(), spans.end(), isNamed);
+}
+
+} // namespace
+
+struct TraceRow {
+    const char* name;
+    bool isForwarded; // Through a member that is not the home.
+    double samplingPercent;
+    const char* traceParentFlags; // Of the caller's field; null: the caller sends none.
+    std::vector<const char*> path; // Names of the spans from the entry to the upstream; empty: no spans.
+};
+
+const TraceRow traceRows[] = {
+    { "at the home", false, 100, nullptr, { "entry", "upstream" } },
+    { "through a hop", true, 100, nullptr, { "entry", "peer", "home", "upstream" } },
+    { "of a caller's trace", true, 0, "01", { "entry", "peer", "home", "upstream" } },
+    { "of a caller's trace that is not sampled", true, 100, "00", {} },
+    { "not sampled", true, 0, nullptr, {} },
+};
+
+namespace {
+
+// One request in a cluster of two members, and the spans that the collector got of it.
+class TraceCase {
+public:
+    explicit TraceCase(const TraceRow& row)
+        : m_row(row)
+        , m_collector(TraceCollector::Mode::Accepts)
+        , m_cluster(startTraced(2, m_collector.address(), row.samplingPercent))
+    {
+        const auto home = agreedHome({ &m_cluster.daemon(0), &m_cluster.daemon(1) });
+        const bool isFirstHome = m_cluster.daemon(0).name == home;
+        m_home = &m_cluster.daemon(isFirstHome ? 0 : 1);
+        m_entry = &m_cluster.daemon(isFirstHome == row.isForwarded ? 1 : 0);
+    }
+
+    void run()
+    {
+        send(m_row.traceParentFlags);
+        // Spans leave in the order in which they end. A sampled request that is sent later shows that the earlier ones
+        // of both members have left.
+        const std::size_t expected = m_row.path.empty() ? 0 : m_row.path.size() + 1;
+        awaitSpans(expected);
+        if (expected == 0) {
+            send("01");
+            awaitSpans(5);
+        }
+        cr_assert_eq(m_collector.malformedRequests(), 0, "%s", m_row.name);
+        for (const auto& daemon : m_cluster.daemons())
+            cr_assert_eq(counterOf(daemon, "dogwoodhall_spans_dropped_total"), 0, "%s", m_row.name);
+        if (expected > 0)
+            checkPath();
+    }
+
+private:
+    void send(const char* flags)
+    {
+        std::string field;
+        if (flags)
+            field = std::string("traceparent: 00-") + callerTrace + "-" + callerSpan + "-" + flags + "\r\n";
+        cr_assert_eq(call(m_entry->caller, { "GET", "/a", field, {}, {} }).status, 200, "%s", m_row.name);
+    }
+
+    void awaitSpans(std::size_t count)
+    {
+        cr_assert(eventually([&] { return m_collector.spans().size() >= count; }), "%s", m_row.name);
+        cr_assert_eq(m_collector.spans().size(), count, "%s", m_row.name);
+    }
+
+    void checkPath() const
+    {
+        const auto spans = m_collector.spans();
+        std::string parent = m_row.traceParentFlags ? callerSpan : "";
+        for (const auto* name : m_row.path) {
+            const auto span = only(spans, name);
+            const bool isAtEntry = span.name == "entry" || span.name == "peer" || !m_row.isForwarded;
+            cr_assert(span.parent == parent, "%s: parent of %s", m_row.name, name);
+            cr_assert(span.trace == spans.front().trace, "%s: trace of %s", m_row.name, name);
+            cr_assert(span.instance == (isAtEntry ? m_entry : m_home)->name, "%s: member of %s", m_row.name, name);
+            parent = span.id;
+        }
+        cr_assert(only(spans, "queue").parent == only(spans, "upstream").parent, "%s", m_row.name);
+        cr_assert(!m_row.traceParentFlags || spans.front().trace == callerTrace, "%s", m_row.name);
+        cr_assert_eq(spans.front().trace.size(), 32, "%s", m_row.name);
+    }
+
+    const TraceRow& m_row;
+    TraceCollector m_collector;
+    Cluster m_cluster;
+    DaemonProcess* m_home = nullptr;
+    DaemonProcess* m_entry = nullptr;
+};
+
+} // namespace
+
+// Guards against traces that fall apart at a hop, that ignore the caller's trace, or that are sent unasked.
+ParameterizedTestParameters(Trace, followsARequest) { return rowIndices(traceRows); }
+
+ParameterizedTest(std::size_t* index, Trace, followsARequest, .timeout = 60) { TraceCase(traceRows[*index]).run(); }
+
+struct CollectorRow {
+    const char* name;
+    bool isReachable;
+    TraceCollector::Mode mode;
+};
+
+const CollectorRow collectorRows[] = {
+    { "unreachable", false, TraceCollector::Mode::Accepts },
+    { "silent", true, TraceCollector::Mode::IsSilent },
+    { "refusing", true, TraceCollector::Mode::Refuses },
+};
+
+// Guards against requests that wait for the collector, and against spans that are lost without a count. Requests that
+// waited for the next export (1 s) or for the timeout of one (2 s) would together take longer than the test's timeout.
+ParameterizedTestParameters(Trace, lostSpansDelayNoRequest) { return rowIndices(collectorRows); }
+
+ParameterizedTest(std::size_t* index, Trace, lostSpansDelayNoRequest, .timeout = 90)
+{
+    constexpr std::size_t spansOfRequest = 3; // entry, queue and upstream; a retry adds two.
+    constexpr std::size_t requests = 200;
+    const auto& row = collectorRows[*index];
+    const TraceCollector collector(row.mode);
+    const ReservedPort nobody;
+    Cluster cluster = startTraced(1, row.isReachable ? collector.address() : nobody.address(), 100);
+    TestClient client(cluster.caller());
+    for (std::size_t n = 0; n < requests; ++n) {
+        client.send(TestRequest {}.text());
+        const auto answer = client.readAnswer();
+        cr_assert(answer.status == 200 && answer.isWhole, "%s: request %zu got %u", row.name, n, answer.status);
+    }
+    cr_assert(eventually([&] {
+        return counterOf(cluster.daemon(), "dogwoodhall_spans_dropped_total") >= spansOfRequest * requests;
+    }),
+        "%s: not all spans were counted", row.name);
+}
--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -62,9 +62,12 @@
 DaemonProcess Cluster::launchDaemon(const std::string& name, const std::string& dataCentre) const
 {
     const auto settings = m_folder / (name + ".json");
-    std::ofstream(settings) << json::object { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", dataCentre },
+    json::object fields { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", dataCentre },
         { "callerAddress", kernelChosen }, { "peerAddress", kernelChosen }, { "adminAddress", kernelChosen },
         { "platformAddress", toString(m_platformAddress) }, { "slowSenderTimeoutMs", slowSenderTimeoutMs } };
+    for (const auto& [field, value] : m_settings)
+        fields[field] = value;
+    std::ofstream(settings) << fields;
     Process process({ DAEMON_BINARY, "--settings", settings.string() });
     const auto addresses = process.readListening();
     DaemonProcess daemon { name, dataCentre, std::move(process), addresses.at("caller"), addresses.at("admin"), {} };
@@ -164,6 +167,7 @@
 {
     Cluster cluster;
     cluster.m_slots = m_slots;
+    cluster.m_settings = m_settings;
     json::array centres;
     for (std::size_t n = 0; n < m_dataCentres; ++n) {
         centres.push_back(json::object { { "id", centreName(n) }, { "region", "region" } });
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -3,6 +3,7 @@
 #include "Process.h"
 #include "TestClient.h"
 
+#include <boost/json/object.hpp>
 #include <filesystem>
 #include <string>
 #include <vector>
@@ -73,6 +74,7 @@
     std::vector<UpstreamProcess> m_upstreams;
     std::vector<DaemonProcess> m_daemons;
     std::size_t m_slots = 3;
+    boost::json::object m_settings; // Of each daemon, beside those that it must have.
 };
 
 class Cluster::Builder {
@@ -81,6 +83,11 @@
     Builder& upstreams(std::size_t n) { return m_upstreams = n, *this; } // In each data centre.
     Builder& daemons(std::size_t n) { return m_daemons = n, *this; } // In each data centre.
     Builder& slots(std::size_t n) { return m_slots = n, *this; }
+    // A field of each daemon's settings file.
+    Builder& setting(const std::string& name, boost::json::value value)
+    {
+        return m_settings[name] = std::move(value), *this;
+    }
 
     // Starts the processes, publishes records and host list, and waits until every daemon is ready.
     Cluster start() const;
@@ -90,6 +97,7 @@
     std::size_t m_upstreams = 1;
     std::size_t m_daemons = 1;
     std::size_t m_slots = 3;
+    boost::json::object m_settings;
 };
 
 } // namespace dogwoodhall
