--- a/packages/routing/tests/RouteTableTest.cpp
+++ b/packages/routing/tests/RouteTableTest.cpp
@@ -19,7 +19,10 @@
     RuleDeclaration lookups { RuleId("lookups"), { "POST" }, "/claims/lookups", true, {}, Priority::Normal,
         std::chrono::seconds(1) };
     claims.rules = { lookups };
-    return RouteTable({ catalogue, claims });
+    ServiceDeclaration archive { ServiceId("archive"), {}, "/previews/old/", {}, {}, {} };
+    ServiceDeclaration again { ServiceId("claims-2"), { "claims.example", "b.example" }, "/claims", {}, {}, {} };
+    ServiceDeclaration longer { ServiceId("longer"), {}, "/claims/long", {}, {}, {} };
+    return RouteTable({ catalogue, claims, archive, again, longer });
 }
 
 } // namespace
@@ -44,6 +47,13 @@
     { "claims.example", "/claims/1", "DELETE", "claims", "", false },
     { "claims.example", "/claims", "HEAD", "claims", "", true },
     { "claims.example", "*", "OPTIONS", "", "", false },
+    { "any", "/previews/old/", "GET", "archive", "", true },
+    { "any", "/previews/old/1/2", "GET", "archive", "", true },
+    { "any", "/previews/old", "GET", "catalogue", "previews", true },
+    { "b.example", "/claims", "GET", "claims-2", "", true },
+    { "b.example", "/claims/long/1", "GET", "longer", "", true },
+    { "claims.example", "/claims/longest", "GET", "claims", "", true },
+    { "any", "", "GET", "", "", true },
 };
 
 // Guards against a request that reaches the wrong service, or is taken for idempotent when it is not.
