--- a/packages/routing/include/dogwoodhall/routing/RouteTable.h
+++ b/packages/routing/include/dogwoodhall/routing/RouteTable.h
@@ -2,8 +2,13 @@
 
 #include "dogwoodhall/configuration/ServiceDeclaration.h"
 
+#include <functional>
+#include <map>
+#include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace dogwoodhall {
@@ -26,17 +31,31 @@
 };
 
 // Maps requests to services and rules. The service with a matching host name and the longest matching path prefix
-// wins; its first matching rule applies. Immutable.
+// wins, the first of several equal ones; its first matching rule applies. A look-up takes a search in a sorted map for
+// each segment of the path, whatever the number of services. Immutable. Copies share the declarations.
 class RouteTable {
 public:
-    explicit RouteTable(std::vector<ServiceDeclaration> services = {});
+    using Services = std::vector<std::shared_ptr<const ServiceDeclaration>>;
+
+    RouteTable() = default;
+    explicit RouteTable(Services);
+    explicit RouteTable(const std::vector<ServiceDeclaration>&);
 
     std::optional<Route> find(const RouteQuery&) const;
     const ServiceDeclaration* service(const ServiceId&) const;
-    const std::vector<ServiceDeclaration>& services() const { return m_services; }
 
 private:
-    std::vector<ServiceDeclaration> m_services;
+    // Positions in m_services, by path prefix, of the services that accept the same host name.
+    using Prefixes = std::map<std::string, std::size_t, std::less<>>;
+
+    void index();
+    static std::optional<std::size_t> longestMatch(const Prefixes&, std::string_view path);
+    const ServiceDeclaration* match(const RouteQuery&) const;
+
+    Services m_services;
+    std::unordered_map<ServiceId, std::size_t> m_byId;
+    std::map<std::string, Prefixes, std::less<>> m_byHostName;
+    Prefixes m_forAnyHost;
 };
 
 // True for the methods that HTTP defines as safe: GET, HEAD and OPTIONS.
