Keep an aggregate out of a co_await expression

Cause: g++ 12 destroys a braced temporary of a co_await expression twice; this one is trivial, but it is the shape that aborted the daemon elsewhere.

Change: a named variable.

--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -103,8 +103,10 @@
     RetryBudget& budget = retryBudget(work.route.service);
     if (work.head.bodyLength.kind != BodyLength::Kind::None) {
         auto prefetched = co_await work.body.prefetch();
-        if (!prefetched)
-            co_return co_await answer(work, writer, { prefetched.error().kind, Outcome::NotRun });
+        if (!prefetched) {
+            const AnswerWithError error { prefetched.error().kind, Outcome::NotRun };
+            co_return co_await answer(work, writer, error);
+        }
     }
     while (true) {
         const auto result = co_await m_attempts.attempt(work, writer);
