Spread records of the largest size, and go on after an unpaid message

Cause: a gossip message may have 1 MB for a record and 64 KB for the rest, but sender and receiver read bodies of at most 1 MB. A record near the limit of 1 MB never reached a member that does not watch the platform: the exchange failed until the peers were suspected. Seen while reading that code: a request that the measuring budget did not cover stayed noted as under way, so that this peer was never asked again.

Change: both sides read up to maxGossipBytes. Where only the budget for records is spent, the message goes without them. A request that is not sent is forgotten (Fleet::exchangeNotSent).

FleetTest asksAgainWhatItCouldNotSend passes; a spent budget was not produced between real daemons.

--- a/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
+++ b/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace dogwoodhall {
@@ -49,6 +50,8 @@
     asio::awaitable<void> exchange(Exchange);
     ExchangeResult<std::string> send(const NetworkAddress&, std::string message);
 
+    // The encoded message; empty where the measuring budget is spent.
+    std::optional<std::string> payFor(GossipMessage);
     asio::io_context& m_io;
     Hooks m_hooks;
     DaemonMetrics& m_metrics;
--- a/packages/daemon/src/GossipDriver.cpp
+++ b/packages/daemon/src/GossipDriver.cpp
@@ -17,7 +17,6 @@
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Duration exchangeTimeout = std::chrono::milliseconds(1500);
-constexpr ByteCount maxReply { 1024 * 1024 };
 
 tl::expected<GossipMessage, std::string> decodeReply(const tl::expected<std::string, ExchangeError>& reply)
 {
@@ -77,12 +76,13 @@
 
 asio::awaitable<void> GossipDriver::exchange(Exchange wanted)
 {
-    const auto request = m_fleet.messageFor(wanted.member, monotonicNow());
-    std::string message = encode(request);
-    if (!m_hooks.pay(request, ByteCount(message.size())))
+    auto message = payFor(m_fleet.messageFor(wanted.member, monotonicNow()));
+    if (!message) {
+        m_fleet.exchangeNotSent(wanted.member);
         co_return;
+    }
     m_metrics.gossipExchanges.add();
-    auto reply = co_await send(wanted.address, std::move(message));
+    auto reply = co_await send(wanted.address, std::move(*message));
     auto decoded = decodeReply(reply);
     if (!decoded) {
         m_metrics.gossipFailures.add();
@@ -105,7 +105,7 @@
     auto response = co_await m_peers.exchange(address, std::move(request), deadline);
     if (!response)
         co_return tl::unexpected(response.error());
-    auto body = co_await readWhole(response->readBody, maxReply);
+    auto body = co_await readWhole(response->readBody, maxGossipBytes);
     if (body && response->head.status != 200)
         co_return tl::unexpected(unexpectedStatus());
     co_return body;
@@ -120,10 +120,22 @@
     perform(std::move(handled.actions));
     if (!handled.reply)
         return tl::unexpected(std::string("a reply in place of a request"));
-    std::string reply = encode(*handled.reply);
-    if (!m_hooks.pay(*handled.reply, ByteCount(reply.size())))
+    auto reply = payFor(std::move(*handled.reply));
+    if (!reply)
         return tl::unexpected(std::string("measuring budget spent"));
-    return reply;
+    return std::move(*reply);
+}
+
+// Without records where only their budget is spent: a member that still answers must not be taken for a silent one.
+std::optional<std::string> GossipDriver::payFor(GossipMessage message)
+{
+    std::string text = encode(message);
+    if (m_hooks.pay(message, ByteCount(text.size())))
+        return text;
+    if (message.records.empty())
+        return std::nullopt;
+    message.records.clear();
+    return payFor(std::move(message));
 }
 
 void GossipDriver::reportSilent(const MemberId& member) { perform(m_fleet.exchangeFailed(member, monotonicNow())); }
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -4,6 +4,7 @@
 #include "dogwoodhall/daemon/GossipDriver.h"
 #include "dogwoodhall/daemon/HeaderValues.h"
 #include "dogwoodhall/telemetry/Logging.h"
+#include "dogwoodhall/wire/GossipCodec.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -25,7 +26,6 @@
 // Callers' connections are still accepted for this long after readiness is off, so that the platform's balancer, which
 // polls it, has stopped sending when the port closes.
 constexpr auto drainGrace = std::chrono::milliseconds(1000);
-constexpr ByteCount maxGossipRequest { 1024 * 1024 };
 constexpr std::string_view ticketsPath = "/.dogwoodhall/tickets";
 
 } // namespace
@@ -190,7 +190,7 @@
 
 asio::awaitable<void> TrafficThread::handleGossip(IncomingRequest request, ResponseWriter writer)
 {
-    auto body = co_await readWhole(request.readBody, maxGossipRequest);
+    auto body = co_await readWhole(request.readBody, maxGossipBytes);
     if (!body)
         co_return;
     auto reply = co_await m_options.answerGossip(std::move(*body));
--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -145,6 +145,22 @@
 struct BoundRow {
     int members;
     int dataCentres;
+// Guards against a peer that is never asked again because one message to it was not sent for lack of budget.
+Test(Fleet, asksAgainWhatItCouldNotSend)
+{
+    Fleet fleet = makeFleet();
+    TimePoint now(100s);
+    RandomEngine random(3);
+    fleet.handle(requestFrom(makeMember("a", "dc0", 3, 0)), now);
+    for (int n = 0; n < 5; ++n) {
+        const auto actions = fleet.tick({ now, random });
+        cr_assert(std::any_of(actions.begin(), actions.end(),
+            [](const FleetAction& action) { return std::holds_alternative<Exchange>(action); }));
+        fleet.exchangeNotSent(MemberId("a"));
+        now = now + 500ms;
+    }
+}
+
 };
 
 const BoundRow bounds[] = { { 1, 1 }, { 15, 6 }, { 300, 7 }, { 3000, 7 } };
