Give peers the record in force below a rejected one

Cause: the store offers only the newest record of a key. Where that one is rejected, a member that starts, or that missed the record before it, had the same highest revision as its peers and never got the record in force: a new member answered 404 no-route for a service that its peers served. Found by ConfigurationTest badFieldRejectsItsRecordOnly with a member that starts after the rejection. A rejected value above 1 MB was also passed on, in a message that no peer accepts.

Change: the digest's hash covers the revision in force as well. The message format is as before. A rejected value above 1 MB is passed on empty.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
@@ -61,6 +61,11 @@
     std::vector<Record> recordsSince(Revision) const;
     std::vector<Record> recordsSince(Revision, ByteCount limit) const;
 
+    // Records in force of keys whose newest record is rejected, in order of the keys from the one after `after` round
+    // to it; as many as fit, but at least one. A peer that read the rejected record without the one before it lacks
+    // them, although both have the same highest revision.
+    std::vector<Record> inForceUnderRejections(const RecordKey& after, ByteCount limit) const;
+
     std::vector<ServiceDeclaration> services() const;
     // The same services without copying them; immutable, and shared with the snapshots of other threads.
     std::vector<std::shared_ptr<const ServiceDeclaration>> sharedServices() const;
@@ -93,7 +98,7 @@
     void putInForce(Entry&, InForce);
     void reject(Entry&, Rejection);
     void dropRejection(Entry&);
-    void updateDigest(const RecordKey&, Revision before, Revision after);
+    static std::uint64_t hashOf(const RecordKey&, const Entry&);
     std::set<const Record*, ByRevision>::const_iterator firstAbove(Revision) const;
 
     ParseRecord m_parse;
--- a/packages/configuration/src/ConfigurationInForce.cpp
+++ b/packages/configuration/src/ConfigurationInForce.cpp
@@ -9,10 +9,8 @@
 
 namespace {
 
-std::uint64_t digestEntry(const RecordKey& key, Revision revision)
-{
-    return revision == Revision() ? 0 : stableHash(key.value(), revision.value());
-}
+// The configuration service holds values of up to 1 MB, and messages between members carry no larger ones.
+constexpr std::size_t largestValue = 1024 * 1024;
 
 } // namespace
 
@@ -47,12 +45,14 @@
     }
     auto& entry = known != m_entries.end() ? known->second : m_entries[record.key];
     const Revision before = highestOf(entry);
+    const std::uint64_t hashBefore = hashOf(record.key, entry);
     const bool isAccepted = record.deleted || declaration;
     if (isAccepted)
         putInForce(entry, { record, std::move(declaration) });
     else if (record.revision > before)
         reject(entry, { record, reason });
-    updateDigest(record.key, before, highestOf(entry));
+    m_digest.hash += hashOf(record.key, entry) - hashBefore;
+    m_digest.highest = std::max(m_digest.highest, highestOf(entry));
     return { isAccepted ? OfferResult::Accepted : OfferResult::Rejected, std::move(reason) };
 }
 
@@ -76,6 +76,9 @@
 void ConfigurationInForce::reject(Entry& entry, Rejection rejection)
 {
     dropRejection(entry);
+    // A larger value would keep every later record from the peers. Without it, they reject the record as well.
+    if (rejection.record.value.size() > largestValue)
+        rejection.record.value.clear();
     entry.rejection = std::move(rejection);
     m_byRevision.insert(&entry.rejection->record);
 }
@@ -88,10 +91,11 @@
     entry.rejection.reset();
 }
 
-void ConfigurationInForce::updateDigest(const RecordKey& key, Revision before, Revision after)
+std::uint64_t ConfigurationInForce::hashOf(const RecordKey& key, const Entry& entry)
 {
-    m_digest.hash += digestEntry(key, after) - digestEntry(key, before);
-    m_digest.highest = std::max(m_digest.highest, after);
+    const auto part
+        = [&](const auto& held) { return held ? stableHash(key.value(), held->record.revision.value()) : 0; };
+    return part(entry.inForce) + part(entry.rejection);
 }
 
 std::set<const Record*, ConfigurationInForce::ByRevision>::const_iterator ConfigurationInForce::firstAbove(
@@ -125,6 +129,25 @@
     return records;
 }
 
+std::vector<Record> ConfigurationInForce::inForceUnderRejections(const RecordKey& after, ByteCount limit) const
+{
+    std::vector<Record> records;
+    std::uint64_t bytes = 0;
+    auto it = m_entries.upper_bound(after);
+    for (std::size_t n = 0; n < m_entries.size(); ++n, ++it) {
+        if (it == m_entries.end())
+            it = m_entries.begin();
+        const auto& [inForce, rejection] = it->second;
+        if (!inForce || !rejection)
+            continue;
+        bytes += inForce->record.key.value().size() + inForce->record.value.size();
+        if (!records.empty() && bytes > limit.count())
+            break;
+        records.push_back(inForce->record);
+    }
+    return records;
+}
+
 std::vector<ServiceDeclaration> ConfigurationInForce::services() const
 {
     std::vector<ServiceDeclaration> services;
--- a/packages/configuration/tests/ConfigurationInForceTest.cpp
+++ b/packages/configuration/tests/ConfigurationInForceTest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <span>
 
 using namespace dogwoodhall;
 
@@ -34,6 +35,14 @@
         offer.value ? offer.value : "" };
 }
 
+void offerAll(ConfigurationInForce& configuration, std::span<const Offer> offers)
+{
+    for (const auto& offer : offers) {
+        if (offer.key)
+            configuration.offer(recordOf(offer));
+    }
+}
+
 // "key=value" of all services in force.
 std::string inForce(const ConfigurationInForce& configuration)
 {
@@ -94,6 +103,58 @@
     } while (std::next_permutation(order.begin(), order.end()));
 }
 
+struct RepairRow {
+    Offer source[4];
+    Offer peer[2]; // Of the same records, what this member read.
+    const char* sent; // Revisions that the source sends, one at a time.
+};
+
+const RepairRow repairs[] = {
+    { { { 'a', 1, "x" }, { 'a', 2, "bad" } }, { { 'a', 2, "bad" } }, "1" },
+    { { { 'a', 1, "x" }, { 'a', 2, "y" }, { 'a', 3, "bad" } }, { { 'a', 1, "x" }, { 'a', 3, "bad" } }, "2" },
+    { { { 'a', 1, "x" }, { 'a', 2, nullptr }, { 'a', 3, "bad" } }, { { 'a', 1, "x" }, { 'a', 3, "bad" } }, "2" },
+    { { { 'a', 1, "x" }, { 'b', 2, "y" }, { 'a', 3, "bad" }, { 'b', 4, "bad" } },
+        { { 'a', 3, "bad" }, { 'b', 4, "bad" } }, "12" },
+};
+
+// Guards against members that agree on the newest, rejected record of a key and differ in the one in force.
+ParameterizedTestParameters(ConfigurationInForce, differsUnderARejection) { return rowIndices(repairs); }
+
+ParameterizedTest(std::size_t* index, ConfigurationInForce, differsUnderARejection)
+{
+    const RepairRow& row = repairs[*index];
+    ConfigurationInForce source(parseValue);
+    ConfigurationInForce peer(parseValue);
+    offerAll(source, row.source);
+    offerAll(peer, row.peer);
+    cr_assert_eq(peer.digest().highest, source.digest().highest);
+    RecordKey last;
+    std::string sent;
+    while (peer.digest() != source.digest() && sent.size() < std::size(row.source)) {
+        const auto records = source.inForceUnderRejections(last, ByteCount(0));
+        cr_assert_eq(records.size(), 1);
+        last = records[0].key;
+        sent += std::to_string(records[0].revision.value());
+        peer.offer(records[0]);
+    }
+    cr_assert_str_eq(sent.c_str(), row.sent);
+    cr_assert(inForce(peer) == inForce(source));
+}
+
+// Guards against a record that no message to a peer can hold and that therefore keeps all later ones from it.
+Test(ConfigurationInForce, passesOnNoOversizedValue)
+{
+    const std::string oversized(1024 * 1024 + 1, 'x');
+    ConfigurationInForce configuration([](const Record&) -> tl::expected<Declaration, std::string> {
+        return tl::unexpected(std::string("too long"));
+    });
+    const auto outcome = configuration.offer({ RecordKey("services/a"), Revision(1), false, oversized });
+    cr_assert(outcome.result == OfferResult::Rejected);
+    const auto records = configuration.recordsSince(Revision());
+    cr_assert_eq(records.size(), 1);
+    cr_assert(records[0].value.empty() && !records[0].deleted);
+}
+
 struct HistoryRow {
     std::uint64_t seed;
     int keys;
--- a/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
@@ -66,6 +66,7 @@
     std::vector<PoolLoadSummary> ownLoads(std::size_t most);
     bool pay(MeasuringCategory, ByteCount);
     bool payGossip(const GossipMessage&, ByteCount encoded);
+    std::vector<Record> recordsUnderRejections(ByteCount limit);
 
     Settings m_settings;
     Incarnation m_incarnation;
@@ -75,6 +76,7 @@
     ConfigurationInForce m_configuration;
     HostList m_hosts;
     JoinBarrier m_joinBarrier;
+    RecordKey m_lastUnderRejection; // Where the last message's records of this kind ended.
     MeasuringBudget m_budget;
     TokenBucket<ByteCount> m_recordBytes; // For records sent to peers.
     struct OwnLoad {
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -68,6 +68,7 @@
     self.incarnation = m_incarnation;
     Fleet::Hooks sources { [this] { return m_configuration.digest(); },
         [this](Revision since, ByteCount limit) { return m_configuration.recordsSince(since, limit); },
+        [this](ByteCount limit) { return recordsUnderRejections(limit); },
         [this](std::size_t most) { return ownLoads(most); } };
     GossipDriver::Hooks hooks { [this] { publish(); },
         [this](const std::vector<Record>& records) { acceptRecords(records); },
@@ -124,6 +125,14 @@
         m_ownLoads[load.pool] = { load, now };
 }
 
+std::vector<Record> ControlThread::recordsUnderRejections(ByteCount limit)
+{
+    auto records = m_configuration.inForceUnderRejections(m_lastUnderRejection, limit);
+    if (!records.empty())
+        m_lastUnderRejection = records.back().key;
+    return records;
+}
+
 // A few pools for each message, in turn.
 std::vector<PoolLoadSummary> ControlThread::ownLoads(std::size_t most)
 {
--- a/packages/fleet/bench/FleetSlopes.cpp
+++ b/packages/fleet/bench/FleetSlopes.cpp
@@ -45,7 +45,8 @@
         Fleet::Hooks { [] {
                           return ConfigurationDigest { Revision(1), 0 };
                       },
-            [](Revision, ByteCount) { return std::vector<Record> {}; }, poolLoads });
+            [](Revision, ByteCount) { return std::vector<Record> {}; },
+            [](ByteCount) { return std::vector<Record> {}; }, poolLoads });
     std::vector<ListedHost> hosts;
     for (int n = 0; n < members; ++n) {
         const auto member = memberOf(n);
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -52,6 +52,8 @@
         std::function<ConfigurationDigest()> digest;
         // Records above a revision in order of revision, up to a number of bytes but at least one where there is one.
         std::function<std::vector<Record>(Revision, ByteCount)> recordsSince;
+        // Records in force of keys whose newest record is rejected; others in turn with each call.
+        std::function<std::vector<Record>(ByteCount)> recordsUnderRejections;
         // Load of the pools whose home is this process, at most so many.
         std::function<std::vector<PoolLoadSummary>(std::size_t)> poolLoads;
     };
--- a/packages/fleet/include/dogwoodhall/fleet/GossipMessage.h
+++ b/packages/fleet/include/dogwoodhall/fleet/GossipMessage.h
@@ -37,7 +37,8 @@
     std::vector<Member> members; // At most FleetLimits::maxMemberUpdates.
     std::vector<PoolLoadSummary> poolLoads; // At most FleetLimits::maxPoolLoads.
     // Records above the receiver's highest revision, from the lowest revision upwards, without gaps. Bounded by
-    // FleetLimits::maxRecordBytes, but at least one where the receiver is behind.
+    // FleetLimits::maxRecordBytes, but at least one where the receiver is behind. In a reply to a member with the same
+    // highest revision and another hash: records in force of keys whose newest record is rejected.
     std::vector<Record> records;
 
     friend bool operator==(const GossipMessage&, const GossipMessage&) = default;
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -106,6 +106,9 @@
     const bool doubtsSelf = std::any_of(message.members.begin(), message.members.end(),
         [&](const Member& claim) { return claim.id == m_self.id && claim.incarnation == m_self.incarnation; });
     if (m_hasFollowedUp || !(isBehind || doubtsSelf))
+        const auto& theirs = message.configuration;
+        if (theirs.highest == mine.highest && theirs.hash != mine.hash)
+            handled.reply->records = m_hooks.recordsUnderRejections(m_limits.maxRecordBytes);
         return;
     m_hasFollowedUp = true;
     if (isBehind)
--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -27,6 +27,9 @@
                 return since < Revision(7) ? std::vector { Record { RecordKey("topology"), Revision(7), false, "{}" } }
                                            : std::vector<Record> {};
             },
+            [](ByteCount) {
+                return std::vector { Record { RecordKey("services/a"), Revision(6), false, "{}" } };
+            },
             [](std::size_t limit) { return std::vector<PoolLoadSummary>(limit); } });
 }
 
@@ -274,6 +277,30 @@
     cr_assert(fleet.handle(message, TimePoint(1200ms)).actions.empty());
 }
 
+struct RepairRow {
+    ConfigurationDigest peer; // The member itself holds revision 7 with hash 0.
+    std::uint64_t revision; // Of the record that the reply carries; 0: none.
+};
+
+const RepairRow repairs[] = {
+    { { Revision(7), 0 }, 0 }, { { Revision(7), 1 }, 6 }, { { Revision(8), 1 }, 0 },
+    { { Revision(5), 1 }, 7 }, // It catches up first.
+};
+
+// Guards against a peer that read a rejected record without the one before it and never gets the one in force.
+ParameterizedTestParameters(Fleet, sendsRecordsUnderRejections) { return rowIndices(repairs); }
+
+ParameterizedTest(std::size_t* index, Fleet, sendsRecordsUnderRejections)
+{
+    const RepairRow& row = repairs[*index];
+    auto fleet = makeFleet();
+    auto message = requestFrom(makeMember("a", "dc0", 1, 0));
+    message.configuration = row.peer;
+    const auto records = fleet.handle(message, TimePoint(1s)).reply->records;
+    cr_assert_eq(records.size(), row.revision ? 1 : 0);
+    cr_assert(records.empty() || records[0].revision == Revision(row.revision));
+}
+
 struct RoleRow {
     MemberState state;
     bool isReady;
--- a/packages/fleet/tests/VirtualFleet.h
+++ b/packages/fleet/tests/VirtualFleet.h
@@ -60,6 +60,7 @@
                               return ConfigurationDigest { m_nodes[index].revision, 0 };
                           },
                 [this, index](Revision since, ByteCount) { return recordsSince(m_nodes[index].revision, since); },
+                [](ByteCount) { return std::vector<Record> {}; },
                 [](std::size_t) { return std::vector<PoolLoadSummary> {}; } });
         node.fleet->setRegions(m_regions);
         node.fleet->setReady(true);
