Count only ready peers' answers before a member serves

Cause: three answers of any peers let a starting member serve. After a restart of most members beside a stale platform these can all come from members that have just started and hold no more than that platform.

Change: JoinBarrier wants answers of three ready peers, or of all listed peers where fewer are ready, for at most the 10 s after which it serves as before. A restart or a pause of a whole large fleet therefore takes up to 10 s.

--- a/packages/configuration/include/dogwoodhall/configuration/JoinBarrier.h
+++ b/packages/configuration/include/dogwoodhall/configuration/JoinBarrier.h
@@ -13,14 +13,15 @@
 // Decides when a member that has just started may serve. The platform may be stale, so the member first asks peers for
 // their highest revision and catches up with the highest that it was told.
 //
-// Trade-off: where no listed peer answers for 10 s and the platform has answered, the member serves what the platform
-// gave it, which may be older than what peers that it cannot reach hold. The alternative, to wait for a peer, would
-// keep a whole data centre from starting after a power failure. The member still never goes below what it has itself
-// held, and takes the higher revision from the first peer that it hears.
+// Trade-off: where too few listed peers answer for 10 s and the platform has answered, the member serves what the
+// platform gave it, which may be older than what peers that it cannot reach hold. The alternative, to wait for a peer,
+// would keep a whole data centre from starting after a power failure. The member still never goes below what it has
+// itself held, and takes the higher revision from the first peer that it hears.
 class JoinBarrier {
 public:
     // Answers that are asked for. Peers hold the highest revision within seconds of one another, so that a few stand
-    // for all, and a mass restart costs each member the same however large the fleet is.
+    // for all. Only peers that are ready do: those that have just started may hold no more than a stale platform gave
+    // them. Where too few are ready, all listed peers are asked, for at most silenceLimit.
     static constexpr std::size_t requiredAnswers = 3;
     static constexpr Duration silenceLimit = std::chrono::seconds(10);
 
@@ -31,7 +32,7 @@
 
     // The entry hosts that the host list names, without this one.
     void setListedPeers(std::size_t count) { m_listedPeers = count; }
-    void peerAnswered(const MemberId&, Revision highest);
+    void peerAnswered(const MemberId&, Revision highest, bool isPeerReady);
     // The platform was read to its end; `highest` is its own.
     void platformAnswered(Revision highest);
     // The process was paused: what was learnt before is asked for again.
@@ -45,7 +46,7 @@
 private:
     TimePoint m_startedAt;
     std::optional<std::size_t> m_listedPeers; // Empty until a host list was read.
-    std::map<MemberId, Revision> m_answers;
+    std::map<MemberId, bool> m_answers; // Whether the peer was ready when it last answered.
     bool m_hasPlatform = false;
     Revision m_target;
     bool m_isReady = false;
--- a/packages/configuration/src/JoinBarrier.cpp
+++ b/packages/configuration/src/JoinBarrier.cpp
@@ -4,11 +4,11 @@
 
 namespace dogwoodhall {
 
-void JoinBarrier::peerAnswered(const MemberId& peer, Revision highest)
+void JoinBarrier::peerAnswered(const MemberId& peer, Revision highest, bool isPeerReady)
 {
     if (m_isReady)
         return;
-    m_answers[peer] = highest;
+    m_answers[peer] = isPeerReady;
     m_target = std::max(m_target, highest);
 }
 
@@ -32,7 +32,10 @@
         return true;
     if (held == Revision() || held < m_target)
         return false;
-    const bool hasAllAnswers = m_listedPeers && m_answers.size() >= std::min(*m_listedPeers, requiredAnswers);
+    const auto ready = static_cast<std::size_t>(
+        std::count_if(m_answers.begin(), m_answers.end(), [](const auto& answer) { return answer.second; }));
+    const bool hasAllAnswers
+        = m_listedPeers && (ready >= std::min(*m_listedPeers, requiredAnswers) || m_answers.size() >= *m_listedPeers);
     const bool hasWaited = now - m_startedAt >= silenceLimit;
     const bool hasSource = m_hasPlatform || !m_answers.empty();
     m_isReady = hasSource && (hasAllAnswers || hasWaited);
--- a/packages/configuration/tests/JoinBarrierTest.cpp
+++ b/packages/configuration/tests/JoinBarrierTest.cpp
@@ -17,6 +17,7 @@
     std::uint64_t held;
     std::chrono::milliseconds waited;
     bool isReady;
+    std::size_t answersNotReady = 0; // How many of the answers, the first ones, are from peers that are not ready.
 };
 
 const JoinRow joins[] = {
@@ -25,6 +26,11 @@
     { "peers and platform agree", 5, 3, 9, 9, 9, 1000ms, true },
     { "too few peers have answered", 5, 2, 9, 9, 9, 1000ms, false },
     { "both of two peers have answered", 2, 2, 9, 9, 9, 1000ms, true },
+    { "three peers that are not ready", 5, 3, 9, 9, 9, 9999ms, false, 3 },
+    { "a ready peer and two that are not", 5, 3, 9, 9, 9, 9999ms, false, 2 },
+    { "all peers, none ready", 5, 5, 9, 9, 9, 1000ms, true, 5 },
+    { "three ready peers of five", 5, 5, 9, 9, 9, 1000ms, true, 2 },
+    { "peers that are not ready, for 10 s", 5, 3, 9, 9, 9, 10000ms, true, 3 },
     { "the platform is stale", 5, 3, 9, 7, 7, 60000ms, false },
     { "the platform is stale and a peer has sent the rest", 5, 3, 9, 7, 9, 1000ms, true },
     { "the platform is down and peers have sent all", 5, 3, 9, 0, 9, 1000ms, true },
@@ -48,7 +54,8 @@
     if (row.listedPeers >= 0)
         barrier.setListedPeers(static_cast<std::size_t>(row.listedPeers));
     for (std::size_t n = 0; n < row.answers; ++n) // The last peer is the one that holds the most.
-        barrier.peerAnswered(MemberId(std::to_string(n)), Revision(n + 1 == row.answers ? row.peersHighest : 0));
+        barrier.peerAnswered(MemberId(std::to_string(n)), Revision(n + 1 == row.answers ? row.peersHighest : 0),
+            n >= row.answersNotReady);
     if (row.platform)
         barrier.platformAnswered(Revision(row.platform));
     cr_assert_eq(barrier.isReady(Revision(row.held), start + row.waited), row.isReady, "%s", row.name);
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -81,7 +81,7 @@
         },
         [this](const GossipMessage& message, ByteCount size) { return payGossip(message, size); },
         [this](const GossipMessage& reply) {
-            m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest);
+            m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest, reply.sender.isReady);
             updateReadiness();
         },
         [this] { updateReadiness(); } };
