Serve nothing by records from before a pause

After 15 s a member served by a record that had been replaced in the meantime. Found by ConfigurationTest wokenMemberCatchesUp.

Change: a traffic thread that notices a pause answers not-ready until the control thread has published again, and asks it to, since the control thread may miss a pause close to the threshold. The control thread looks for a pause before each publication.

--- a/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
@@ -50,6 +50,8 @@
     void addSpan(Span span) { m_spans.add(std::move(span)); }
     // Load of pools of this process, for gossip.
     void setOwnLoads(const std::vector<PoolLoadSummary>&);
+    // A traffic thread noticed a pause of the process; it waits for a snapshot from after the pause.
+    void reportPause() { publish(); }
     void reportSilentMember(const MemberId& member) { m_gossip->reportSilent(member); }
     // A peer's gossip request, and the reply to it.
     tl::expected<std::string, std::string> answerGossip(std::string_view request);
--- a/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
+++ b/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
@@ -41,6 +41,8 @@
     tl::expected<std::string, std::string> answer(std::string_view request);
 
     void reportSilent(const MemberId&);
+    // Acts on a pause of the process, where there was one.
+    void checkPause();
     void perform(std::vector<FleetAction>);
 
     Fleet& fleet() { return m_fleet; }
--- a/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
@@ -36,6 +36,7 @@
         PostToShard postToShard;
         SpanSink spans;
         std::function<void(const MemberId&)> reportSilentMember;
+        std::function<void()> reportPause;
         AnswerGossip answerGossip;
         // Tells the control thread and the other traffic threads the load of this thread's pools.
         std::function<void(std::vector<PoolLoadSummary>)> shareLoads;
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -77,7 +77,7 @@
             m_metrics.wakeUps.add();
             m_joinBarrier.expire(monotonicNow());
             DOGWOODHALL_LOG(fleet, warning) << "The process was paused for " << toSeconds(gap) << " s.";
-            publish();
+            updateReadiness();
         },
         [this](const GossipMessage& message, ByteCount size) { return payGossip(message, size); },
         [this](const GossipMessage& reply) {
@@ -229,8 +229,10 @@
     publish();
 }
 
+// An event that waited during a pause must not publish readiness from before it.
 void ControlThread::publish()
 {
+    m_gossip->checkPause();
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->revision = m_configuration.highestRevision();
     snapshot->routes = RouteTable(m_configuration.services());
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -81,6 +81,7 @@
     options.reportSilentMember = [this](const MemberId& member) {
         asio::post(m_control.io(), [this, member] { m_control.reportSilentMember(member); });
     };
+    options.reportPause = [this] { asio::post(m_control.io(), [this] { m_control.reportPause(); }); };
     options.trafficThreads = m_settings.trafficThreads;
     options.shareLoads = [this](std::vector<PoolLoadSummary> loads) { shareLoads(std::move(loads)); };
     options.answerGossip = [this](std::string request) {
--- a/packages/daemon/src/GossipDriver.cpp
+++ b/packages/daemon/src/GossipDriver.cpp
@@ -138,6 +138,8 @@
     return payFor(std::move(message));
 }
 
+void GossipDriver::checkPause() { perform(m_fleet.checkPause(monotonicNow())); }
+
 void GossipDriver::reportSilent(const MemberId& member) { perform(m_fleet.exchangeFailed(member, monotonicNow())); }
 
 } // namespace dogwoodhall
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -121,16 +121,18 @@
     }
 }
 
-// After a pause the homes are not to be trusted until the control thread, which notices the same pause, has published
-// them again.
+// After a pause the homes and the records may be older than those of the peers. Nothing is served by them until the
+// control thread has published what holds after the pause; it may not have noticed a pause close to the threshold.
 void TrafficThread::observePauses()
 {
     if (!m_pauses.observe(monotonicNow()))
         return;
     auto expired = std::make_shared<Snapshot>(*m_snapshot);
     expired->remoteHomes.clear();
+    expired->isReady = false;
     m_runner.loads().clear();
     apply(std::move(expired));
+    m_options.reportPause();
 }
 
 asio::awaitable<void> TrafficThread::accept()
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -67,6 +67,8 @@
     // Regions of the data centres, from the topology record.
     void setRegions(std::map<DataCentreId, RegionId>);
 
+    // Looks for a pause of the process, as every other call does that takes a time.
+    std::vector<FleetAction> checkPause(TimePoint now);
     // Called once in each gossip period.
     std::vector<FleetAction> tick(DecisionContext);
     // The request for an exchange that tick() or handle() asked for.
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -44,6 +44,14 @@
     m_views.isValid = false;
 }
 
+std::vector<FleetAction> Fleet::checkPause(TimePoint now)
+{
+    std::vector<FleetAction> actions;
+    observe(now, actions);
+    reportChange(actions);
+    return actions;
+}
+
 std::vector<FleetAction> Fleet::tick(DecisionContext context)
 {
     std::vector<FleetAction> actions;
