--- a/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
@@ -66,9 +66,9 @@
     std::string statusJson() const;
     std::vector<ProbeTarget> probeTargets() const;
     std::vector<PoolLoadSummary> ownLoads(std::size_t most);
+    std::vector<Record> recordsUnderRejections(ByteCount limit);
     bool pay(MeasuringCategory, ByteCount);
     bool payGossip(const GossipMessage&, ByteCount encoded);
-    std::vector<Record> recordsUnderRejections(ByteCount limit);
 
     Settings m_settings;
     Incarnation m_incarnation;
@@ -76,9 +76,9 @@
     Hooks m_hooks;
     asio::io_context m_io { 1 };
     ConfigurationInForce m_configuration;
+    RecordKey m_lastUnderRejection; // Where the last message's records of this kind ended.
     HostList m_hosts;
     JoinBarrier m_joinBarrier;
-    RecordKey m_lastUnderRejection; // Where the last message's records of this kind ended.
     MeasuringBudget m_budget;
     TokenBucket<ByteCount> m_recordBytes; // For records sent to peers.
     struct OwnLoad {
--- a/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
+++ b/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
@@ -50,10 +50,10 @@
 
 private:
     asio::awaitable<void> exchange(Exchange);
-    ExchangeResult<std::string> send(const NetworkAddress&, std::string message);
-
     // The encoded message; empty where the measuring budget is spent.
     std::optional<std::string> payFor(GossipMessage);
+    ExchangeResult<std::string> send(const NetworkAddress&, std::string message);
+
     asio::io_context& m_io;
     Hooks m_hooks;
     DaemonMetrics& m_metrics;
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -77,12 +77,12 @@
     HandledGossip handle(const GossipMessage&, TimePoint now);
     // The exchange that tick() or handle() asked for got no valid reply.
     std::vector<FleetAction> exchangeFailed(const MemberId&, TimePoint now);
+    // The exchange was not begun for lack of budget, which says nothing about the peer.
+    void exchangeNotSent(const MemberId& id) { m_exchanges.erase(id); }
 
     // This member's own state. A change is spread by gossip.
     void setReady(bool);
     void announceLeaving();
-    // The exchange was not begun for lack of budget, which says nothing about the peer.
-    void exchangeNotSent(const MemberId& id) { m_exchanges.erase(id); }
     const Member& self() const { return m_self; }
 
     // The pool's home. Empty where its data centre has no live member, and where the home has not been heard of since
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -106,6 +106,9 @@
         if (message.configuration.highest < mine.highest)
             m_behind[message.sender.id] = message.configuration.highest;
         handled.reply = makeMessage(GossipMessage::Kind::Reply, message.sender.id);
+        const auto& theirs = message.configuration;
+        if (theirs.highest == mine.highest && theirs.hash != mine.hash)
+            handled.reply->records = m_hooks.recordsUnderRejections(m_limits.maxRecordBytes);
         addRoster(*handled.reply, message);
         return;
     }
@@ -114,9 +117,6 @@
     const bool doubtsSelf = std::any_of(message.members.begin(), message.members.end(),
         [&](const Member& claim) { return claim.id == m_self.id && claim.incarnation == m_self.incarnation; });
     if (m_hasFollowedUp || !(isBehind || doubtsSelf))
-        const auto& theirs = message.configuration;
-        if (theirs.highest == mine.highest && theirs.hash != mine.hash)
-            handled.reply->records = m_hooks.recordsUnderRejections(m_limits.maxRecordBytes);
         return;
     m_hasFollowedUp = true;
     if (isBehind)
--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -145,9 +145,6 @@
     cr_assert_eq(fleet.find(MemberId("a"))->state, row.state);
 }
 
-struct BoundRow {
-    int members;
-    int dataCentres;
 // Guards against a peer that is never asked again because one message to it was not sent for lack of budget.
 Test(Fleet, asksAgainWhatItCouldNotSend)
 {
@@ -164,6 +161,9 @@
     }
 }
 
+struct BoundRow {
+    int members;
+    int dataCentres;
 };
 
 const BoundRow bounds[] = { { 1, 1 }, { 15, 6 }, { 300, 7 }, { 3000, 7 } };
