Test accepted configuration against several real daemons

Cause: that a record reaches every member and never reverts was shown with one daemon or in virtual time only.

The platform stand-in can keep back or refuse records only.

--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 const char* const kernelChosen = "127.0.0.1:0";
+const char* const serviceName = "jingles"; // Of publishService().
 
 // Short, so that tests of slow senders need not wait for the default of 10 s.
 constexpr int slowSenderTimeoutMs = 2'000;
@@ -124,10 +125,33 @@
         endpoints.push_back(json::object { { "id", upstream.name }, { "host", upstream.name },
             { "dataCentre", upstream.dataCentre }, { "address", toString(upstream.address) }, { "slots", m_slots } });
     }
-    const json::object service { { "schemaVersion", 1 }, { "service", "jingles" }, { "pathPrefix", "/" },
+    const json::object service { { "schemaVersion", 1 }, { "service", serviceName }, { "pathPrefix", "/" },
         { "endpoints", std::move(endpoints) },
         { "rules", json::array { rule("downloads", "/download", "long"), rule("others", "/", "short") } } };
-    platformCall("PUT", "/control/records/services/jingles", json::serialize(service));
+    publishRecord(serviceName, json::serialize(service));
+}
+
+std::string Cluster::recordOf(const std::string& service, std::size_t upstream, int schemaVersion) const
+{
+    const auto& process = m_upstreams.at(upstream);
+    json::object endpoint { { "id", process.name }, { "host", process.name }, { "address", toString(process.address) },
+        { "slots", m_slots } };
+    json::object record { { "schemaVersion", schemaVersion }, { "service", service },
+        { "pathPrefix", "/" + service + "/" + process.name } };
+    if (schemaVersion == 1) {
+        endpoint["dataCentre"] = process.dataCentre;
+        record["endpoints"] = json::array { std::move(endpoint) };
+    } else {
+        json::object centre { { "id", process.dataCentre } };
+        centre["endpoints"] = json::array { std::move(endpoint) };
+        record["dataCentres"] = json::array { std::move(centre) };
+    }
+    return json::serialize(record);
+}
+
+std::uint64_t Cluster::publishRecord(const std::string& service, const std::string& value)
+{
+    return std::stoull(platformCall("PUT", "/control/records/services/" + service, value).body);
 }
 
 void Cluster::publishHosts()
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -49,6 +49,11 @@
 
     Answer platformCall(const std::string& method, const std::string& target, const std::string& body = {});
     void publishService(); // Names the upstreams that are declared.
+    // A record in schema version 1 or 2 that names this upstream only, for paths below "/<service>/<upstream>", so that
+    // the member that routes a request shows its own record as well as the home that places it.
+    std::string recordOf(const std::string& service, std::size_t upstream, int schemaVersion) const;
+    // Gives the revision at which the store took the record.
+    std::uint64_t publishRecord(const std::string& service, const std::string& value);
     void publishHosts();
     void killPlatform() { m_platform.kill(); }
     // Starts the platform anew at its former address, with the given state or none.
--- a/tests/system/support/MemberStatus.cpp
+++ b/tests/system/support/MemberStatus.cpp
@@ -12,8 +12,9 @@
 MemberStatus statusOf(const DaemonProcess& daemon)
 {
     const auto document = json::parse(call(daemon.admin, { "GET", "/status", {}, {}, {} }).body);
-    MemberStatus status { document.at("ready").as_bool(), document.at("revision").to_number<std::uint64_t>(),
-        document.at("hostListVersion").to_number<std::uint64_t>(), 0, {} };
+    MemberStatus status { document.at("ready").as_bool(), document.at("watcher").as_bool(),
+        document.at("revision").to_number<std::uint64_t>(), document.at("hostListVersion").to_number<std::uint64_t>(),
+        0, {} };
     for (const auto& item : document.at("members").as_array())
         status.alivePeers += item.at("state").as_string() == "alive";
     for (const auto& item : document.at("homes").as_array()) {
--- a/tests/system/support/MemberStatus.h
+++ b/tests/system/support/MemberStatus.h
@@ -11,6 +11,7 @@
 // What a member's GET /status says.
 struct MemberStatus {
     bool isReady = false;
+    bool isWatcher = false; // Reads the platform's changes itself.
     std::uint64_t revision = 0;
     std::uint64_t hostListVersion = 0;
     std::size_t alivePeers = 0; // Other members in the host list that it knows to be alive.
--- a/tools/src/PlatformStandIn.cpp
+++ b/tools/src/PlatformStandIn.cpp
@@ -12,8 +12,10 @@
 // Stand-in for the configuration service and the host list. Tests write through /control, which daemons never call:
 //   PUT or DELETE /control/records/<key>   replaces or deletes a record, at the next revision
 //   PUT /control/hosts                     replaces the host list: {"hosts":[...]}
-//   PUT /control/mode?state=serving|stale|down   stale answers from the state at the time of the call; down breaks
-//                                          each connection without an answer
+//   PUT /control/mode?state=serving|stale|down|records-down|records-late   stale answers from the state at the time of
+//                                          the call; down breaks each connection without an answer, records-down only
+//                                          those to the configuration service; records-late holds its answers until
+//                                          the mode changes
 //   GET or PUT /control/state              exports or restores records and host list, as after a restore from backup
 //   GET /control/reads                     number of reads by daemons; a watch is one read
 
@@ -64,6 +66,8 @@
     State m_state;
     std::optional<State> m_stale; // What reads see in place of m_state.
     bool m_isDown = false;
+    bool m_areRecordsDown = false;
+    bool m_areRecordsLate = false;
     std::uint64_t m_reads = 0;
 };
 
@@ -128,13 +132,18 @@
         });
         co_await m_changed.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    if (!m_isDown)
-        co_await writeAnswer(writer, 200, recordsAsJson(shown(), since));
+    const auto answer = recordsAsJson(shown(), since);
+    while (m_areRecordsLate)
+        co_await m_changed.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (!m_isDown && !m_areRecordsDown)
+        co_await writeAnswer(writer, 200, answer);
 }
 
 void PlatformStandIn::setMode(const std::string& state)
 {
     m_isDown = state == "down";
+    m_areRecordsDown = state == "records-down";
+    m_areRecordsLate = state == "records-late";
     if (state != "stale")
         m_stale.reset();
     else if (!m_stale)
