--- a/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
@@ -51,6 +51,8 @@
     void addSpan(Span span) { m_spans.add(std::move(span)); }
     // Load of pools of this process, for gossip.
     void setOwnLoads(const std::vector<PoolLoadSummary>&);
+    // A traffic thread noticed a pause of the process; it waits for a snapshot from after the pause.
+    void reportPause() { publish(); }
     void reportSilentMember(const MemberId& member) { m_gossip->reportSilent(member); }
     // A peer's gossip request, and the reply to it.
     tl::expected<std::string, std::string> answerGossip(std::string_view request);
@@ -67,6 +69,7 @@
     StatusReport statusReport() const;
     std::vector<ProbeTarget> probeTargets() const;
     std::vector<PoolLoadSummary> ownLoads(std::size_t most);
+    std::vector<Record> recordsUnderRejections(ByteCount limit);
     bool pay(MeasuringCategory, ByteCount);
     bool payGossip(const GossipMessage&, ByteCount encoded);
 
@@ -76,6 +79,7 @@
     Hooks m_hooks;
     asio::io_context m_io { 1 };
     ConfigurationInForce m_configuration;
+    RecordKey m_lastUnderRejection; // Where the last message's records of this kind ended.
     HostList m_hosts;
     JoinBarrier m_joinBarrier;
     MeasuringBudget m_budget;
--- a/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
+++ b/packages/daemon/include/dogwoodhall/daemon/GossipDriver.h
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 namespace dogwoodhall {
@@ -40,6 +41,8 @@
     tl::expected<std::string, std::string> answer(std::string_view request);
 
     void reportSilent(const MemberId&);
+    // Acts on a pause of the process, where there was one.
+    void checkPause();
     void perform(std::vector<FleetAction>);
 
     Fleet& fleet() { return m_fleet; }
@@ -47,6 +50,8 @@
 
 private:
     asio::awaitable<void> exchange(Exchange);
+    // The encoded message; empty where the measuring budget is spent.
+    std::optional<std::string> payFor(GossipMessage);
     ExchangeResult<std::string> send(const NetworkAddress&, std::string message);
 
     asio::io_context& m_io;
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -65,6 +65,7 @@
     self.incarnation = m_incarnation;
     Fleet::Hooks sources { [this] { return m_configuration.digest(); },
         [this](Revision since, ByteCount limit) { return m_configuration.recordsSince(since, limit); },
+        [this](ByteCount limit) { return recordsUnderRejections(limit); },
         [this](std::size_t most) { return ownLoads(most); } };
     GossipDriver::Hooks hooks { [this] { publish(); },
         [this](const std::vector<Record>& records) { acceptRecords(records); },
@@ -73,11 +74,11 @@
             m_metrics.wakeUps.add();
             m_joinBarrier.expire(monotonicNow());
             DOGWOODHALL_LOG(fleet, warning) << "The process was paused for " << toSeconds(gap) << " s.";
-            publish();
+            updateReadiness();
         },
         [this](const GossipMessage& message, ByteCount size) { return payGossip(message, size); },
         [this](const GossipMessage& reply) {
-            m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest);
+            m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest, reply.sender.isReady);
             updateReadiness();
         },
         [this] { updateReadiness(); } };
@@ -121,6 +122,14 @@
         m_ownLoads[load.pool] = { load, now };
 }
 
+std::vector<Record> ControlThread::recordsUnderRejections(ByteCount limit)
+{
+    auto records = m_configuration.inForceUnderRejections(m_lastUnderRejection, limit);
+    if (!records.empty())
+        m_lastUnderRejection = records.back().key;
+    return records;
+}
+
 // A few pools for each message, in turn.
 std::vector<PoolLoadSummary> ControlThread::ownLoads(std::size_t most)
 {
@@ -217,8 +226,10 @@
     publish();
 }
 
+// An event that waited during a pause must not publish readiness from before it.
 void ControlThread::publish()
 {
+    m_gossip->checkPause();
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->revision = m_configuration.highestRevision();
     snapshot->routes = RouteTable(m_configuration.sharedServices());
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -4,6 +4,7 @@
 #include "dogwoodhall/daemon/GossipDriver.h"
 #include "dogwoodhall/daemon/HeaderValues.h"
 #include "dogwoodhall/telemetry/Logging.h"
+#include "dogwoodhall/wire/GossipCodec.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -24,7 +25,6 @@
 // Callers' connections are still accepted for this long after readiness is off, so that the platform's balancer, which
 // polls it, has stopped sending when the port closes.
 constexpr auto drainGrace = std::chrono::milliseconds(1000);
-constexpr ByteCount maxGossipRequest { 1024 * 1024 };
 constexpr std::string_view ticketsPath = "/.dogwoodhall/tickets";
 
 } // namespace
@@ -117,16 +117,18 @@
     }
 }
 
-// After a pause the homes are not to be trusted until the control thread, which notices the same pause, has published
-// them again.
+// After a pause the homes and the records may be older than those of the peers. Nothing is served by them until the
+// control thread has published what holds after the pause; it may not have noticed a pause close to the threshold.
 void TrafficThread::observePauses()
 {
     if (!m_pauses.observe(monotonicNow()))
         return;
     auto expired = std::make_shared<Snapshot>(*m_snapshot);
     expired->remoteHomes.clear();
+    expired->isReady = false;
     m_runner.loads().clear();
     apply(std::move(expired));
+    m_options.reportPause();
 }
 
 void TrafficThread::startSession(asio::ip::tcp::socket socket)
@@ -179,7 +181,7 @@
 
 asio::awaitable<void> TrafficThread::handleGossip(IncomingRequest request, ResponseWriter writer)
 {
-    auto body = co_await readWhole(request.readBody, maxGossipRequest);
+    auto body = co_await readWhole(request.readBody, maxGossipBytes);
     if (!body)
         co_return;
     auto reply = co_await m_options.answerGossip(std::move(*body));
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -52,6 +52,8 @@
         std::function<ConfigurationDigest()> digest;
         // Records above a revision in order of revision, up to a number of bytes but at least one where there is one.
         std::function<std::vector<Record>(Revision, ByteCount)> recordsSince;
+        // Records in force of keys whose newest record is rejected; others in turn with each call.
+        std::function<std::vector<Record>(ByteCount)> recordsUnderRejections;
         // Load of the pools whose home is this process, at most so many.
         std::function<std::vector<PoolLoadSummary>(std::size_t)> poolLoads;
     };
@@ -65,6 +67,8 @@
     // Regions of the data centres, from the topology record.
     void setRegions(std::map<DataCentreId, RegionId>);
 
+    // Looks for a pause of the process, as every other call does that takes a time.
+    std::vector<FleetAction> checkPause(TimePoint now);
     // Called once in each gossip period.
     std::vector<FleetAction> tick(DecisionContext);
     // The request for an exchange that tick() or handle() asked for.
@@ -73,6 +77,8 @@
     HandledGossip handle(const GossipMessage&, TimePoint now);
     // The exchange that tick() or handle() asked for got no valid reply.
     std::vector<FleetAction> exchangeFailed(const MemberId&, TimePoint now);
+    // The exchange was not begun for lack of budget, which says nothing about the peer.
+    void exchangeNotSent(const MemberId& id) { m_exchanges.erase(id); }
 
     // This member's own state. A change is spread by gossip.
     void setReady(bool);
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -44,6 +44,14 @@
     m_views.isValid = false;
 }
 
+std::vector<FleetAction> Fleet::checkPause(TimePoint now)
+{
+    std::vector<FleetAction> actions;
+    observe(now, actions);
+    reportChange(actions);
+    return actions;
+}
+
 std::vector<FleetAction> Fleet::tick(DecisionContext context)
 {
     std::vector<FleetAction> actions;
@@ -98,6 +106,9 @@
         if (message.configuration.highest < mine.highest)
             m_behind[message.sender.id] = message.configuration.highest;
         handled.reply = makeMessage(GossipMessage::Kind::Reply, message.sender.id);
+        const auto& theirs = message.configuration;
+        if (theirs.highest == mine.highest && theirs.hash != mine.hash)
+            handled.reply->records = m_hooks.recordsUnderRejections(m_limits.maxRecordBytes);
         addRoster(*handled.reply, message);
         return;
     }
