--- a/packages/daemon/src/OperatorServer.cpp
+++ b/packages/daemon/src/OperatorServer.cpp
@@ -33,7 +33,7 @@
 {
     auto bound = m_acceptor.listen(address, PortSharing::Exclusive);
     if (!bound)
-        throw std::runtime_error("operators' port: " + bound.error());
+        throw std::runtime_error("admin port: " + bound.error());
     asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { startSession(std::move(socket)); }),
         asio::detached);
     return *bound;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/program_options.hpp>
 #include <cstdlib>
+#include <exception>
 #include <iostream>
 
 namespace options = boost::program_options;
@@ -17,6 +18,15 @@
     return dogwoodhall::badInputStatus;
 }
 
+int run(dogwoodhall::Daemon& daemon)
+{
+    try {
+        return daemon.run();
+    } catch (const std::exception& error) {
+        return complain(error.what());
+    }
+}
+
 int runDaemon(const std::string& path, bool isCheckOnly)
 {
     const auto text = dogwoodhall::readFile(path);
@@ -36,7 +46,7 @@
     dogwoodhall::Daemon daemon(*settings);
     // Ends without destructors: coroutines that still wait in the event loops refer to objects that would be destroyed
     // before the loops, and all that the process holds is memory.
-    std::quick_exit(daemon.run());
+    std::quick_exit(run(daemon));
 }
 
 } // namespace
--- a/packages/peer/tests/PeerExchangeTest.cpp
+++ b/packages/peer/tests/PeerExchangeTest.cpp
@@ -43,7 +43,8 @@
         const ReadOutcome body = co_await readAll(request.readBody, 1);
         cr_assert(body.matches && !body.error);
         cr_assert_eq(body.bytes, row.requestBytes);
-        co_await answerPattern(writer, { row.responseKind, ByteCount(row.responseBytes) }, row.responseBytes, 2);
+        const BodyLength length { row.responseKind, ByteCount(row.responseBytes) };
+        co_await answerPattern(writer, length, row.responseBytes, 2);
     };
 }
 
