Add the setting advertisedPeerAddress

A member gossips the address that its peer port is bound to, and that claim replaces the address of the host list as soon as the member is heard of. A forwarder before the peer port is therefore bypassed, although the host list names it.

The optional setting names the address that the member gossips in place of the bound one. It is checked as the other remote addresses are. SettingsParserTest has a row for a bad one and applies a good one.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -46,7 +46,7 @@
 {
     startTraffic();
     const auto admin = m_control.listen();
-    m_control.start(m_settings.peerAddress);
+    m_control.start(m_settings.advertisedPeerAddress.value_or(m_settings.peerAddress));
     std::cout << "listening caller=" << toString(m_settings.callerAddress)
               << " peer=" << toString(m_settings.peerAddress) << " admin=" << toString(admin) << std::endl;
     waitForSignal();
--- a/packages/declarations/include/dogwoodhall/declarations/Settings.h
+++ b/packages/declarations/include/dogwoodhall/declarations/Settings.h
@@ -15,6 +15,7 @@
     DataCentreId dataCentre;
     NetworkAddress callerAddress; // Port 0 lets the kernel choose.
     NetworkAddress peerAddress;
+    std::optional<NetworkAddress> advertisedPeerAddress; // Where other members connect; empty: peerAddress as bound.
     NetworkAddress adminAddress;
     NetworkAddress platformAddress; // Configuration service and host list.
     std::optional<NetworkAddress> traceCollector; // OTLP JSON over HTTP.
--- a/packages/declarations/src/SettingsSchema.cpp
+++ b/packages/declarations/src/SettingsSchema.cpp
@@ -28,6 +28,8 @@
 {
     settings.callerAddress = address(reader, "callerAddress", Presence::Required, listeningAddressText());
     settings.peerAddress = address(reader, "peerAddress", Presence::Required, listeningAddressText());
+    if (auto advertised = reader.text("advertisedPeerAddress", Presence::Optional, remoteAddressText()))
+        settings.advertisedPeerAddress = parseNetworkAddress(*advertised);
     settings.adminAddress = address(reader, "adminAddress", Presence::Required, listeningAddressText());
     settings.platformAddress = address(reader, "platformAddress", Presence::Required, remoteAddressText());
     if (auto collector = reader.text("traceCollectorAddress", Presence::Optional, remoteAddressText()))
--- a/packages/declarations/tests/SettingsParserTest.cpp
+++ b/packages/declarations/tests/SettingsParserTest.cpp
@@ -41,6 +41,8 @@
     { "127.0.0.1:0", "127.0.0.1:9",
         "s:2:79: /adminAddress: expected a unique listening address, found \"127.0.0.1:9\", which /callerAddress "
         "already has" },
+    { " }", ", \"advertisedPeerAddress\": \"127.0.0.1:0\" }",
+        "s:3:60: /advertisedPeerAddress: expected IP:PORT with a port from 1 to 65535, found \"127.0.0.1:0\"" },
     { " }", ", \"trafficThreads\": 0 }", "s:3:53: /trafficThreads: expected a whole number from 1 to 64, found 0" },
     { " }", ", \"trafficThread\": 2 }",
         "s:3:35: /trafficThread: expected a known field; the nearest is \"trafficThreads\", found unknown field "
@@ -73,6 +75,7 @@
 Test(Settings, areApplied)
 {
     auto settings = parseSettings(replaced(goodSettings, " }", R"(, "traceCollectorAddress": "127.0.0.1:4318",
+        "advertisedPeerAddress": "127.0.0.1:8",
         "traceSamplingPercent": 50, "trafficThreads": 3, "maxHeaderBytes": 2048, "maxBodyBytes": 5,
         "slowSenderTimeoutMs": 700, "measuringBytesPerSecond": 2000, "measuringCallsPerSecond": 9, "ticketBytes": 0 })"));
     cr_assert(settings);
@@ -80,6 +83,7 @@
     cr_assert_eq(settings->dataCentre, DataCentreId("cairo-1"));
     cr_assert_eq(settings->adminAddress.port, 9);
     cr_assert_eq(settings->platformAddress.port, 7);
+    cr_assert_eq(settings->advertisedPeerAddress->port, 8);
     cr_assert_eq(settings->traceCollector->port, 4318);
     cr_assert_eq(settings->traceSampling, Fraction(0.5));
     cr_assert_eq(settings->trafficThreads, 3);
