Keep region loss within the link budget, and pass by leaving pools

The fallback now prefers the own data centre, then the own region, and draws on the budget otherwise; without it the request is refused as not-run.

A pool whose hosts are all leaving counted as reachable until its expected wait was heard, so that a request spent its one spill on it: with the upstreams of two data centres leaving, requests got 503 no-endpoint although the third had room.

--- a/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
+++ b/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
@@ -30,7 +30,8 @@
     std::unordered_map<PoolId, PoolHome> remoteHomes;
     struct ServicePool {
         DataCentreId dataCentre;
-        bool isReachable = true; // Has a live home, or belongs to this data centre.
+        // Has a live home or belongs to this data centre, and has an endpoint whose host is not leaving.
+        bool isReachable = true;
     };
     std::map<ServiceId, std::vector<ServicePool>> poolsOf;
     std::map<MemberId, PoolHome> members; // Other members that are heard of, by id.
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -248,17 +248,21 @@
             snapshot.members[member->id] = { member->id, member->peerAddress };
     }
     for (const auto& service : snapshot.routes.services()) {
-        std::set<DataCentreId> dataCentres;
-        for (const auto& endpoint : service.endpoints)
-            dataCentres.insert(endpoint.dataCentre);
-        for (const auto& dataCentre : dataCentres) {
+        // Whether any endpoint there is on a host that is not leaving.
+        std::map<DataCentreId, bool> dataCentres;
+        for (const auto& endpoint : service.endpoints) {
+            const auto host = snapshot.leavingUpstreamHosts.find(endpoint.host);
+            const bool isLeaving = host != snapshot.leavingUpstreamHosts.end() && host->second;
+            dataCentres[endpoint.dataCentre] |= !isLeaving;
+        }
+        for (const auto& [dataCentre, hasEndpoint] : dataCentres) {
             const PoolId pool { service.id, dataCentre };
             const auto home = fleet.homeOf(pool);
             const Member* member = home ? fleet.find(*home) : nullptr;
             if (member)
                 snapshot.remoteHomes.emplace(pool, PoolHome { member->id, member->peerAddress });
-            const bool isReachable = home.has_value() || dataCentre == m_settings.dataCentre;
-            snapshot.poolsOf[service.id].push_back({ dataCentre, isReachable });
+            const bool hasHome = home.has_value() || dataCentre == m_settings.dataCentre;
+            snapshot.poolsOf[service.id].push_back({ dataCentre, hasHome && hasEndpoint });
         }
     }
 }
--- a/packages/daemon/src/PoolDirectory.cpp
+++ b/packages/daemon/src/PoolDirectory.cpp
@@ -63,10 +63,17 @@
     if (pool)
         return pool;
     // No pool has a live home that this member hears, or the links are spent: the request goes to its own data centre,
-    // or the first that has endpoints, and is placed by this process's own counts.
+    // or to the first that needs no link, and is placed by this process's own counts.
     const auto own = std::find_if(states.begin(), states.end(),
         [&](const PoolState& state) { return state.dataCentre == m_services.dataCentre; });
-    return PoolId { service, own != states.end() ? own->dataCentre : states.front().dataCentre };
+    const auto near = std::find_if(
+        states.begin(), states.end(), [&](const PoolState& state) { return !isOtherRegion(state.dataCentre); });
+    const auto& nearest = own != states.end() ? own : near;
+    if (nearest != states.end())
+        return PoolId { service, nearest->dataCentre };
+    if (!m_links.tryTake(estimateFor(workClass), now))
+        return std::nullopt;
+    return PoolId { service, states.front().dataCentre };
 }
 
 std::optional<PoolId> PoolDirectory::chooseAfterRefusal(const PoolId& refused, WorkClass workClass)
