Test several data centres, regions and splits between daemons

Spill, the link budget, loss of a data centre's daemons and network partitions ran in virtual time only. RegionTest runs them with real processes. PeerRelay stands before the peer ports and the platform and splits the processes into two groups, hanging or resetting; it finds who connects by the owner of the socket in /proc. Cluster can place data centres in two regions, set the link budget and put the relay in between.

The relay reports on standard error when it cannot find a connection's owner; that was seen once.

--- /dev/null
+++ b/tests/system/RegionTest.cpp
@@ -0,0 +1,322 @@
+#include "MemberStatus.h"
+#include "SentRequests.h"
+#include "TableRows.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iterator>
+#include <set>
+
+using namespace dogwoodhall;
+
+namespace {
+
+constexpr std::size_t spillRequests = 10;
+constexpr std::size_t linkRequests = 40;
+// One upstream can hold the requests of a round, so that none is refused or sent elsewhere for lack of slots.
+constexpr std::size_t lossSlots = 2 * spillRequests;
+constexpr std::size_t upstreamOfOtherRegion = 2;
+
+// Data centre n has upstream n; the last is the other region's. Ready when each member has heard of all homes.
+Cluster threeCentres(Cluster::Builder builder)
+{
+    auto cluster = builder.dataCentres(3).otherRegionFrom(2).start();
+    for (const auto& daemon : cluster.daemons())
+        cr_assert(eventually([&] {
+            const auto homes = statusOf(daemon).homes;
+            return homes.contains("dc0") && homes.contains("dc1") && homes.contains("dc2");
+        }));
+    return cluster;
+}
+
+void waitForPublished(Cluster& cluster, std::uint64_t revision, std::uint64_t hostListVersion)
+{
+    for (const auto& daemon : cluster.daemons())
+        cr_assert(eventually([&] {
+            const auto status = statusOf(daemon);
+            return status.revision > revision || status.hostListVersion > hostListVersion;
+        }));
+}
+
+void waitForChange(Cluster& cluster, void (*publish)(Cluster&))
+{
+    const auto before = statusOf(cluster.daemon());
+    publish(cluster);
+    waitForPublished(cluster, before.revision, before.hostListVersion);
+}
+
+void remove(Cluster& cluster, std::size_t centres)
+{
+    for (std::size_t n = 0; n < centres; ++n)
+        std::erase(cluster.declared, cluster.upstream(n).name);
+    waitForChange(cluster, [](Cluster& changed) { changed.publishService(); });
+}
+
+void leave(Cluster& cluster, std::size_t centres)
+{
+    for (std::size_t n = 0; n < centres; ++n)
+        cluster.upstream(n).isLeaving = true;
+    waitForChange(cluster, [](Cluster& changed) { changed.publishHosts(); });
+}
+
+void killUpstreams(Cluster& cluster, std::size_t centres)
+{
+    for (std::size_t n = 0; n < centres; ++n)
+        cluster.upstream(n).process.kill();
+}
+
+void fill(Cluster& cluster, std::size_t centres)
+{
+    for (std::size_t n = 0; n < centres; ++n)
+        cluster.setMode(n, "delay_ms=1000");
+}
+
+} // namespace
+
+struct SpillRow {
+    const char* name;
+    void (*strike)(Cluster&, std::size_t centres);
+    std::size_t centres; // Struck ones, from the own data centre on.
+    bool isFull = false; // The struck pools serve, but slowly; requests come until the next data centre has some.
+};
+
+const SpillRow spillRows[] = {
+    { "own endpoints removed", remove, 1 },
+    { "own upstream leaving", leave, 1 },
+    { "own upstream killed", killUpstreams, 1 },
+    { "own pool full", fill, 1, true },
+    { "endpoints of the region removed", remove, 2 },
+    { "upstreams of the region leaving", leave, 2 },
+    { "pools of the region full", fill, 2, true },
+};
+
+// Guards against requests that fail while a pool elsewhere has room, and against crossing regions without need.
+ParameterizedTestParameters(Region, spills) { return rowIndices(spillRows); }
+
+ParameterizedTest(std::size_t* index, Region, spills, .timeout = 120)
+{
+    const auto& row = spillRows[*index];
+    auto cluster = threeCentres({});
+    SentRequests requests(row.name);
+    row.strike(cluster, row.centres);
+    if (row.isFull) {
+        // Twice what the slots of the region serve, so that queues grow over several gossip periods.
+        cr_assert(eventually([&] {
+            requests.send(cluster.daemon(), "/a", 2, true, true);
+            ::usleep(80'000);
+            return cluster.received(row.centres) > 0;
+        }),
+            "%s: no spill", row.name);
+        // Expected waits are heard late, and a request tries one other pool: some are refused, early and with proof.
+        requests.readAll();
+        cr_assert_eq(requests.unproven(), 0, "%s: refused without proof", row.name);
+    } else {
+        for (std::size_t n = 0; n < spillRequests; ++n) {
+            requests.send(cluster.daemon(), "/a", 2);
+            requests.readAll();
+        }
+        requests.check(cluster);
+        for (std::size_t n = 0; n < 3; ++n)
+            cr_assert(n < row.centres || cluster.received(n) == (n == row.centres ? 2 * spillRequests : 0),
+                "%s: upstream %zu received %zu", row.name, n, cluster.received(n));
+    }
+    requests.check(cluster);
+}
+
+struct LinkRow {
+    const char* name;
+    void (*strike)(Cluster&, std::size_t centres);
+};
+
+const LinkRow linkRows[] = {
+    { "endpoints of the region removed", remove },
+    { "upstreams of the region leaving", leave },
+};
+
+// Guards against a region loss that floods the links to the others, and against refusals of what needs no link.
+ParameterizedTestParameters(Region, spillsWithinTheLinkBudget) { return rowIndices(linkRows); }
+
+ParameterizedTest(std::size_t* index, Region, spillsWithinTheLinkBudget, .timeout = 120)
+{
+    const auto& row = linkRows[*index];
+    // Each of two traffic threads has half. One request, counted as 16 KB, spends 33 s of that.
+    auto cluster = threeCentres(Cluster::Builder().linkBytesPerSecond(1000));
+    row.strike(cluster, 2);
+    SentRequests requests(row.name);
+    const auto start = std::chrono::steady_clock::now();
+    std::size_t served = 0;
+    for (std::size_t n = 0; n < linkRequests / 2; ++n) {
+        requests.send(cluster.daemon(), "/a", 2, true, true);
+        served += requests.readAll();
+    }
+    const auto elapsed = std::chrono::duration<double>(std::chrono::steady_clock::now() - start).count();
+    const auto allowed = 2 * (1 + static_cast<std::size_t>(elapsed / 32));
+    cr_assert_eq(requests.unproven(), 0, "%s: refused without proof", row.name);
+    cr_assert(served >= 1 && served <= allowed, "%s: %zu of %zu served", row.name, served, allowed);
+    cr_assert_eq(cluster.received(upstreamOfOtherRegion), served, "%s: ran without an answer", row.name);
+    requests.send(cluster.daemon(upstreamOfOtherRegion), "/a", spillRequests);
+    cr_assert_eq(requests.readAll(), spillRequests, "%s: not served in the own data centre", row.name);
+    requests.check(cluster);
+}
+
+struct CentreLossRow {
+    const char* name;
+    std::size_t centres; // Two: dc1 is the only data centre with endpoints. Three: dc2 of the other region serves too.
+    bool isFrozen; // Killed otherwise.
+};
+
+const CentreLossRow centreLossRows[] = {
+    { "daemons killed, other region serves", 3, false },
+    { "daemons frozen, other region serves", 3, true },
+    { "daemons killed, no other pool", 2, false },
+    { "daemons frozen, no other pool", 2, true },
+};
+
+// Guards against requests that keep failing on a data centre without daemons, and against one that is never used again.
+ParameterizedTestParameters(Region, losesADataCentresDaemons) { return rowIndices(centreLossRows); }
+
+ParameterizedTest(std::size_t* index, Region, losesADataCentresDaemons, .timeout = 120)
+{
+    const auto& row = centreLossRows[*index];
+    auto cluster = Cluster::Builder().dataCentres(row.centres).otherRegionFrom(2).daemons(2).slots(lossSlots).start();
+    remove(cluster, 1);
+    const std::size_t lost[] = { 1, 1 + row.centres };
+    const auto& entry = cluster.daemon();
+    SentRequests requests(row.name);
+    const auto sendRound = [&](bool mayFailPost) {
+        requests.send(entry, "/a", spillRequests, false, mayFailPost);
+        requests.readAll();
+    };
+    const auto hasHome = [&] { return statusOf(entry).homes.contains("dc1"); };
+    cr_assert(eventually(hasHome));
+    sendRound(false);
+    cr_assert_eq(cluster.received(1), spillRequests, "%s: not sent to dc1", row.name);
+
+    for (const std::size_t n : lost)
+        row.isFrozen ? cluster.daemon(n).process.signal(SIGSTOP) : cluster.daemon(n).process.kill();
+    sendRound(true);
+    cr_assert(eventually([&] { return !hasHome(); }), "%s: dc1 keeps its home", row.name);
+    const auto received = cluster.received(1);
+    sendRound(false);
+    const auto direct = cluster.received(1) - received;
+    cr_assert_eq(direct, row.centres == 2 ? spillRequests : 0, "%s: %zu placed directly", row.name, direct);
+
+    for (const std::size_t n : lost)
+        row.isFrozen ? cluster.daemon(n).process.signal(SIGCONT) : cluster.restartDaemon(n);
+    cr_assert(eventually(hasHome), "%s: dc1 has no home again", row.name);
+    // A home's silence is remembered for 1 s by each traffic thread.
+    const auto forwarded = counterOf(entry, "dogwoodhall_forwarded_total");
+    cr_assert(eventually([&] {
+        sendRound(true);
+        return counterOf(entry, "dogwoodhall_forwarded_total") >= forwarded + spillRequests;
+    }),
+        "%s: dc1 is not used again", row.name);
+    requests.check(cluster);
+}
+
+struct SplitRow {
+    const char* name;
+    std::size_t centres; // With two daemons each, named in turn: e0 is in dc0, e1 in dc1 or dc0.
+    std::set<std::string> group; // Cut off, together with the platform, from the others.
+    PeerRelay::Fault fault;
+};
+
+const SplitRow splitRows[] = {
+    { "data centre split, hanging", 1, { "e0" }, PeerRelay::Fault::Hang },
+    { "data centre split, reset", 1, { "e0" }, PeerRelay::Fault::Reset },
+    { "regions split, hanging", 2, { "e0", "e2" }, PeerRelay::Fault::Hang },
+    { "regions split, reset", 2, { "e0", "e2" }, PeerRelay::Fault::Reset },
+    { "both data centres split, hanging", 2, { "e0", "e1" }, PeerRelay::Fault::Hang },
+    { "both data centres split, reset", 2, { "e0", "e1" }, PeerRelay::Fault::Reset },
+};
+
+namespace {
+
+using Members = std::vector<const DaemonProcess*>;
+
+// Waits until the members hear exactly these and agree on homes in each data centre.
+void waitForView(const Members& members, std::size_t centres, const char* row)
+{
+    for (std::size_t n = 0; n < centres; ++n) {
+        Members inCentre;
+        std::copy_if(members.begin(), members.end(), std::back_inserter(inCentre),
+            [&](const auto* member) { return member->dataCentre == "dc" + std::to_string(n); });
+        if (!inCentre.empty())
+            agreedHome(inCentre);
+    }
+    for (const auto* member : members)
+        cr_assert(eventually([&] { return statusOf(*member).alivePeers + 1 == members.size(); }), "%s: %s hears %zu",
+            row, member->name.c_str(), statusOf(*member).alivePeers);
+}
+
+bool haveRevision(const Members& members, std::uint64_t revision)
+{
+    return std::all_of(
+        members.begin(), members.end(), [&](const auto* member) { return statusOf(*member).revision == revision; });
+}
+
+} // namespace
+
+// Guards against a split that repeats or falsely denies a request, stops a side from serving, or outlasts its healing.
+ParameterizedTestParameters(Region, isSplitAndHeals) { return rowIndices(splitRows); }
+
+ParameterizedTest(std::size_t* index, Region, isSplitAndHeals, .timeout = 180)
+{
+    const auto& row = splitRows[*index];
+    auto cluster = Cluster::Builder()
+                       .dataCentres(row.centres)
+                       .otherRegionFrom(1)
+                       .daemons(2)
+                       .upstreams(2)
+                       .slots(8)
+                       .relayed()
+                       .start();
+    Members all;
+    Members sides[2];
+    for (const auto& daemon : cluster.daemons()) {
+        all.push_back(&daemon);
+        sides[row.group.contains(daemon.name) ? 0 : 1].push_back(&daemon);
+    }
+    SentRequests requests(row.name);
+    const auto sendRound = [&](const std::string& target, bool mayFail, bool mayFailPost) {
+        for (const auto* member : all)
+            requests.send(*member, target, 2, mayFail, mayFailPost);
+    };
+    waitForView(all, row.centres, row.name);
+    const auto revision = statusOf(*all.front()).revision;
+    cr_assert(eventually([&] { return haveRevision(all, revision); }));
+    sendRound("/a?delay_ms=1000", true, true);
+    cr_assert(eventually([&] {
+        std::size_t received = 0;
+        for (std::size_t n = 0; n < 2 * row.centres; ++n)
+            received += cluster.received(n);
+        return received >= 2 * all.size();
+    }));
+
+    auto group = row.group;
+    group.insert("platform");
+    cluster.relay().split(std::move(group), row.fault);
+    sendRound("/a", false, true);
+    requests.readAll();
+    for (const auto& side : sides)
+        waitForView(side, row.centres, row.name);
+    sendRound("/a", false, false);
+    requests.readAll();
+    std::erase(cluster.declared, cluster.upstream(1).name);
+    cluster.publishService();
+    cr_assert(eventually([&] { return haveRevision(sides[0], revision + 1); }), "%s: change not seen", row.name);
+    cr_assert(haveRevision(sides[1], revision), "%s: the change crossed the split", row.name);
+
+    // The members hear each other again; the other side can learn of the change from its peers only, since what the
+    // platform has sent it is dropped.
+    cluster.relay().split({ "platform" }, PeerRelay::Fault::Reset);
+    sendRound("/a", false, true);
+    waitForView(all, row.centres, row.name);
+    cr_assert(eventually([&] { return haveRevision(all, revision + 1); }), "%s: change not passed on", row.name);
+    requests.readAll();
+    const auto received = cluster.received(1);
+    sendRound("/a", false, false);
+    requests.readAll();
+    cr_assert_eq(cluster.received(1), received, "%s: a removed endpoint is used", row.name);
+    requests.check(cluster);
+}
--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -38,6 +38,7 @@
     : m_folder(makeFolder())
     , m_platform({ PLATFORM_BINARY, "--listen", toString(m_platformPort.address()) })
     , m_platformAddress(m_platform.readListening().at("address"))
+    , m_platformForDaemons(m_platformAddress)
 {
 }
 
@@ -59,17 +60,27 @@
     declared.push_back(name);
 }
 
-DaemonProcess Cluster::launchDaemon(const std::string& name, const std::string& dataCentre) const
+DaemonProcess Cluster::launchDaemon(const std::string& name, const std::string& dataCentre)
 {
     const auto settings = m_folder / (name + ".json");
-    std::ofstream(settings) << json::object { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", dataCentre },
+    json::object fields { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", dataCentre },
         { "callerAddress", kernelChosen }, { "peerAddress", kernelChosen }, { "adminAddress", kernelChosen },
-        { "platformAddress", toString(m_platformAddress) }, { "slowSenderTimeoutMs", slowSenderTimeoutMs } };
+        { "platformAddress", toString(m_platformForDaemons) }, { "slowSenderTimeoutMs", slowSenderTimeoutMs } };
+    std::optional<NetworkAddress> advertised;
+    if (m_relay) {
+        advertised = m_relay->listenFor(name);
+        fields["advertisedPeerAddress"] = toString(*advertised);
+    }
+    std::ofstream(settings) << fields;
     Process process({ DAEMON_BINARY, "--settings", settings.string() });
     const auto addresses = process.readListening();
     DaemonProcess daemon { name, dataCentre, std::move(process), addresses.at("caller"), addresses.at("admin"), {} };
     if (auto peer = addresses.find("peer"); peer != addresses.end())
         daemon.peer = peer->second;
+    if (m_relay && daemon.peer) {
+        m_relay->setTarget(name, *daemon.peer, daemon.process.id());
+        daemon.peer = advertised;
+    }
     return daemon;
 }
 
@@ -160,18 +171,32 @@
         throw std::runtime_error(daemon.name + " did not become ready");
 }
 
+std::string Cluster::Builder::topology() const
+{
+    json::array centres;
+    for (std::size_t n = 0; n < m_dataCentres; ++n)
+        centres.push_back(
+            json::object { { "id", centreName(n) }, { "region", n < m_otherRegionFrom ? "region" : "other-region" } });
+    json::object topology { { "schemaVersion", 2 }, { "dataCentres", std::move(centres) } };
+    if (m_linkBytesPerSecond)
+        topology["linkBytesPerSecond"] = *m_linkBytesPerSecond;
+    return json::serialize(topology);
+}
+
 Cluster Cluster::Builder::start() const
 {
     Cluster cluster;
     cluster.m_slots = m_slots;
-    json::array centres;
+    if (m_isRelayed) {
+        cluster.m_relay = std::make_unique<PeerRelay>();
+        cluster.m_platformForDaemons = cluster.m_relay->listenFor("platform");
+        cluster.m_relay->setTarget("platform", cluster.m_platformAddress, cluster.m_platform.id());
+    }
     for (std::size_t n = 0; n < m_dataCentres; ++n) {
-        centres.push_back(json::object { { "id", centreName(n) }, { "region", "region" } });
         for (std::size_t i = 0; i < m_upstreams; ++i)
             cluster.startUpstream(centreName(n), m_slots);
     }
-    const json::object topology { { "schemaVersion", 1 }, { "dataCentres", std::move(centres) } };
-    cluster.platformCall("PUT", "/control/records/topology", json::serialize(topology));
+    cluster.platformCall("PUT", "/control/records/topology", topology());
     cluster.publishService();
     for (std::size_t n = 0; n < m_dataCentres * m_daemons; ++n)
         cluster.startDaemon(centreName(n % m_dataCentres));
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -1,9 +1,13 @@
 #pragma once
 
+#include "PeerRelay.h"
 #include "Process.h"
 #include "TestClient.h"
 
+#include <cstdint>
 #include <filesystem>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,7 +28,7 @@
     Process process;
     NetworkAddress caller;
     NetworkAddress admin;
-    std::optional<NetworkAddress> peer;
+    std::optional<NetworkAddress> peer; // As in the host list: where there is a relay, the relay's.
 };
 
 // The platform stand-in, upstreams and daemons of one test, on ports that the kernel chooses. Its service takes every
@@ -40,6 +44,8 @@
     std::vector<DaemonProcess>& daemons() { return m_daemons; }
     UpstreamProcess& upstream(std::size_t n = 0) { return m_upstreams.at(n); }
     Process& platform() { return m_platform; }
+    // Before the peer ports and, under the name "platform", before the platform; see Builder::relayed().
+    PeerRelay& relay() { return *m_relay; }
     const NetworkAddress& caller() const { return m_daemons.front().caller; }
 
     // Times that any upstream ran the request, killed ones included.
@@ -64,12 +70,14 @@
     Cluster();
 
     void startUpstream(const std::string& dataCentre, std::size_t slots);
-    DaemonProcess launchDaemon(const std::string& name, const std::string& dataCentre) const;
+    DaemonProcess launchDaemon(const std::string& name, const std::string& dataCentre);
 
     std::filesystem::path m_folder;
     ReservedPort m_platformPort;
     Process m_platform;
     NetworkAddress m_platformAddress;
+    std::unique_ptr<PeerRelay> m_relay;
+    NetworkAddress m_platformForDaemons;
     std::vector<UpstreamProcess> m_upstreams;
     std::vector<DaemonProcess> m_daemons;
     std::size_t m_slots = 3;
@@ -81,12 +89,21 @@
     Builder& upstreams(std::size_t n) { return m_upstreams = n, *this; } // In each data centre.
     Builder& daemons(std::size_t n) { return m_daemons = n, *this; } // In each data centre.
     Builder& slots(std::size_t n) { return m_slots = n, *this; }
+    // Data centres from this one on are in another region.
+    Builder& otherRegionFrom(std::size_t n) { return m_otherRegionFrom = n, *this; }
+    Builder& linkBytesPerSecond(std::uint64_t n) { return m_linkBytesPerSecond = n, *this; }
+    Builder& relayed() { return m_isRelayed = true, *this; }
 
     // Starts the processes, publishes records and host list, and waits until every daemon is ready.
     Cluster start() const;
 
 private:
+    std::string topology() const;
+
     std::size_t m_dataCentres = 1;
+    std::size_t m_otherRegionFrom = SIZE_MAX;
+    std::optional<std::uint64_t> m_linkBytesPerSecond;
+    bool m_isRelayed = false;
     std::size_t m_upstreams = 1;
     std::size_t m_daemons = 1;
     std::size_t m_slots = 3;
--- a/tests/system/support/MemberStatus.cpp
+++ b/tests/system/support/MemberStatus.cpp
@@ -13,14 +13,15 @@
 {
     const auto document = json::parse(call(daemon.admin, { "GET", "/status", {}, {}, {} }).body);
     MemberStatus status { document.at("ready").as_bool(), document.at("revision").to_number<std::uint64_t>(),
-        document.at("hostListVersion").to_number<std::uint64_t>(), 0, {} };
+        document.at("hostListVersion").to_number<std::uint64_t>(), 0, {}, {} };
     for (const auto& item : document.at("members").as_array())
         status.alivePeers += item.at("state").as_string() == "alive";
     for (const auto& item : document.at("homes").as_array()) {
         const auto pool = json::value_to<std::string>(item.at("pool"));
-        if (pool.find(daemon.dataCentre) != std::string::npos && item.at("home").is_string())
-            status.home = json::value_to<std::string>(item.at("home"));
+        if (item.at("home").is_string())
+            status.homes[pool.substr(pool.find_last_of("@/") + 1)] = json::value_to<std::string>(item.at("home"));
     }
+    status.home = status.homes[daemon.dataCentre];
     return status;
 }
 
--- a/tests/system/support/MemberStatus.h
+++ b/tests/system/support/MemberStatus.h
@@ -3,6 +3,7 @@
 #include "Cluster.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
     std::uint64_t hostListVersion = 0;
     std::size_t alivePeers = 0; // Other members in the host list that it knows to be alive.
     std::string home; // Of the pool in the member's own data centre; empty for none.
+    std::map<std::string, std::string> homes; // By data centre; none for a pool without a home.
 };
 
 MemberStatus statusOf(const DaemonProcess&);
