--- a/packages/daemon/include/dogwoodhall/daemon/StatusReport.h
+++ b/packages/daemon/include/dogwoodhall/daemon/StatusReport.h
@@ -14,6 +14,7 @@
 struct PlacedPool {
     PoolId pool;
     std::optional<MemberId> home;
+    bool hasEndpoint = false; // One whose host is not leaving.
 };
 
 // What this member knows, for operators.
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -254,12 +254,12 @@
         if (member->state != MemberState::Gone)
             snapshot.members[member->id] = { member->id, member->peerAddress };
     }
-    for (const auto& [pool, home] : placedPools()) {
+    for (const auto& [pool, home, hasEndpoint] : placedPools()) {
         const Member* member = home ? fleet.find(*home) : nullptr;
         if (member)
             snapshot.remoteHomes.emplace(pool, PoolHome { member->id, member->peerAddress });
-        const bool isReachable = home.has_value() || pool.dataCentre == m_settings.dataCentre;
-        snapshot.poolsOf[pool.service].push_back({ pool.dataCentre, isReachable });
+        const bool hasHome = home.has_value() || pool.dataCentre == m_settings.dataCentre;
+        snapshot.poolsOf[pool.service].push_back({ pool.dataCentre, hasHome && hasEndpoint });
     }
 }
 
@@ -277,14 +277,19 @@
 // The pools of the services in force, by service and data centre.
 std::vector<PlacedPool> ControlThread::placedPools() const
 {
+    std::set<HostId> leaving;
+    for (const auto& host : m_hosts.hosts) {
+        if (!host.isEntry && host.isLeaving)
+            leaving.insert(host.id);
+    }
     std::vector<PlacedPool> pools;
     for (const auto& service : m_configuration.sharedServices()) {
-        std::set<DataCentreId> dataCentres;
+        std::map<DataCentreId, bool> dataCentres;
         for (const auto& endpoint : service->endpoints)
-            dataCentres.insert(endpoint.dataCentre);
-        for (const auto& dataCentre : dataCentres) {
+            dataCentres[endpoint.dataCentre] |= !leaving.contains(endpoint.host);
+        for (const auto& [dataCentre, hasEndpoint] : dataCentres) {
             const PoolId pool { service->id, dataCentre };
-            pools.push_back({ pool, m_gossip->fleet().homeOf(pool) });
+            pools.push_back({ pool, m_gossip->fleet().homeOf(pool), hasEndpoint });
         }
     }
     return pools;
--- a/packages/daemon/src/StatusReport.cpp
+++ b/packages/daemon/src/StatusReport.cpp
@@ -26,7 +26,7 @@
 json::array homesAsJson(const std::vector<PlacedPool>& pools)
 {
     json::array items;
-    for (const auto& [pool, home] : pools) {
+    for (const auto& [pool, home, hasEndpoint] : pools) {
         items.push_back(json::object {
             { "pool", toString(pool) }, { "home", home ? json::value(home->value()) : json::value(nullptr) } });
     }
