Hold real daemons to the measuring budget

Cause: the budget was proved for MeasuringBudget only. The daemon counted control bytes but not calls, and the loads of pools travelled in gossip messages that are charged as membership, so that load measurement was not what gave way first.

Change: dogwoodhall_control_calls_total counts calls by category, and dogwoodhall_measuring_denied_total has the same label. Pool loads are left out of a gossip message while the budget has no room for load measurement (MeasuringBudget::hasRoom). The upstream stand-in counts health calls and can delay them.

--- a/packages/budget/include/dogwoodhall/budget/MeasuringBudget.h
+++ b/packages/budget/include/dogwoodhall/budget/MeasuringBudget.h
@@ -44,6 +44,8 @@
 
     // Charges one call. False where it must not be made.
     bool trySpend(MeasuringCategory, ByteCount, TimePoint now);
+    // Whether trySpend() would charge it, for a part of a message that can be left out.
+    bool hasRoom(MeasuringCategory, ByteCount, TimePoint now);
 
     const MeasuringCounters& counters(MeasuringCategory) const;
     // Largest message that a category can ever send.
--- a/packages/budget/src/MeasuringBudget.cpp
+++ b/packages/budget/src/MeasuringBudget.cpp
@@ -52,6 +52,12 @@
     return true;
 }
 
+bool MeasuringBudget::hasRoom(MeasuringCategory category, ByteCount bytes, TimePoint now)
+{
+    return m_calls.canTake(CallCount(1), now, reserveOf(category, m_capacity.callsPerSecond))
+        && m_bytes.canTake(bytes, now, reserveOf(category, m_capacity.bytesPerSecond));
+}
+
 const MeasuringCounters& MeasuringBudget::counters(MeasuringCategory category) const
 {
     return m_counters[static_cast<std::size_t>(category)];
--- a/packages/budget/tests/MeasuringBudgetTest.cpp
+++ b/packages/budget/tests/MeasuringBudgetTest.cpp
@@ -67,7 +67,10 @@
             std::poisson_distribution<int> arrivals(perMs);
             for (int count = arrivals(random); count > 0; --count) {
                 const auto category = static_cast<MeasuringCategory>(n);
-                if (!budget.trySpend(category, ByteCount(row.usual[n].bytes), now))
+                const bool hasRoom = budget.hasRoom(category, ByteCount(row.usual[n].bytes), now);
+                const bool isSpent = budget.trySpend(category, ByteCount(row.usual[n].bytes), now);
+                cr_assert_eq(hasRoom, isSpent, "%s: hasRoom says otherwise than trySpend", row.name);
+                if (!isSpent)
                     continue;
                 window.push_back({ now, row.usual[n].bytes });
                 windowBytes += row.usual[n].bytes;
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dogwoodhall/budget/MeasuringBudget.h"
 #include "dogwoodhall/core/ErrorKind.h"
 #include "dogwoodhall/telemetry/MetricsRegistry.h"
 
@@ -12,6 +13,8 @@
     explicit DaemonMetrics(MetricsRegistry&);
 
     Counter& error(ErrorKind kind) { return *errors[static_cast<std::size_t>(kind)]; }
+    Counter& sent(MeasuringCategory category) { return *controlCalls[static_cast<std::size_t>(category)]; }
+    Counter& denied(MeasuringCategory category) { return *measuringDenied[static_cast<std::size_t>(category)]; }
 
     Counter& requests;
     Counter& relayed; // Answered whole with the upstream's own answer.
@@ -33,7 +36,8 @@
     Counter& gossipExchanges;
     Counter& gossipFailures;
     Counter& controlBytes;
-    Counter& measuringDenied; // Messages not sent because the measuring budget was spent.
+    std::array<Counter*, measuringCategoryCount> controlCalls {};
+    std::array<Counter*, measuringCategoryCount> measuringDenied {}; // Not sent because the budget was spent.
     Counter& wakeUps; // Pauses of the process that were detected.
     Counter& spansDropped;
     Counter& peerProtocolErrors;
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -24,6 +24,8 @@
 constexpr ByteCount recordBurst { 2 * 1024 * 1024 };
 // Loads of a pool whose home has moved away are no longer passed on.
 constexpr Duration ownLoadLifetime = std::chrono::seconds(1);
+// A pool's load in a gossip message, with ids of 15 characters.
+constexpr std::uint64_t loadBytes = 64;
 
 } // namespace
 
@@ -95,9 +97,10 @@
 bool ControlThread::pay(MeasuringCategory category, ByteCount size)
 {
     if (!m_budget.trySpend(category, size, monotonicNow())) {
-        m_metrics.measuringDenied.add();
+        m_metrics.denied(category).add();
         return false;
     }
+    m_metrics.sent(category).add();
     m_metrics.controlBytes.add(size.count());
     return true;
 }
@@ -111,7 +114,7 @@
         records += estimatedSize(record);
     records = std::min(records, size);
     if (records > ByteCount(0) && !m_recordBytes.tryTake(records, monotonicNow())) {
-        m_metrics.measuringDenied.add();
+        m_metrics.denied(MeasuringCategory::Configuration).add();
         return false;
     }
     return pay(MeasuringCategory::Membership, size - records);
@@ -124,14 +127,19 @@
         m_ownLoads[load.pool] = { load, now };
 }
 
-// A few pools for each message, in turn.
+// A few pools for each message, in turn; none while the budget is short, so that the rest of the message still passes.
 std::vector<PoolLoadSummary> ControlThread::ownLoads(std::size_t most)
 {
     const TimePoint now = monotonicNow();
     std::erase_if(m_ownLoads, [&](const auto& item) { return now - item.second.measuredAt > ownLoadLifetime; });
     std::vector<PoolLoadSummary> loads;
+    const std::size_t count = std::min(most, m_ownLoads.size());
+    if (count > 0 && !m_budget.hasRoom(MeasuringCategory::LoadMeasurement, ByteCount(count * loadBytes), now)) {
+        m_metrics.denied(MeasuringCategory::LoadMeasurement).add();
+        return loads;
+    }
     auto it = m_ownLoads.upper_bound(m_lastSentLoad);
-    for (std::size_t n = 0; n < std::min(most, m_ownLoads.size()); ++n) {
+    for (std::size_t n = 0; n < count; ++n) {
         if (it == m_ownLoads.end())
             it = m_ownLoads.begin();
         loads.push_back(it->second.load);
--- a/packages/daemon/src/DaemonMetrics.cpp
+++ b/packages/daemon/src/DaemonMetrics.cpp
@@ -4,6 +4,13 @@
 
 namespace dogwoodhall {
 
+namespace {
+
+// In the order of MeasuringCategory.
+const std::array<const char*, measuringCategoryCount> categoryNames { "membership", "configuration", "health", "load" };
+
+} // namespace
+
 DaemonMetrics::DaemonMetrics(MetricsRegistry& registry)
     : requests(registry.counter("dogwoodhall_requests_total", "Requests received from callers."))
     , relayed(registry.counter("dogwoodhall_relayed_total", "Requests answered whole by an upstream."))
@@ -24,7 +31,6 @@
     , gossipExchanges(registry.counter("dogwoodhall_gossip_exchanges_total", "Gossip exchanges started."))
     , gossipFailures(registry.counter("dogwoodhall_gossip_failures_total", "Gossip exchanges that failed."))
     , controlBytes(registry.counter("dogwoodhall_control_bytes_total", "Bytes sent for control and measuring."))
-    , measuringDenied(registry.counter("dogwoodhall_measuring_denied_total", "Messages the measuring budget denied."))
     , wakeUps(registry.counter("dogwoodhall_wake_ups_total", "Pauses of the process that expired its state."))
     , spansDropped(registry.counter("dogwoodhall_spans_dropped_total", "Spans dropped before export."))
     , peerProtocolErrors(registry.counter("dogwoodhall_peer_protocol_errors_total", "Malformed peer messages."))
@@ -37,6 +43,12 @@
         errors[n] = &registry.counter("dogwoodhall_errors_total", "Answers that are not the upstream's own, by kind.",
             { { "kind", std::string(answer.name) } });
     }
+    for (std::size_t n = 0; n < measuringCategoryCount; ++n) {
+        controlCalls[n] = &registry.counter("dogwoodhall_control_calls_total", "Calls made for control and measuring.",
+            { { "category", categoryNames[n] } });
+        measuringDenied[n] = &registry.counter("dogwoodhall_measuring_denied_total",
+            "Messages the measuring budget denied.", { { "category", categoryNames[n] } });
+    }
 }
 
 } // namespace dogwoodhall
--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -62,9 +62,12 @@
 DaemonProcess Cluster::launchDaemon(const std::string& name, const std::string& dataCentre) const
 {
     const auto settings = m_folder / (name + ".json");
-    std::ofstream(settings) << json::object { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", dataCentre },
+    json::object values { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", dataCentre },
         { "callerAddress", kernelChosen }, { "peerAddress", kernelChosen }, { "adminAddress", kernelChosen },
         { "platformAddress", toString(m_platformAddress) }, { "slowSenderTimeoutMs", slowSenderTimeoutMs } };
+    for (const auto& [field, value] : m_settings)
+        values[field] = value;
+    std::ofstream(settings) << values;
     Process process({ DAEMON_BINARY, "--settings", settings.string() });
     const auto addresses = process.readListening();
     DaemonProcess daemon { name, dataCentre, std::move(process), addresses.at("caller"), addresses.at("admin"), {} };
@@ -97,11 +100,17 @@
     return count;
 }
 
-std::size_t Cluster::received(std::size_t upstream) const
+std::size_t Cluster::askNumber(std::size_t upstream, const std::string& target) const
 {
-    return std::stoull(call(m_upstreams.at(upstream).address, { "GET", "/control/received", {}, {}, {} }).body);
+    return std::stoull(call(m_upstreams.at(upstream).address, { "GET", target, {}, {}, {} }).body);
 }
 
+std::size_t Cluster::received(std::size_t upstream) const { return askNumber(upstream, "/control/received"); }
+
+std::size_t Cluster::healthCalls(std::size_t upstream) const { return askNumber(upstream, "/control/health-calls"); }
+
+std::size_t Cluster::inUse(std::size_t upstream) const { return askNumber(upstream, "/control/in-use"); }
+
 void Cluster::setMode(std::size_t upstream, const std::string& query)
 {
     call(m_upstreams.at(upstream).address, { "PUT", "/control/mode?" + query, {}, {}, {} });
@@ -164,6 +173,7 @@
 {
     Cluster cluster;
     cluster.m_slots = m_slots;
+    cluster.m_settings = m_settings;
     json::array centres;
     for (std::size_t n = 0; n < m_dataCentres; ++n) {
         centres.push_back(json::object { { "id", centreName(n) }, { "region", "region" } });
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -45,6 +45,9 @@
     // Times that any upstream ran the request, killed ones included.
     std::size_t runs(const std::string& id) const;
     std::size_t received(std::size_t upstream) const; // Requests that reached this upstream, run or not.
+    std::size_t healthCalls(std::size_t upstream) const;
+    std::size_t inUse(std::size_t upstream) const; // Requests that run there now.
+    std::size_t upstreamCount() const { return m_upstreams.size(); }
     void setMode(std::size_t upstream, const std::string& query);
 
     Answer platformCall(const std::string& method, const std::string& target, const std::string& body = {});
@@ -65,6 +68,7 @@
 
     void startUpstream(const std::string& dataCentre, std::size_t slots);
     DaemonProcess launchDaemon(const std::string& name, const std::string& dataCentre) const;
+    std::size_t askNumber(std::size_t upstream, const std::string& target) const;
 
     std::filesystem::path m_folder;
     ReservedPort m_platformPort;
@@ -73,6 +77,7 @@
     std::vector<UpstreamProcess> m_upstreams;
     std::vector<DaemonProcess> m_daemons;
     std::size_t m_slots = 3;
+    std::map<std::string, std::uint64_t> m_settings;
 };
 
 class Cluster::Builder {
@@ -82,6 +87,9 @@
     Builder& daemons(std::size_t n) { return m_daemons = n, *this; } // In each data centre.
     Builder& slots(std::size_t n) { return m_slots = n, *this; }
 
+    // A number in the settings of every daemon.
+    Builder& setting(const std::string& name, std::uint64_t value) { return m_settings[name] = value, *this; }
+
     // Starts the processes, publishes records and host list, and waits until every daemon is ready.
     Cluster start() const;
 
@@ -90,6 +98,7 @@
     std::size_t m_upstreams = 1;
     std::size_t m_daemons = 1;
     std::size_t m_slots = 3;
+    std::map<std::string, std::uint64_t> m_settings;
 };
 
 } // namespace dogwoodhall
--- a/tools/src/UpstreamStandIn.cpp
+++ b/tools/src/UpstreamStandIn.cpp
@@ -12,7 +12,8 @@
 
 // Stand-in for an upstream endpoint. It runs at most --slots requests at a time and refuses the rest. Each run is
 // counted for its X-Request-Id at GET /control/runs, and appended as a line to --runs-file, which outlives a kill.
-// A request runs once its body has arrived whole.
+// A request runs once its body has arrived whole. GET /control/health-calls counts the calls of GET /health, and GET
+// /control/in-use gives the requests that run; a caller that closes its connection ends its request.
 //
 // PUT /control/mode?name=value&... sets how requests are answered until the next such call; the query of a request
 // overrides it for that request:
@@ -22,6 +23,7 @@
 //   fault=<what>-<when>  die, cut (the connection) or freeze (SIGSTOP, only once); before or after the run, or mid of
 //                        the body
 //   delay_ms=<n>         before the answer; pause_ms=<n> between the parts of its body
+//   health_delay_ms=<n>  before the answer of GET /health
 //   bytes=<n>            of body; chunked=1 without a declared length; truncate=1 breaks off in the middle
 //   surplus=<n>          unrequested answers after the answer, surplus_delay_ms=<n> later
 
@@ -70,6 +72,7 @@
     void recordRun(const HeaderFields&);
     std::string runsAsJson() const;
     std::string healthAsJson() const;
+    std::uint64_t healthDelay() const { return withMode({}).number("health_delay_ms", 0); }
 
     UpstreamOptions m_options;
     StandInServer m_server;
@@ -78,6 +81,7 @@
     bool m_hasFrozen = false;
     std::uint64_t m_inUse = 0;
     std::uint64_t m_received = 0; // Requests, run or not.
+    std::uint64_t m_healthCalls = 0;
     std::map<std::string, std::uint64_t> m_runs;
 };
 
@@ -139,6 +143,10 @@
         co_await writeAnswer(writer, 200, runsAsJson());
     } else if (target.path == "/control/received") {
         co_await writeAnswer(writer, 200, std::to_string(m_received));
+    } else if (target.path == "/control/health-calls") {
+        co_await writeAnswer(writer, 200, std::to_string(m_healthCalls));
+    } else if (target.path == "/control/in-use") {
+        co_await writeAnswer(writer, 200, std::to_string(m_inUse));
     } else if (target.path == "/control/mode") {
         m_mode = target.parameters;
         co_await writeAnswer(writer, 200, "ok\n");
@@ -155,6 +163,9 @@
         co_return;
     }
     if (target.path == "/health") {
+        ++m_healthCalls;
+        const auto delay = healthDelay();
+        co_await pause(delay);
         co_await writeAnswer(writer, 200, healthAsJson());
         co_return;
     }
