--- a/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -54,7 +54,7 @@
     void addLoadFields(const RequestWork&, HeaderFields&);
     void recordRelay(RequestWork&, const RelayOutcome&, Duration serviceTime);
     OutgoingRequest outgoing(RequestWork&, const RequestTrace::Hop&, bool withBody) const;
-    AttemptResult homeFailed(RequestWork&, const PoolHome&, const ExchangeError&);
+    AttemptResult homeFailed(RequestWork&, const PoolHome&, ErrorKind, bool provenNotRun);
 
     TrafficServices& m_services;
     PoolDirectory& m_pools;
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -42,6 +42,22 @@
     return CompletionResult::Cancelled;
 }
 
+// The endpoint that a permit names; empty where the answer is no permit.
+std::optional<Placement> permittedPlacement(const HeaderFields& headerFields)
+{
+    const auto named = headerFields.find(permitEndpointField);
+    auto address = parseNetworkAddress(headerFields.find(permitAddressField).value_or(""));
+    if (!named || !address)
+        return std::nullopt;
+    return Placement { EndpointId(std::string(*named)), std::move(*address) };
+}
+
+// Built here, since g++ 12 destroys the parts of a braced initializer twice where a coroutine passes it on.
+void addEnvelope(ForwardEnvelope::Purpose purpose, const RequestWork& work, OutgoingRequest& request)
+{
+    writeEnvelope({ purpose, work.pool, work.route }, request.head.fields);
+}
+
 AttemptFailure toFailure(const ExchangeError& error, bool reachedUpstream)
 {
     return { error.kind, error.provenNotRun, true, reachedUpstream };
@@ -228,13 +244,13 @@
     hop.note("home", home.member.value());
     m_services.metrics.forwarded.add();
     auto request = outgoing(work, hop, true);
-    writeEnvelope({ ForwardEnvelope::Purpose::Forward, work.pool, work.route }, request.head.fields);
+    addEnvelope(ForwardEnvelope::Purpose::Forward, work, request);
     work.lifecycle.attemptStarted();
     auto response
         = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
     if (!response) {
         hop.fail(answerFor(response.error().kind).name);
-        co_return homeFailed(work, home, response.error());
+        co_return homeFailed(work, home, response.error().kind, response.error().provenNotRun);
     }
     const auto kind = errorKindFromName(response->head.fields.find(fields::error).value_or(""));
     if (!kind)
@@ -243,7 +259,7 @@
     response->abandon();
     hop.fail(answerFor(*kind).name);
     if (isNotRun && isNoLongerHome(*kind))
-        co_return homeFailed(work, home, { *kind, true, "the home takes no requests" });
+        co_return homeFailed(work, home, *kind, true);
     // The home has made the attempts that its budget allows, so its word is final unless no upstream was reached.
     if (isNotRun) {
         work.lifecycle.attemptTurnedAway();
@@ -273,34 +289,33 @@
     RequestTrace::Hop hop(work.trace, "permit", work.entryHop.id());
     hop.note("home", home.member.value());
     auto request = outgoing(work, hop, false);
-    writeEnvelope({ ForwardEnvelope::Purpose::Permit, work.pool, work.route }, request.head.fields);
+    addEnvelope(ForwardEnvelope::Purpose::Permit, work, request);
     auto permit
         = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
     if (!permit) {
         hop.fail(answerFor(permit.error().kind).name);
         // A permit runs nothing, so its loss is no loss of the request.
         work.lifecycle.attemptStarted();
-        co_return homeFailed(work, home, { permit.error().kind, true, permit.error().detail });
+        co_return homeFailed(work, home, permit.error().kind, true);
     }
     // The slot is held by the open stream, and returned when it is reset.
     struct Guard {
         IncomingResponse& permit;
         ~Guard() { permit.abandon(); }
     } guard { *permit };
-    const auto named = permit->head.fields.find(permitEndpointField);
-    const auto address = parseNetworkAddress(permit->head.fields.find(permitAddressField).value_or(""));
-    if (!named || !address) {
+    const auto placement = permittedPlacement(permit->head.fields);
+    if (!placement) {
         const auto kind
             = errorKindFromName(permit->head.fields.find(fields::error).value_or("")).value_or(ErrorKind::PeerFailed);
         if (!isNoLongerHome(kind))
             co_return TurnedAway { kind };
         work.lifecycle.attemptStarted();
-        co_return homeFailed(work, home, { kind, true, "the home grants no permits" });
+        co_return homeFailed(work, home, kind, true);
     }
     m_services.metrics.permits.add();
-    hop.note("endpoint", std::string(*named));
+    hop.note("endpoint", placement->endpoint.value());
     Completion completion;
-    co_return co_await runAt(work, writer, { EndpointId(std::string(*named)), *address }, completion);
+    co_return co_await runAt(work, writer, *placement, completion);
 }
 
 asio::awaitable<void> AttemptRunner::grantPermit(const RequestWork& work, const ResponseWriter& writer)
@@ -334,16 +349,17 @@
     return request;
 }
 
-AttemptResult AttemptRunner::homeFailed(RequestWork& work, const PoolHome& home, const ExchangeError& error)
+AttemptResult AttemptRunner::homeFailed(RequestWork& work, const PoolHome& home, ErrorKind kind, bool provenNotRun)
 {
     work.mayUseHome = false;
-    if (error.kind != ErrorKind::DeadlineExceeded) {
+    if (kind != ErrorKind::DeadlineExceeded) {
         m_services.metrics.bypassedHomes.add();
         m_bypassUntil[home.member] = monotonicNow() + homeBypassTime;
         m_services.reportSilentMember(home.member);
     }
-    const auto kind = error.kind == ErrorKind::UpstreamFailed ? ErrorKind::PeerFailed : error.kind;
-    return AttemptFailure { kind, error.provenNotRun, true, !error.provenNotRun };
+    if (kind == ErrorKind::UpstreamFailed)
+        kind = ErrorKind::PeerFailed;
+    return AttemptFailure { kind, provenNotRun, true, !provenNotRun };
 }
 
 } // namespace dogwoodhall
