Keep hedges working, and prove them with real processes

Causes, all seen with HedgeTest: - A hedge that was cancelled because the first answer had begun still took a token of the retry budget, so that the budget was empty soon after hedging began: requests at an endpoint that hung waited for their deadlines, and broken connections were not repeated. - An endpoint that hangs while hedges answer for it kept its share of the requests and spent the budget. - A hedge that found no free slot within 1 ms spent its token and was not tried again: under load a request at a hung endpoint met its deadline. - A hedge that failed or was refused held its slot until the first answer.

Change: a cancelled hedge takes nothing; the slot is taken before the token, given back where the hedge fails, and asked for again after the same delay; CompletionResult::Overtaken counts as a failure of the endpoint.

--- a/packages/daemon/include/dogwoodhall/daemon/HedgedExchange.h
+++ b/packages/daemon/include/dogwoodhall/daemon/HedgedExchange.h
@@ -38,6 +38,8 @@
 private:
     asio::awaitable<void> runFirst();
     asio::awaitable<void> runSecond();
+    // Ends with the second endpoint's slot given back where that did not answer, and false.
+    asio::awaitable<bool> exchangeSecond();
     asio::awaitable<void> waitForever();
 
     TrafficServices& m_services;
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -167,6 +167,7 @@
     if (!hedge)
         co_return co_await relayFromUpstream(work, writer, *response, hop, completion);
     hop.note("hedge", hedge->placement().endpoint.value());
+    completion.result = CompletionResult::Overtaken;
     Completion hedgeCompletion;
     auto result = co_await relayFromUpstream(work, writer, *response, hop, hedgeCompletion);
     hedgeCompletion.serviceTime = monotonicNow() - sentAt;
--- a/packages/daemon/src/HedgedExchange.cpp
+++ b/packages/daemon/src/HedgedExchange.cpp
@@ -56,27 +56,40 @@
 asio::awaitable<void> HedgedExchange::runSecond()
 {
     asio::steady_timer timer(m_services.io);
-    timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(*m_plan.delay));
-    co_await timer.async_wait(useTuple);
-    if (!m_plan.takeBudget())
-        co_return co_await waitForever();
+    // Where no slot was free, tries again after the same delay: a first endpoint that hangs may never answer.
+    while (!m_hasHedged) {
+        timer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(*m_plan.delay));
+        auto [ec] = co_await timer.async_wait(useTuple);
+        // Cancelled, since the first answer has begun: a hedge that is not sent takes nothing from the budget.
+        if (ec)
+            co_return;
+        const bool isAnswered = co_await exchangeSecond();
+        if (isAnswered)
+            co_return;
+    }
+    co_await waitForever();
+}
+
+asio::awaitable<bool> HedgedExchange::exchangeSecond()
+{
     m_plan.second.deadline = monotonicNow() + hedgeQueueTime;
     auto lease = co_await m_services.slots.acquire(m_plan.pool, m_plan.second);
-    if (!lease)
-        co_return co_await waitForever();
+    if (!lease || !m_plan.takeBudget())
+        co_return false;
     m_hasHedged = true;
     m_services.metrics.hedges.add();
     auto response
         = co_await m_services.upstreams.exchange(lease->placement().address, m_plan.makeRequest(), m_plan.deadline);
     if (!response)
-        co_return co_await waitForever();
+        co_return false;
     // Only an upstream's own answer ends the wait for the first one.
     if (response->head.status >= 500) {
         response->abandon();
-        co_return co_await waitForever();
+        co_return false;
     }
     m_lease.emplace(std::move(*lease));
     m_second = std::move(*response);
+    co_return true;
 }
 
 asio::awaitable<void> HedgedExchange::waitForever()
--- a/packages/pool/include/dogwoodhall/pool/PoolActions.h
+++ b/packages/pool/include/dogwoodhall/pool/PoolActions.h
@@ -27,6 +27,7 @@
     ConnectFailed, // No byte was handed to a connection.
     Failed, // The connection broke, or the answer was malformed or cut short.
     Cancelled, // The caller went away or the deadline passed.
+    Overtaken, // A hedge that was sent later to another endpoint was answered first.
 };
 
 struct Completion {
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -191,6 +191,8 @@
         break;
     case CompletionResult::ConnectFailed:
     case CompletionResult::Failed:
+    // An endpoint that hangs while hedges answer for it would otherwise keep its share and spend the retry budget.
+    case CompletionResult::Overtaken:
         shouldEject = endpoint.health.recordFailure(m_limits.health);
         break;
     case CompletionResult::Cancelled:
--- /dev/null
+++ b/tests/system/HedgeTest.cpp
@@ -0,0 +1,182 @@
+#include "MemberStatus.h"
+#include "TableRows.h"
+
+#include <csignal>
+#include <memory>
+#include <set>
+
+using namespace dogwoodhall;
+
+namespace {
+
+constexpr std::size_t upstreamCount = 4;
+constexpr std::size_t slotCount = 4;
+constexpr std::size_t allSlots = upstreamCount * slotCount;
+// At once. Fewer than the slots, so that a hedge finds one free.
+constexpr std::size_t requestsPerRound = 4;
+// More than the 50 samples after which hedges begin.
+constexpr std::size_t roundsBefore = 25;
+// Enough that hedges for a quarter of the requests would spend the retry budget.
+constexpr std::size_t roundsDuring = 40;
+constexpr std::size_t roundsAfter = 40;
+// Without hedges each may wait for a deadline.
+constexpr std::size_t roundsNotIdempotent = 10;
+// The share of successes that may be spent on second runs (default of retrySharePercent), and what may be spent before.
+constexpr double retryShare = 0.1;
+constexpr double retryReserve = 10;
+// Of every answer: long against the scheduling delays of a busy machine, so that few sound answers are hedged.
+const char* const usualMode = "delay_ms=50";
+// Less than eight times as long, so that it ejects no endpoint.
+const char* const fillMode = "delay_ms=300";
+// Longer than any wait of the test: a request that waits for such an answer is not answered.
+const char* const hungMode = "delay_ms=120000";
+
+} // namespace
+
+struct HedgeRow {
+    const char* name;
+    const char* method;
+    std::size_t faulty; // Endpoints.
+    const char* mode; // Null: the process is stopped.
+    bool mustAnswer;
+    bool mustHedge;
+};
+
+const HedgeRow rows[] = {
+    { "one hangs, idempotent", "GET", 1, hungMode, true, true },
+    { "one is frozen, idempotent", "GET", 1, nullptr, true, true },
+    { "one is slow, idempotent", "GET", 1, "delay_ms=1000", true, true },
+    { "one breaks connections, idempotent", "GET", 1, "fault=cut-after", true, false },
+    { "all are slow, idempotent", "GET", upstreamCount, "delay_ms=1000", true, true },
+    { "all break connections, idempotent", "GET", upstreamCount, "fault=cut-after", false, false },
+    { "one hangs, not idempotent", "POST", 1, hungMode, false, false },
+    { "one is frozen, not idempotent", "POST", 1, nullptr, false, false },
+    { "one is slow, not idempotent", "POST", 1, "delay_ms=1000", true, false },
+    { "one breaks connections, not idempotent", "POST", 1, "fault=cut-after", false, false },
+};
+
+namespace {
+
+class HedgeCase {
+public:
+    explicit HedgeCase(const HedgeRow& row)
+        : m_row(row)
+        , m_cluster(Cluster::Builder().upstreams(upstreamCount).slots(slotCount).setting("trafficThreads", 1).start())
+    {
+    }
+
+    void run()
+    {
+        setMode(upstreamCount, usualMode);
+        for (std::size_t n = 0; n < roundsBefore; ++n)
+            sendRound("GET", "sound", true);
+        const auto before = hedges();
+        if (!m_row.mode)
+            m_cluster.upstream(0).process.signal(SIGSTOP);
+        else
+            setMode(m_row.faulty, m_row.mode);
+        const bool isGet = m_row.method == std::string("GET");
+        for (std::size_t n = 0; n < (isGet ? roundsDuring : roundsNotIdempotent); ++n)
+            sendRound(m_row.method, m_row.name, m_row.mustAnswer);
+        cr_assert(!m_row.mustHedge || hedges() > before, "%s: no hedge", m_row.name);
+        cr_assert(isGet || hedges() == before, "%s: hedged", m_row.name);
+        m_cluster.upstream(0).process.signal(SIGCONT);
+        // A request that the daemon has given up ends at its endpoint only because its connection is closed.
+        cr_assert(eventually([&] { return inUse() == 0; }), "%s: %zu still run", m_row.name, inUse());
+        checkRuns();
+        setMode(upstreamCount, usualMode);
+        cr_assert(eventually([&] { return fillsAllSlots(); }), "%s: slots are lost", m_row.name);
+    }
+
+private:
+    void setMode(std::size_t endpoints, const std::string& mode)
+    {
+        for (std::size_t n = 0; n < endpoints; ++n)
+            m_cluster.setMode(n, mode);
+    }
+
+    std::uint64_t hedges() { return counterOf(m_cluster.daemon(), "dogwoodhall_hedges_total"); }
+
+    std::size_t inUse() const
+    {
+        std::size_t sum = 0;
+        for (std::size_t n = 0; n < upstreamCount; ++n)
+            sum += m_cluster.inUse(n);
+        return sum;
+    }
+
+    std::vector<std::unique_ptr<TestClient>> start(
+        std::size_t count, const std::string& method, const std::string& fields)
+    {
+        std::vector<std::unique_ptr<TestClient>> clients;
+        for (std::size_t n = 0; n < count; ++n) {
+            m_ids.push_back(method + std::to_string(m_ids.size()));
+            clients.push_back(std::make_unique<TestClient>(m_cluster.caller()));
+            clients.back()->send(TestRequest { method, "/a", fields, {}, m_ids.back() }.text());
+        }
+        return clients;
+    }
+
+    void sendRound(const std::string& method, const char* phase, bool mustAnswer, std::size_t count = requestsPerRound)
+    {
+        // A request that need not be answered meets its deadline, and the test goes on.
+        for (auto& client : start(count, method, mustAnswer ? "" : "Dogwoodhall-Deadline-Ms: 1000\r\n")) {
+            const auto answer = client->readAnswer();
+            cr_assert(answer.status && answer.isWhole, "%s: no answer", phase);
+            if (answer.status == 200)
+                m_answeredBy.insert(answer.field("X-Endpoint"));
+            const auto error = answer.field("Dogwoodhall-Error");
+            cr_assert(answer.status == 200 || !mustAnswer, "%s: %u %s", phase, answer.status, error.c_str());
+        }
+    }
+
+    void checkRuns() const
+    {
+        std::size_t runs = 0;
+        for (const auto& id : m_ids) {
+            const auto n = m_cluster.runs(id);
+            cr_assert(id.starts_with("GET") || n <= 1, "%s: %s ran %zu times", m_row.name, id.c_str(), n);
+            runs += n;
+        }
+        const auto most = (1 + retryShare) * static_cast<double>(m_ids.size()) + retryReserve;
+        cr_log_info("%s: %zu requests, %zu runs\n", m_row.name, m_ids.size(), runs);
+        cr_assert_leq(static_cast<double>(runs), most, "%s: %zu runs", m_row.name, runs);
+    }
+
+    // Tries to have all slots in use at once, after every endpoint has recovered. As many requests as slots, since an
+    // endpoint that was slow gets work only where the others are full.
+    bool fillsAllSlots()
+    {
+        m_answeredBy.clear();
+        for (std::size_t n = 0; n < roundsAfter; ++n)
+            sendRound("GET", "after", false, allSlots);
+        if (m_answeredBy.size() < upstreamCount)
+            return false;
+        setMode(upstreamCount, fillMode);
+        std::size_t most = 0;
+        {
+            auto clients = start(allSlots, "POST", "");
+            for (std::size_t n = 0; n < 40 && most < allSlots; ++n)
+                most = std::max(most, inUse());
+            for (auto& client : clients)
+                client->readAnswer();
+        }
+        setMode(upstreamCount, usualMode);
+        return most == allSlots;
+    }
+
+    const HedgeRow& m_row;
+    Cluster m_cluster;
+    std::vector<std::string> m_ids;
+    std::set<std::string> m_answeredBy; // Endpoints.
+};
+
+} // namespace
+
+// Guards against a slow endpoint that holds up or multiplies short requests, and against slots lost to hedges.
+ParameterizedTestParameters(Hedge, coversForAFaultyEndpoint) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, Hedge, coversForAFaultyEndpoint, .timeout = 120)
+{
+    HedgeCase(rows[*index]).run();
+}
