--- a/packages/budget/src/MeasuringBudget.cpp
+++ b/packages/budget/src/MeasuringBudget.cpp
@@ -13,11 +13,12 @@
 constexpr std::array<std::uint64_t, measuringCategoryCount> reservedEighths { 0, 2, 3, 4 };
 
 // The part of the capacity that a category leaves to those above it. Taken of the capacity without its last token, so
-// that a budget of few calls still serves every category.
+// that a budget of few calls still serves every category. Rounded up: of a capacity of five calls, rounding down would
+// leave one to gossip, which sends two messages at a time.
 template <typename Amount> Amount reserveOf(MeasuringCategory category, Amount capacity)
 {
     const std::uint64_t rest = capacity.count() - std::min<std::uint64_t>(capacity.count(), 1);
-    return Amount(rest * reservedEighths[static_cast<std::size_t>(category)] / 8);
+    return Amount((rest * reservedEighths[static_cast<std::size_t>(category)] + 7) / 8);
 }
 
 MeasuringLimits capacityOf(MeasuringLimits limits)
@@ -52,6 +53,12 @@
     return true;
 }
 
+bool MeasuringBudget::hasRoom(MeasuringCategory category, ByteCount bytes, TimePoint now)
+{
+    return m_calls.canTake(CallCount(1), now, reserveOf(category, m_capacity.callsPerSecond))
+        && m_bytes.canTake(bytes, now, reserveOf(category, m_capacity.bytesPerSecond));
+}
+
 const MeasuringCounters& MeasuringBudget::counters(MeasuringCategory category) const
 {
     return m_counters[static_cast<std::size_t>(category)];
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -42,6 +42,16 @@
     return CompletionResult::Cancelled;
 }
 
+// The endpoint that a permit names; empty where the answer is no permit.
+std::optional<Placement> permittedPlacement(const HeaderFields& headerFields)
+{
+    const auto named = headerFields.find(permitEndpointField);
+    auto address = parseNetworkAddress(headerFields.find(permitAddressField).value_or(""));
+    if (!named || !address)
+        return std::nullopt;
+    return Placement { EndpointId(std::string(*named)), std::move(*address) };
+}
+
 AttemptFailure toFailure(const ExchangeError& error, bool reachedUpstream)
 {
     return { error.kind, error.provenNotRun, true, reachedUpstream };
@@ -151,6 +161,7 @@
     if (!hedge)
         co_return co_await relayFromUpstream(work, writer, *response, hop, completion);
     hop.note("hedge", hedge->placement().endpoint.value());
+    completion.result = CompletionResult::Overtaken;
     Completion hedgeCompletion;
     auto result = co_await relayFromUpstream(work, writer, *response, hop, hedgeCompletion);
     hedgeCompletion.serviceTime = monotonicNow() - sentAt;
@@ -285,9 +296,8 @@
         IncomingResponse& permit;
         ~Guard() { permit.abandon(); }
     } guard { *permit };
-    const auto named = permit->head.fields.find(permitEndpointField);
-    const auto address = parseNetworkAddress(permit->head.fields.find(permitAddressField).value_or(""));
-    if (!named || !address) {
+    const auto placement = permittedPlacement(permit->head.fields);
+    if (!placement) {
         const auto kind
             = errorKindFromName(permit->head.fields.find(fields::error).value_or("")).value_or(ErrorKind::PeerFailed);
         if (!isNoLongerHome(kind))
@@ -296,11 +306,9 @@
         co_return homeFailed(work, home, kind, true);
     }
     m_services.metrics.permits.add();
-    hop.note("endpoint", std::string(*named));
+    hop.note("endpoint", placement->endpoint.value());
     Completion completion;
-    // Named: g++ 12 destroys a braced temporary of a co_await expression twice, which aborts the process.
-    const Placement placement { EndpointId(std::string(*named)), *address };
-    co_return co_await runAt(work, writer, placement, completion);
+    co_return co_await runAt(work, writer, *placement, completion);
 }
 
 asio::awaitable<void> AttemptRunner::grantPermit(const RequestWork& work, const ResponseWriter& writer)
--- a/packages/daemon/src/TicketService.cpp
+++ b/packages/daemon/src/TicketService.cpp
@@ -177,8 +177,10 @@
         co_return co_await refuse(writer, ErrorKind::TicketUnknown, Outcome::Unknown);
     removeInternalFields(request.head.fields);
     // The issuer routes the request itself; the pool fields only have to be present.
-    const PoolId pool { ServiceId("ticket"), m_services.dataCentre };
-    writeEnvelope({ ForwardEnvelope::Purpose::Ticket, pool, {} }, request.head.fields);
+    ForwardEnvelope envelope;
+    envelope.purpose = ForwardEnvelope::Purpose::Ticket;
+    envelope.pool = { ServiceId("ticket"), m_services.dataCentre };
+    writeEnvelope(envelope, request.head.fields);
     const NetworkAddress address = issuer->second.peerAddress;
     OutgoingRequest outgoing { std::move(request.head), std::move(request.readBody) };
     auto response = co_await m_services.peers.exchange(
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -52,6 +52,9 @@
     // Times that any upstream ran the request, killed ones included.
     std::size_t runs(const std::string& id) const;
     std::size_t received(std::size_t upstream) const; // Requests that reached this upstream, run or not.
+    std::size_t healthCalls(std::size_t upstream) const;
+    std::size_t inUse(std::size_t upstream) const; // Requests that run there now.
+    std::size_t upstreamCount() const { return m_upstreams.size(); }
     void setMode(std::size_t upstream, const std::string& query);
 
     Answer platformCall(const std::string& method, const std::string& target, const std::string& body = {});
@@ -77,6 +80,7 @@
 
     void startUpstream(const std::string& dataCentre, std::size_t slots);
     DaemonProcess launchDaemon(const std::string& name, const std::string& dataCentre);
+    std::size_t askNumber(std::size_t upstream, const std::string& target) const;
 
     std::filesystem::path m_folder;
     ReservedPort m_platformPort;
