Serve callers' connections and write whole answers in one place each

Cause: a table of callers' connections with its start, run and removal stood in TrafficThread, OperatorServer and StandInServer. Writing an answer whose body is in memory stood in writeError(), writeStored() and the stand-ins, and reading a body whole in the daemon and in the stand-ins. The platform's two answers were parsed by two copies of one try block.

Change: CallerSessions (package http) and WholeBody (package exchange) serve all of them; BufferedAnswerTest is WholeBodyTest. CallerSession::isIdle(), which nothing called, is gone. The operators' port now sets TCP_NODELAY, as the other ports do.

--- a/packages/daemon/include/dogwoodhall/daemon/BufferedAnswer.h
+++ b/packages/daemon/include/dogwoodhall/daemon/BufferedAnswer.h
@@ -3,7 +3,6 @@
 #include "dogwoodhall/exchange/Exchange.h"
 #include "dogwoodhall/request/TicketLedger.h"
 
-#include <chrono>
 #include <optional>
 #include <string>
 
@@ -30,18 +29,7 @@
     std::optional<StoredAnswer> m_whole;
 };
 
+// Writer and answer must outlive the call.
 asio::awaitable<void> writeStored(const ResponseWriter&, const StoredAnswer&);
 
-// Reads a body whole, up to a bound; larger ones are ErrorKind::BodyTooLarge.
-ExchangeResult<std::string> readWhole(const ReadBody&, ByteCount limit);
-
-// Reads the body of an answer whole, up to a bound and by `deadline`. A larger one is ErrorKind::BodyTooLarge, a later
-// one ErrorKind::DeadlineExceeded, and the connection or stream of both is closed instead of being held with the rest
-// unread. The answer must outlive the call.
-ExchangeResult<std::string> readWhole(
-    IncomingResponse&, ByteCount limit, std::chrono::steady_clock::time_point deadline);
-
-// A body in memory.
-ReadBody bodyFrom(std::string);
-
 } // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/OperatorServer.h
+++ b/packages/daemon/include/dogwoodhall/daemon/OperatorServer.h
@@ -1,15 +1,12 @@
 #pragma once
 
-#include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/NetworkAddress.h"
 #include "dogwoodhall/exchange/Acceptor.h"
-#include "dogwoodhall/http/CallerSession.h"
+#include "dogwoodhall/http/CallerSessions.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <memory>
 #include <string>
-#include <unordered_map>
 
 namespace dogwoodhall {
 
@@ -30,15 +27,12 @@
     NetworkAddress listen(const NetworkAddress&);
 
 private:
-    void startSession(asio::ip::tcp::socket);
-    asio::awaitable<void> serve(ConnectionId);
     asio::awaitable<void> handle(IncomingRequest, ResponseWriter);
 
     asio::io_context& m_io;
     Hooks m_hooks;
     Acceptor m_acceptor;
-    std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
-    std::uint64_t m_nextConnection = 1;
+    CallerSessions m_sessions;
 };
 
 } // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
@@ -5,13 +5,12 @@
 #include "dogwoodhall/daemon/TrafficServices.h"
 #include "dogwoodhall/exchange/Acceptor.h"
 #include "dogwoodhall/fleet/PauseDetector.h"
-#include "dogwoodhall/http/CallerSession.h"
+#include "dogwoodhall/http/CallerSessions.h"
 #include "dogwoodhall/peer/PeerServer.h"
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <thread>
-#include <unordered_map>
 
 namespace dogwoodhall {
 
@@ -72,8 +71,6 @@
     PoolShard& shard() { return m_shard; }
 
 private:
-    void startSession(asio::ip::tcp::socket);
-    asio::awaitable<void> serve(ConnectionId);
     asio::awaitable<void> heartbeat();
     asio::awaitable<void> finishDrain();
     asio::awaitable<void> handleCaller(IncomingRequest, ResponseWriter);
@@ -97,8 +94,7 @@
     TicketService m_tickets;
     SnapshotPointer m_snapshot;
     PauseDetector m_pauses;
-    std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
-    std::uint64_t m_nextConnection = 1;
+    CallerSessions m_sessions;
     PeerServer m_peerServer;
     bool m_peersDrained = false;
     std::function<void()> m_drained;
--- a/packages/daemon/src/GossipDriver.cpp
+++ b/packages/daemon/src/GossipDriver.cpp
@@ -1,7 +1,7 @@
 #include "dogwoodhall/daemon/GossipDriver.h"
 
-#include "dogwoodhall/daemon/BufferedAnswer.h"
 #include "dogwoodhall/daemon/PoolShard.h"
+#include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/telemetry/Logging.h"
 #include "dogwoodhall/wire/GossipCodec.h"
 
--- a/packages/daemon/src/HealthProber.cpp
+++ b/packages/daemon/src/HealthProber.cpp
@@ -1,6 +1,6 @@
 #include "dogwoodhall/daemon/HealthProber.h"
 
-#include "dogwoodhall/daemon/BufferedAnswer.h"
+#include "dogwoodhall/exchange/WholeBody.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
--- a/packages/daemon/src/OperatorServer.cpp
+++ b/packages/daemon/src/OperatorServer.cpp
@@ -26,6 +26,9 @@
     : m_io(io)
     , m_hooks(std::move(hooks))
     , m_acceptor(io.get_executor())
+    , m_sessions(io.get_executor(), CallerLimits {}, [this](IncomingRequest request, ResponseWriter writer) {
+        return handle(std::move(request), std::move(writer));
+    })
 {
 }
 
@@ -34,28 +37,11 @@
     auto bound = m_acceptor.listen(address, PortSharing::Exclusive);
     if (!bound)
         throw std::runtime_error("admin port: " + bound.error());
-    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { startSession(std::move(socket)); }),
+    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { m_sessions.serve(std::move(socket)); }),
         asio::detached);
     return *bound;
 }
 
-void OperatorServer::startSession(asio::ip::tcp::socket socket)
-{
-    const ConnectionId id(m_nextConnection++);
-    m_sessions.emplace(id,
-        std::make_unique<CallerSession>(
-            std::move(socket), CallerLimits {}, [this](IncomingRequest request, ResponseWriter writer) {
-                return handle(std::move(request), std::move(writer));
-            }));
-    asio::co_spawn(m_io, serve(id), asio::detached);
-}
-
-asio::awaitable<void> OperatorServer::serve(ConnectionId id)
-{
-    co_await m_sessions.at(id)->run();
-    m_sessions.erase(id);
-}
-
 asio::awaitable<void> OperatorServer::handle(IncomingRequest request, ResponseWriter writer)
 {
     const std::string call = request.head.method + " " + request.head.target;
--- a/packages/daemon/src/PlatformClient.cpp
+++ b/packages/daemon/src/PlatformClient.cpp
@@ -1,6 +1,6 @@
 #include "dogwoodhall/daemon/PlatformClient.h"
 
-#include "dogwoodhall/daemon/BufferedAnswer.h"
+#include "dogwoodhall/exchange/WholeBody.h"
 
 #include <boost/json.hpp>
 #include <utility>
@@ -16,11 +16,6 @@
 constexpr auto bodyTimeout = std::chrono::seconds(10);
 constexpr ByteCount maxAnswer { 64ULL * 1024 * 1024 };
 
-ExchangeError malformed(const std::exception& error)
-{
-    return { ErrorKind::Internal, true, std::string("malformed platform answer: ") + error.what() };
-}
-
 RecordBatch toBatch(const json::value& document)
 {
     const auto& object = document.as_object();
@@ -50,6 +45,20 @@
     return list;
 }
 
+template <typename Result>
+tl::expected<Result, ExchangeError> parseAnswer(
+    const tl::expected<std::string, ExchangeError>& body, Result (*parse)(const json::value&))
+{
+    if (!body)
+        return tl::unexpected(body.error());
+    try {
+        return parse(json::parse(*body));
+    } catch (const std::exception& error) {
+        return tl::unexpected(
+            ExchangeError { ErrorKind::Internal, true, std::string("malformed platform answer: ") + error.what() });
+    }
+}
+
 } // namespace
 
 PlatformClient::PlatformClient(asio::any_io_executor executor, NetworkAddress address)
@@ -64,25 +73,13 @@
     auto body
         = co_await get("/v1/records?since=" + std::to_string(since.value()) + "&wait_ms=" + std::to_string(waitMs),
             wait + readTimeout);
-    if (!body)
-        co_return tl::unexpected(body.error());
-    try {
-        co_return toBatch(json::parse(*body));
-    } catch (const std::exception& error) {
-        co_return tl::unexpected(malformed(error));
-    }
+    co_return parseAnswer(body, toBatch);
 }
 
 ExchangeResult<HostList> PlatformClient::readHosts()
 {
     auto body = co_await get("/v1/hosts", readTimeout);
-    if (!body)
-        co_return tl::unexpected(body.error());
-    try {
-        co_return toHostList(json::parse(*body));
-    } catch (const std::exception& error) {
-        co_return tl::unexpected(malformed(error));
-    }
+    co_return parseAnswer(body, toHostList);
 }
 
 ExchangeResult<std::string> PlatformClient::get(std::string target, Duration timeout)
--- a/packages/daemon/src/SpanExporter.cpp
+++ b/packages/daemon/src/SpanExporter.cpp
@@ -1,6 +1,6 @@
 #include "dogwoodhall/daemon/SpanExporter.h"
 
-#include "dogwoodhall/daemon/BufferedAnswer.h"
+#include "dogwoodhall/exchange/WholeBody.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/packages/daemon/src/TicketService.cpp
+++ b/packages/daemon/src/TicketService.cpp
@@ -2,6 +2,7 @@
 
 #include "dogwoodhall/daemon/AnswerRelay.h"
 #include "dogwoodhall/daemon/CallOn.h"
+#include "dogwoodhall/exchange/WholeBody.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -1,8 +1,8 @@
 #include "dogwoodhall/daemon/TrafficThread.h"
 
-#include "dogwoodhall/daemon/BufferedAnswer.h"
 #include "dogwoodhall/daemon/GossipDriver.h"
 #include "dogwoodhall/daemon/HeaderValues.h"
+#include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/telemetry/Logging.h"
 #include "dogwoodhall/wire/GossipCodec.h"
 
@@ -44,6 +44,12 @@
     , m_runner(m_services, m_options.trafficThreads)
     , m_tickets(m_services, m_runner)
     , m_snapshot(std::make_shared<Snapshot>())
+    , m_sessions(
+          m_io.get_executor(), m_options.callerLimits,
+          [this](IncomingRequest request, ResponseWriter writer) {
+              return handleCaller(std::move(request), std::move(writer));
+          },
+          [this] { checkDrained(); })
     , m_peerServer(
           m_io.get_executor(), m_options.peerLimits,
           [this](IncomingRequest request, ResponseWriter writer) {
@@ -69,7 +75,7 @@
     auto peer = m_peerServer.listen(m_options.peerAddress);
     if (!peer)
         throw std::runtime_error("peer port: " + peer.error());
-    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { startSession(std::move(socket)); }),
+    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { m_sessions.serve(std::move(socket)); }),
         asio::detached);
     asio::co_spawn(m_io, heartbeat(), asio::detached);
     return { *caller, *peer };
@@ -131,26 +137,6 @@
     m_options.reportPause();
 }
 
-void TrafficThread::startSession(asio::ip::tcp::socket socket)
-{
-    boost::system::error_code ec;
-    socket.set_option(asio::ip::tcp::no_delay(true), ec);
-    const ConnectionId id(m_nextConnection++);
-    m_sessions.emplace(id,
-        std::make_unique<CallerSession>(
-            std::move(socket), m_options.callerLimits, [this](IncomingRequest request, ResponseWriter writer) {
-                return handleCaller(std::move(request), std::move(writer));
-            }));
-    asio::co_spawn(m_io, serve(id), asio::detached);
-}
-
-asio::awaitable<void> TrafficThread::serve(ConnectionId id)
-{
-    co_await m_sessions.at(id)->run();
-    m_sessions.erase(id);
-    checkDrained();
-}
-
 asio::awaitable<void> TrafficThread::handleCaller(IncomingRequest request, ResponseWriter writer)
 {
     observePauses();
@@ -192,10 +178,9 @@
         co_await writeError(writer, ErrorKind::BadRequest, Outcome::NotRun);
         co_return;
     }
-    StoredAnswer answer;
-    answer.status = 200;
-    answer.body = std::move(*reply);
-    co_await writeStored(writer, answer);
+    ResponseHead head;
+    head.status = 200;
+    co_await writeWhole(writer, head, *reply);
 }
 
 void TrafficThread::drain(std::function<void()> done)
@@ -209,8 +194,7 @@
     asio::steady_timer grace(m_io, drainGrace);
     co_await grace.async_wait(useTuple);
     m_acceptor.close();
-    for (auto& [id, session] : m_sessions)
-        session->stopAfterCurrentRequest();
+    m_sessions.stopAfterCurrentRequests();
     m_peerServer.shutdown([this] {
         m_peersDrained = true;
         checkDrained();
--- a/packages/exchange/src/Exchange.cpp
+++ b/packages/exchange/src/Exchange.cpp
@@ -1,5 +1,7 @@
 #include "dogwoodhall/exchange/Exchange.h"
 
+#include "dogwoodhall/exchange/WholeBody.h"
+
 namespace dogwoodhall {
 
 ReadBody emptyBody()
@@ -16,12 +18,7 @@
     head.fields.add("Content-Type", "text/plain");
     head.fields.add(std::string(fields::error), std::string(answer.name));
     head.fields.add(std::string(fields::outcome), std::string(toString(outcome)));
-    head.bodyLength = { BodyLength::Kind::Exact, ByteCount(body.size()) };
-    if (!co_await writer.writeHead(head))
-        co_return;
-    if (!co_await writer.writeBody(asio::buffer(body)))
-        co_return;
-    co_await writer.finish();
+    co_await writeWhole(writer, head, body);
 }
 
 } // namespace dogwoodhall
--- a/packages/daemon/tests/BufferedAnswerTest.cpp
+++ b/packages/exchange/tests/WholeBodyTest.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/BufferedAnswer.h"
+#include "dogwoodhall/exchange/WholeBody.h"
 
 #include "TableRows.h"
 
--- a/packages/http/include/dogwoodhall/http/CallerSession.h
+++ b/packages/http/include/dogwoodhall/http/CallerSession.h
@@ -31,8 +31,6 @@
     // Ends the connection after the request in progress, or at once where it is idle.
     void stopAfterCurrentRequest();
 
-    bool isIdle() const;
-
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -79,7 +79,6 @@
 
     asio::awaitable<void> run();
     void stopAfterCurrentRequest();
-    bool isIdle() const { return m_isIdle; }
 
 private:
     asio::awaitable<bool> serveOne();
@@ -380,6 +379,4 @@
 
 void CallerSession::stopAfterCurrentRequest() { m_impl->stopAfterCurrentRequest(); }
 
-bool CallerSession::isIdle() const { return m_impl->isIdle(); }
-
 } // namespace dogwoodhall
--- /dev/null
+++ b/packages/http/src/CallerSessions.cpp
@@ -0,0 +1,41 @@
+#include "dogwoodhall/http/CallerSessions.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+namespace dogwoodhall {
+
+CallerSessions::CallerSessions(
+    asio::any_io_executor executor, CallerLimits limits, RequestHandler handler, std::function<void()> sessionEnded)
+    : m_executor(std::move(executor))
+    , m_limits(limits)
+    , m_handler(std::move(handler))
+    , m_sessionEnded(std::move(sessionEnded))
+{
+}
+
+void CallerSessions::serve(asio::ip::tcp::socket socket)
+{
+    boost::system::error_code ec;
+    socket.set_option(asio::ip::tcp::no_delay(true), ec);
+    const ConnectionId id(m_nextConnection++);
+    m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), m_limits, m_handler));
+    asio::co_spawn(m_executor, run(id), asio::detached);
+}
+
+asio::awaitable<void> CallerSessions::run(ConnectionId id)
+{
+    co_await m_sessions.at(id)->run();
+    m_sessions.erase(id);
+    if (m_sessionEnded)
+        m_sessionEnded();
+}
+
+void CallerSessions::stopAfterCurrentRequests()
+{
+    for (auto& [id, session] : m_sessions)
+        session->stopAfterCurrentRequest();
+}
+
+} // namespace dogwoodhall
--- a/tools/include/StandInServer.h
+++ b/tools/include/StandInServer.h
@@ -1,16 +1,13 @@
 #pragma once
 
-#include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/NetworkAddress.h"
 #include "dogwoodhall/exchange/Acceptor.h"
-#include "dogwoodhall/http/CallerSession.h"
+#include "dogwoodhall/http/CallerSessions.h"
 
 #include <boost/asio/io_context.hpp>
 #include <map>
-#include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 namespace dogwoodhall {
 
@@ -26,20 +23,12 @@
     void run();
 
 private:
-    void startSession(asio::ip::tcp::socket);
-    asio::awaitable<void> serve(ConnectionId);
-
-    RequestHandler m_handler;
     asio::io_context m_io { 1 };
     Acceptor m_acceptor;
     NetworkAddress m_address; // Bound.
-    std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
-    std::uint64_t m_nextConnection = 1;
+    CallerSessions m_sessions;
 };
 
-// Reads a whole body. Empty where it was cut short.
-asio::awaitable<std::optional<std::string>> readAll(ReadBody);
-
 // Reads a body to its end without keeping it, and gives its size. Empty where it was cut short.
 asio::awaitable<std::optional<ByteCount>> discardAll(ReadBody);
 
--- a/tools/src/PlatformStandIn.cpp
+++ b/tools/src/PlatformStandIn.cpp
@@ -2,11 +2,13 @@
 #include "StandInServer.h"
 
 #include "dogwoodhall/configuration/Record.h"
+#include "dogwoodhall/exchange/WholeBody.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
+#include <limits>
 
 // Stand-in for the configuration service and the host list. Tests write through /control, which daemons never call:
 //   PUT or DELETE /control/records/<key>   replaces or deletes a record, at the next revision
@@ -26,6 +28,8 @@
 namespace {
 
 constexpr std::string_view recordsPrefix = "/control/records/";
+// Tests put records and host lists as large as they like.
+constexpr ByteCount controlLimit { std::numeric_limits<std::uint64_t>::max() };
 
 class PlatformStandIn {
 public:
@@ -96,7 +100,8 @@
     const IncomingRequest& request, const Target& target, const ResponseWriter& writer)
 {
     const auto& method = request.head.method;
-    const auto body = (co_await readAll(request.readBody)).value_or("");
+    const auto received = co_await readWhole(request.readBody, controlLimit);
+    const auto body = received.value_or("");
     std::string text = "ok\n";
     if (target.path.starts_with(recordsPrefix)) {
         putRecord(target.path.substr(recordsPrefix.size()), method == "DELETE", body);
--- a/tools/src/StandInServer.cpp
+++ b/tools/src/StandInServer.cpp
@@ -1,5 +1,7 @@
 #include "StandInServer.h"
 
+#include "dogwoodhall/exchange/WholeBody.h"
+
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -23,8 +25,8 @@
 } // namespace
 
 StandInServer::StandInServer(const NetworkAddress& address, RequestHandler handler)
-    : m_handler(std::move(handler))
-    , m_acceptor(m_io.get_executor())
+    : m_acceptor(m_io.get_executor())
+    , m_sessions(m_io.get_executor(), unlimitedBody(), std::move(handler))
 {
     // A test may hold the port with a socket of its own, so that no other process gets it while this one is down.
     auto bound = m_acceptor.listen(address, PortSharing::Shared);
@@ -36,40 +38,11 @@
 void StandInServer::run()
 {
     std::cout << "listening " << toString(m_address) << std::endl;
-    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { startSession(std::move(socket)); }),
+    asio::co_spawn(m_io, m_acceptor.run([this](asio::ip::tcp::socket socket) { m_sessions.serve(std::move(socket)); }),
         asio::detached);
     m_io.run();
 }
 
-void StandInServer::startSession(asio::ip::tcp::socket socket)
-{
-    boost::system::error_code ec;
-    socket.set_option(asio::ip::tcp::no_delay(true), ec);
-    const ConnectionId id(m_nextConnection++);
-    m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), unlimitedBody(), m_handler));
-    asio::co_spawn(m_io, serve(id), asio::detached);
-}
-
-asio::awaitable<void> StandInServer::serve(ConnectionId id)
-{
-    co_await m_sessions.at(id)->run();
-    m_sessions.erase(id);
-}
-
-asio::awaitable<std::optional<std::string>> readAll(ReadBody readBody)
-{
-    std::string body;
-    std::array<char, 16 * 1024> buf;
-    while (true) {
-        auto n = co_await readBody(asio::buffer(buf));
-        if (!n)
-            co_return std::nullopt;
-        if (*n == 0)
-            co_return body;
-        body.append(buf.data(), *n);
-    }
-}
-
 asio::awaitable<std::optional<ByteCount>> discardAll(ReadBody readBody)
 {
     std::uint64_t size = 0;
@@ -89,12 +62,7 @@
     ResponseHead head;
     head.status = status;
     head.fields = std::move(fields);
-    head.bodyLength = { BodyLength::Kind::Exact, ByteCount(body.size()) };
-    if (!co_await writer.writeHead(head))
-        co_return;
-    if (!co_await writer.writeBody(asio::buffer(body)))
-        co_return;
-    co_await writer.finish();
+    co_await writeWhole(writer, head, body);
 }
 
 std::uint64_t Target::number(const std::string& name, std::uint64_t otherwise) const
