Publish once for a change of records, and share small look-ups

Cause: a record that made a member ready was published twice, each time with the homes of all pools. The region of a data centre was looked up by two copies of one loop, a request for a slot was spelt out three times, and relaying an answer with its measures twice.

What PoolDirectory and PoolChooser make of a data centre that the topology does not name still differs, as before.

--- a/packages/configuration/include/dogwoodhall/configuration/TopologyDeclaration.h
+++ b/packages/configuration/include/dogwoodhall/configuration/TopologyDeclaration.h
@@ -4,6 +4,7 @@
 #include "dogwoodhall/core/Units.h"
 
 #include <chrono>
+#include <optional>
 #include <vector>
 
 namespace dogwoodhall {
@@ -23,6 +24,16 @@
     // Traffic that one entry host may send to other regions, request and answer bodies included.
     ByteCount linkBytesPerSecond { 20'000'000 };
 
+    // Empty for a data centre that is not named.
+    std::optional<RegionId> regionOf(const DataCentreId& id) const
+    {
+        for (const auto& dataCentre : dataCentres) {
+            if (dataCentre.id == id)
+                return dataCentre.region;
+        }
+        return std::nullopt;
+    }
+
     friend bool operator==(const TopologyDeclaration&, const TopologyDeclaration&) = default;
 };
 
--- a/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -52,7 +52,8 @@
         RequestWork&, const ResponseWriter&, IncomingResponse&, RequestTrace::Hop&, Completion&);
     asio::awaitable<AttemptResult> relayFromHome(RequestWork&, const ResponseWriter&, IncomingResponse&);
     void addLoadFields(const RequestWork&, HeaderFields&);
-    void recordRelay(RequestWork&, const RelayOutcome&, Duration serviceTime);
+    // Relays the answer and records what it took.
+    asio::awaitable<RelayResult> relay(RequestWork&, const ResponseWriter&, IncomingResponse&);
     OutgoingRequest outgoing(RequestWork&, const RequestTrace::Hop&, bool withBody) const;
     OutgoingRequest requestToHome(RequestWork&, const RequestTrace::Hop&, ForwardEnvelope::Purpose) const;
     AttemptResult homeFailed(RequestWork&, const PoolHome&, ErrorKind, bool provenNotRun);
--- a/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace dogwoodhall {
 
@@ -61,11 +62,12 @@
     void acceptRecords(const std::vector<Record>&);
     void acceptHosts(const HostList&);
     std::vector<ListedHost> listedEntryHosts() const;
-    void updateReadiness();
+    bool updateReadiness();
     void publish();
     void addHomes(Snapshot&) const;
     std::vector<const Member*> knownEntryHosts() const;
-    std::vector<PlacedPool> placedPools() const;
+    std::set<HostId> leavingUpstreamHosts() const;
+    std::vector<PlacedPool> placedPools(const std::set<HostId>& leaving) const;
     StatusReport statusReport() const;
     std::vector<ProbeTarget> probeTargets() const;
     std::vector<PoolLoadSummary> ownLoads(std::size_t most);
--- a/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
+++ b/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
@@ -25,7 +25,7 @@
     Revision revision;
     RouteTable routes;
     TopologyDeclaration topology;
-    std::map<HostId, bool> leavingUpstreamHosts; // From the host list; true while leaving.
+    std::set<HostId> leavingUpstreamHosts; // From the host list.
     // Pools whose home is another member. A pool that is not listed is placed by this process.
     std::unordered_map<PoolId, PoolHome> remoteHomes;
     struct ServicePool {
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -52,6 +52,11 @@
     return Placement { EndpointId(std::string(*named)), std::move(*address) };
 }
 
+PoolRequest slotRequest(const RequestWork& work)
+{
+    return { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+}
+
 AttemptFailure toFailure(const ExchangeError& error, bool reachedUpstream)
 {
     return { error.kind, error.provenNotRun, true, reachedUpstream };
@@ -100,7 +105,7 @@
 
 asio::awaitable<tl::expected<SlotLease, ErrorKind>> AttemptRunner::acquireSlot(const RequestWork& work)
 {
-    PoolRequest wanted { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+    PoolRequest wanted = slotRequest(work);
     if (work.refusedBy)
         wanted.excluded.push_back(*work.refusedBy);
     auto lease = co_await m_services.slots.acquire(work.pool, wanted);
@@ -175,7 +180,7 @@
     HedgedExchange::Plan plan;
     plan.address = first;
     plan.pool = work.pool;
-    plan.second = { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+    plan.second = slotRequest(work);
     plan.deadline = toSteadyClock(work.deadline);
     const bool mayHedge = work.route.isIdempotent && work.workClass == WorkClass::Short
         && work.head.bodyLength.kind == BodyLength::Kind::None;
@@ -205,24 +210,27 @@
     headerFields.remove(fields::outcome);
     if (work.isForwarded)
         addLoadFields(work, headerFields);
-    const TimePoint startedAt = monotonicNow();
-    const auto relayed = co_await relayAnswer(response, writer,
-        [&] { m_services.metrics.addedLatency.observe(monotonicNow() - work.receivedAt - work.upstreamTime); });
-    completion.result = toCompletionResult(relayed.result);
-    if (relayed.result != RelayResult::Whole)
+    const auto result = co_await relay(work, writer, response);
+    completion.result = toCompletionResult(result);
+    if (result != RelayResult::Whole)
         hop.fail("broken");
-    recordRelay(work, relayed, work.upstreamTime + (monotonicNow() - startedAt));
     co_return Finished {};
 }
 
-void AttemptRunner::recordRelay(RequestWork& work, const RelayOutcome& relayed, Duration serviceTime)
+asio::awaitable<RelayResult> AttemptRunner::relay(
+    RequestWork& work, const ResponseWriter& writer, IncomingResponse& response)
 {
+    const TimePoint startedAt = monotonicNow();
+    const auto relayed = co_await relayAnswer(response, writer,
+        [&] { m_services.metrics.addedLatency.observe(monotonicNow() - work.receivedAt - work.upstreamTime); });
+    const Duration serviceTime = work.upstreamTime + (monotonicNow() - startedAt);
     work.isAnswered = relayed.result == RelayResult::Whole;
     (work.isAnswered ? m_services.metrics.relayed : m_services.metrics.broken).add();
     if (work.isAnswered)
         m_classifier.record(work.route.service, work.route.rule, pathOf(work.head.target), serviceTime, relayed.bytes);
     if (!work.isForwarded)
         m_pools.recordBytes(work.pool, work.workClass, relayed.bytes);
+    co_return relayed.result;
 }
 
 // What the entry member cannot see: the pool's load, and the upstream's share of the time.
@@ -266,15 +274,12 @@
     RequestWork& work, const ResponseWriter& writer, IncomingResponse& response)
 {
     auto& headerFields = response.head.fields;
-    const TimePoint startedAt = monotonicNow();
     work.upstreamTime += microsecondsField(headerFields, upstreamTimeField).value_or(Duration::zero());
     if (auto wait = microsecondsField(headerFields, expectedWaitField))
-        m_pools.loads().observe(work.pool, *wait, startedAt);
+        m_pools.loads().observe(work.pool, *wait, monotonicNow());
     headerFields.remove(upstreamTimeField);
     headerFields.remove(expectedWaitField);
-    const auto relayed = co_await relayAnswer(response, writer,
-        [&] { m_services.metrics.addedLatency.observe(monotonicNow() - work.receivedAt - work.upstreamTime); });
-    recordRelay(work, relayed, work.upstreamTime + (monotonicNow() - startedAt));
+    co_await relay(work, writer, response);
     co_return Finished {};
 }
 
@@ -313,7 +318,7 @@
 
 asio::awaitable<void> AttemptRunner::grantPermit(const RequestWork& work, const ResponseWriter& writer)
 {
-    PoolRequest wanted { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+    const PoolRequest wanted = slotRequest(work);
     auto lease = co_await m_services.slots.acquire(work.pool, wanted);
     if (!lease) {
         co_await writeError(writer, lease.error(), Outcome::NotRun);
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <set>
 #include <utility>
 
 namespace dogwoodhall {
@@ -193,8 +192,8 @@
         m_gossip->fleet().setRegions(std::move(regions));
     }
     m_metrics.configurationRevision.set(m_configuration.highestRevision().value());
-    updateReadiness();
-    if (hasChanged)
+    const bool isPublished = updateReadiness();
+    if (hasChanged && !isPublished)
         publish();
 }
 
@@ -221,17 +220,19 @@
     return listed;
 }
 
-void ControlThread::updateReadiness()
+// True where readiness has changed, and with it what is published.
+bool ControlThread::updateReadiness()
 {
     const Revision held = m_configuration.highestRevision();
     const bool hasServices = !m_configuration.sharedServices().empty();
     const bool isReady = hasServices && m_joinBarrier.isReady(held, monotonicNow());
     if (isReady == m_isReady)
-        return;
+        return false;
     m_isReady = isReady;
     m_gossip->fleet().setReady(isReady);
     DOGWOODHALL_LOG(daemon, info) << (isReady ? "Ready." : "Not ready.");
     publish();
+    return true;
 }
 
 // An event that waited during a pause must not publish readiness from before it.
@@ -246,9 +247,8 @@
     for (const auto& host : m_hosts.hosts) {
         if (host.isEntry)
             snapshot->memberIps.insert(host.address.ip);
-        else
-            snapshot->leavingUpstreamHosts[host.id] = host.isLeaving;
     }
+    snapshot->leavingUpstreamHosts = leavingUpstreamHosts();
     snapshot->isReady = m_isReady;
     snapshot->isDraining = m_isDraining;
     addHomes(*snapshot);
@@ -262,7 +262,7 @@
         if (member->state != MemberState::Gone)
             snapshot.members[member->id] = { member->id, member->peerAddress };
     }
-    for (const auto& [pool, home, hasEndpoint] : placedPools()) {
+    for (const auto& [pool, home, hasEndpoint] : placedPools(snapshot.leavingUpstreamHosts)) {
         const Member* member = home ? fleet.find(*home) : nullptr;
         if (member)
             snapshot.remoteHomes.emplace(pool, PoolHome { member->id, member->peerAddress });
@@ -282,14 +282,19 @@
     return members;
 }
 
-// The pools of the services in force, by service and data centre.
-std::vector<PlacedPool> ControlThread::placedPools() const
+std::set<HostId> ControlThread::leavingUpstreamHosts() const
 {
     std::set<HostId> leaving;
     for (const auto& host : m_hosts.hosts) {
         if (!host.isEntry && host.isLeaving)
             leaving.insert(host.id);
     }
+    return leaving;
+}
+
+// The pools of the services in force, by service and data centre.
+std::vector<PlacedPool> ControlThread::placedPools(const std::set<HostId>& leaving) const
+{
     std::vector<PlacedPool> pools;
     for (const auto& service : m_configuration.sharedServices()) {
         std::map<DataCentreId, bool> dataCentres;
@@ -323,7 +328,7 @@
     report.hostListVersion = m_hosts.version;
     report.requestsRunning = m_hooks.requestsRunning();
     report.members = knownEntryHosts();
-    report.homes = placedPools();
+    report.homes = placedPools(leavingUpstreamHosts());
     return report;
 }
 
--- a/packages/daemon/src/PoolDirectory.cpp
+++ b/packages/daemon/src/PoolDirectory.cpp
@@ -103,15 +103,8 @@
 
 bool PoolDirectory::isOtherRegion(const DataCentreId& dataCentre) const
 {
-    const auto regionOf = [&](const DataCentreId& id) -> const RegionId* {
-        for (const auto& declared : m_snapshot->topology.dataCentres) {
-            if (declared.id == id)
-                return &declared.region;
-        }
-        return nullptr;
-    };
-    const auto* own = regionOf(m_services.dataCentre);
-    const auto* other = regionOf(dataCentre);
+    const auto own = m_snapshot->topology.regionOf(m_services.dataCentre);
+    const auto other = m_snapshot->topology.regionOf(dataCentre);
     return own && other && *own != *other;
 }
 
--- a/packages/daemon/src/PoolShard.cpp
+++ b/packages/daemon/src/PoolShard.cpp
@@ -96,8 +96,7 @@
         for (const auto& endpoint : service->endpoints) {
             if (endpoint.dataCentre != id.dataCentre)
                 continue;
-            auto host = m_snapshot->leavingUpstreamHosts.find(endpoint.host);
-            const bool isLeaving = host != m_snapshot->leavingUpstreamHosts.end() && host->second;
+            const bool isLeaving = m_snapshot->leavingUpstreamHosts.contains(endpoint.host);
             endpoints.push_back({ endpoint.id, endpoint.slots, isLeaving });
             entry.addresses[endpoint.id] = endpoint.address;
         }
--- a/packages/routing/include/dogwoodhall/routing/PoolChooser.h
+++ b/packages/routing/include/dogwoodhall/routing/PoolChooser.h
@@ -51,7 +51,6 @@
         const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext);
 
 private:
-    std::optional<RegionId> regionOf(const DataCentreId&) const;
     const PoolState* ownState(const std::vector<PoolState>&) const;
     // A pool elsewhere whose wait is at most `within` its region or `across` regions; charges the link for the latter.
     std::optional<PoolChoice> chooseElsewhere(const std::vector<PoolState>&, Duration within, Duration across,
--- a/packages/routing/src/PoolChooser.cpp
+++ b/packages/routing/src/PoolChooser.cpp
@@ -14,7 +14,7 @@
 PoolChooser::PoolChooser(TopologyDeclaration topology, DataCentreId own, SpillLimits limits)
     : m_topology(std::move(topology))
     , m_own(std::move(own))
-    , m_ownRegion(regionOf(m_own))
+    , m_ownRegion(m_topology.regionOf(m_own))
     , m_limits(limits)
 {
 }
@@ -71,15 +71,6 @@
     return picked;
 }
 
-std::optional<RegionId> PoolChooser::regionOf(const DataCentreId& id) const
-{
-    for (const auto& dataCentre : m_topology.dataCentres) {
-        if (dataCentre.id == id)
-            return dataCentre.region;
-    }
-    return std::nullopt;
-}
-
 // A data centre that the topology does not name counts as one of another region.
 std::optional<PoolChoice> PoolChooser::pick(const std::vector<PoolState>& states, bool isOtherRegion,
     Duration longestWait, Duration oldest, RandomEngine& random) const
@@ -89,7 +80,7 @@
     for (const auto& state : states) {
         if (state.dataCentre == m_own || !takesWork(state))
             continue;
-        const auto region = regionOf(state.dataCentre);
+        const auto region = m_topology.regionOf(state.dataCentre);
         const bool isElsewhere = !region || region != m_ownRegion;
         if (isElsewhere != isOtherRegion || state.expectedWait > longestWait || state.age > oldest)
             continue;
