Use SentRequests in HomeTest, and one class for temporary folders

Cause: HomeTest sent, read and judged requests by a copy of what SentRequests does, with the same assertions. Cluster and LogTest each made and removed a folder of their own.

Change: HomeTest uses SentRequests; its rows and assertions are as before, and only the ids of its requests differ. TemporaryFolder serves both.

--- a/tests/system/HomeTest.cpp
+++ b/tests/system/HomeTest.cpp
@@ -1,8 +1,8 @@
 #include "MemberStatus.h"
+#include "SentRequests.h"
 #include "TableRows.h"
 
 #include <csignal>
-#include <memory>
 
 using namespace dogwoodhall;
 
@@ -11,6 +11,7 @@
 constexpr std::size_t memberCount = 3;
 // One upstream can hold all requests of two rounds, so that no row depends on refusals for lack of slots.
 constexpr std::size_t slotCount = 8;
+constexpr std::size_t requestsOfRound = 2; // Through each member, one of them not idempotent.
 // Longer than the time after which members bypass a home that is silent (2 s) and suspect it (about 4 s).
 constexpr useconds_t pauseMicroseconds = 4'000'000;
 
@@ -66,21 +67,13 @@
 
 namespace {
 
-struct Sent {
-    std::string id;
-    std::string method;
-    std::string expected; // End of the answer's body.
-    bool mayFail;
-    std::unique_ptr<TestClient> client;
-    Answer answer = {};
-};
-
 // Members of one cluster and the requests sent through those that are not the home.
 class HomeCase {
 public:
     explicit HomeCase(const HomeRow& row)
         : m_row(row)
         , m_cluster(Cluster::Builder().daemons(memberCount).upstreams(2).slots(slotCount).start())
+        , m_requests(row.name)
     {
         for (const auto& daemon : m_cluster.daemons())
             m_all.push_back(&daemon);
@@ -96,51 +89,36 @@
     void run()
     {
         if (m_row.strikesInFlight) {
-            sendRound("middle", "/a?delay_ms=1000", m_row.mayLoseInFlight, m_row.mayLoseInFlight);
-            cr_assert(eventually([&] { return m_cluster.received(0) + m_cluster.received(1) >= m_sent.size(); }));
+            sendRound("/a?delay_ms=1000", m_row.mayLoseInFlight, m_row.mayLoseInFlight);
+            cr_assert(eventually(
+                [&] { return m_cluster.received(0) + m_cluster.received(1) >= requestsOfRound * m_others.size(); }));
             for (const auto* member : m_others)
-                cr_assert_eq(counterOf(*member, "dogwoodhall_forwarded_total"), 2, "%s: not forwarded", m_row.name);
+                cr_assert_eq(counterOf(*member, "dogwoodhall_forwarded_total"), requestsOfRound, "%s: not forwarded",
+                    m_row.name);
         }
         if (m_row.apply)
             m_row.apply(m_cluster, *m_home);
-        sendRound("first", "/a", false, m_row.mayFailLater);
+        sendRound("/a", false, m_row.mayFailLater);
         if (m_row.resumes) {
             ::usleep(pauseMicroseconds);
             m_home->process.signal(SIGCONT);
-            sendRound("resumed", "/a", false, m_row.mayFailLater);
+            sendRound("/a", false, m_row.mayFailLater);
         }
-        readAll();
+        m_requests.readAll();
         const auto home = agreedHome(m_row.movesHome ? m_others : m_all, m_row.movesHome ? m_homeName : "");
         cr_assert(m_row.movesHome || m_row.mayFailLater || home == m_homeName, "%s: home moved", m_row.name);
-        sendRound("later", "/a", false, false);
-        readAll();
+        sendRound("/a", false, false);
+        m_requests.readAll();
         finishHome();
-        for (const auto& sent : m_sent)
-            check(sent);
+        m_requests.check(m_cluster);
     }
 
 private:
-    void sendRound(const std::string& name, const std::string& target, bool mayFailGet, bool mayFailPost)
-    {
-        for (const auto* member : m_others) {
-            for (const std::string method : { "GET", "POST" }) {
-                // A body of another length for each, so that the answers differ.
-                const std::string body(method == "POST" ? m_sent.size() + 1 : 0, 'b');
-                const auto id = name + "-" + member->name + "-" + method;
-                m_sent.push_back({ id, method, " received " + std::to_string(body.size()) + " bytes\n",
-                    method == "GET" ? mayFailGet : mayFailPost, std::make_unique<TestClient>(member->caller) });
-                m_sent.back().client->send(TestRequest { method, target, {}, body, id }.text());
-            }
-        }
-    }
-
-    void readAll()
+    // A request of each kind through each member that is not the home.
+    void sendRound(const std::string& target, bool mayFailGet, bool mayFailPost)
     {
-        for (auto& sent : m_sent) {
-            if (sent.client)
-                sent.answer = sent.client->readAnswer();
-            sent.client.reset();
-        }
+        for (const auto* member : m_others)
+            m_requests.send(*member, target, requestsOfRound, mayFailGet, mayFailPost);
     }
 
     // A home that was frozen goes on with what it holds; what it runs late counts.
@@ -159,29 +137,13 @@
         }
     }
 
-    void check(const Sent& sent) const
-    {
-        const auto* id = sent.id.c_str();
-        const auto& answer = sent.answer;
-        const auto runs = m_cluster.runs(sent.id);
-        const auto outcome = answer.field("Dogwoodhall-Outcome");
-        cr_assert(answer.status && answer.isWhole, "%s: %s was not answered whole", m_row.name, id);
-        cr_assert(answer.status != 200 || answer.body.ends_with(sent.expected), "%s: %s", m_row.name, id);
-        cr_assert(answer.status != 200 || runs >= 1, "%s: %s did not run", m_row.name, id);
-        cr_assert(answer.status == 200 || !outcome.empty(), "%s: %s has no outcome", m_row.name, id);
-        cr_assert(answer.status == 200 || sent.mayFail, "%s: %s got %u %s", m_row.name, id, answer.status,
-            answer.field("Dogwoodhall-Error").c_str());
-        cr_assert(outcome != "not-run" || runs == 0, "%s: %s ran", m_row.name, id);
-        cr_assert(sent.method == "GET" || runs <= 1, "%s: %s ran %zu times", m_row.name, id, runs);
-    }
-
     const HomeRow& m_row;
     Cluster m_cluster;
     std::string m_homeName;
     DaemonProcess* m_home = nullptr;
     std::vector<const DaemonProcess*> m_all;
     std::vector<const DaemonProcess*> m_others;
-    std::vector<Sent> m_sent;
+    SentRequests m_requests;
 };
 
 } // namespace
--- a/tests/system/LogTest.cpp
+++ b/tests/system/LogTest.cpp
@@ -1,4 +1,5 @@
 // Before criterion.h, whose macro Test would replace names inside Boost.
+#include "TemporaryFolder.h"
 #include "TestClient.h"
 
 #include <boost/json.hpp>
@@ -8,7 +9,6 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <regex>
 
@@ -26,29 +26,6 @@
         { "peerAddress", kernelChosen }, { "adminAddress", kernelChosen }, { "platformAddress", toString(platform) } };
 }
 
-// A folder that lives as long as the object.
-class Folder {
-public:
-    Folder()
-    {
-        std::string path = (std::filesystem::temp_directory_path() / "dogwoodhall-log-XXXXXX").string();
-        cr_assert(::mkdtemp(path.data()));
-        m_path = path;
-    }
-    Folder(const Folder&) = delete;
-    Folder& operator=(const Folder&) = delete;
-    ~Folder()
-    {
-        std::error_code ec;
-        std::filesystem::remove_all(m_path, ec);
-    }
-
-    const std::filesystem::path& path() const { return m_path; }
-
-private:
-    std::filesystem::path m_path;
-};
-
 struct LogLine {
     std::string time;
     std::string level;
@@ -84,10 +61,10 @@
 // What one daemon logs from its start to a graceful stop, which comes once it has logged the warning.
 std::vector<std::string> linesOfOneRun(const json::object& more, bool logsWarning)
 {
-    const Folder folder;
+    const TemporaryFolder folder;
     const ReservedPort platform;
-    const auto settings = (folder.path() / "settings.json").string();
-    const auto log = (folder.path() / "log").string();
+    const auto settings = (folder / "settings.json").string();
+    const auto log = (folder / "log").string();
     auto fields = settingsFor(platform.address());
     fields.insert(more.begin(), more.end());
     std::ofstream(settings) << fields;
--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -20,14 +20,6 @@
 // A download may wait until others have ended, which takes 20 s under a sanitizer.
 constexpr int downloadDeadlineMs = 100'000;
 
-std::filesystem::path makeFolder()
-{
-    std::string path = (std::filesystem::temp_directory_path() / "dogwoodhall-test-XXXXXX").string();
-    if (!::mkdtemp(path.data()))
-        throw std::runtime_error("cannot make a folder under /tmp");
-    return path;
-}
-
 json::object rule(const char* id, const char* prefix, const char* workClass, int deadline)
 {
     return { { "id", id }, { "pathPrefix", prefix }, { "workClass", workClass }, { "deadlineMs", deadline } };
@@ -38,19 +30,13 @@
 } // namespace
 
 Cluster::Cluster()
-    : m_folder(makeFolder())
-    , m_platform({ PLATFORM_BINARY, "--listen", toString(m_platformPort.address()) })
+    : m_platform({ PLATFORM_BINARY, "--listen", toString(m_platformPort.address()) })
     , m_platformAddress(m_platform.readListening().at("address"))
     , m_platformForDaemons(m_platformAddress)
 {
 }
 
-Cluster::~Cluster()
-{
-    std::error_code ec;
-    if (!m_folder.empty())
-        std::filesystem::remove_all(m_folder, ec);
-}
+Cluster::~Cluster() = default;
 
 void Cluster::startUpstream(const std::string& dataCentre, std::size_t slots)
 {
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -2,11 +2,11 @@
 
 #include "PeerRelay.h"
 #include "Process.h"
+#include "TemporaryFolder.h"
 #include "TestClient.h"
 
 #include <boost/json/object.hpp>
 #include <cstdint>
-#include <filesystem>
 #include <memory>
 #include <optional>
 #include <string>
@@ -82,7 +82,7 @@
     DaemonProcess launchDaemon(const std::string& name, const std::string& dataCentre);
     std::size_t askNumber(std::size_t upstream, const std::string& target) const;
 
-    std::filesystem::path m_folder;
+    TemporaryFolder m_folder;
     ReservedPort m_platformPort;
     Process m_platform;
     NetworkAddress m_platformAddress;
