Give the slow caller of MemoryTest a receive buffer of several segments

Cause: with a receive buffer of 16 KB the kernel's window for the caller can shrink to 12,624 bytes, below the segment size of 15,750 that the daemon's kernel had settled on. It then sends one small segment for each persist timer of 200 ms (ss -tino: rwnd_limited 88%, empty receive queue, 2.8 MB unsent in the daemon's kernel), 63 KB/s, so that 256 MB time out. Neither daemon nor upstream was waiting for anything else. Change: the caller has 256 KB and is slow by a pause after each part instead. The bound on memory is unchanged; the test now also demands that the upstream is still held back in the first half of the download.

--- a/tests/system/MemoryTest.cpp
+++ b/tests/system/MemoryTest.cpp
@@ -3,7 +3,9 @@
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <chrono>
 #include <csignal>
+#include <thread>
 
 using namespace dogwoodhall;
 
@@ -14,6 +16,10 @@
 // 16 KiB, the buffers of both parsers and the replay limit of 64 KiB, with room for the allocator's rounding.
 constexpr std::size_t growthLimitKilobytes = 1024;
 constexpr std::size_t partBytes = 256 * 1024;
+// Of a caller that reads slowly. Below a few segments of loopback (up to 64 KB each) the window that the kernel offers
+// can stay smaller than a segment; the sender's kernel then sends one small segment for each 200 ms.
+constexpr int receiveBufferBytes = 256 * 1024;
+constexpr std::chrono::milliseconds pauseAfterPart { 2 }; // 256 KB in 2 ms: slower than loopback and the upstream.
 
 // Warms up what a process allocates once, with a transfer of the same kind.
 void warmUp(Cluster& cluster)
@@ -47,21 +53,19 @@
     const auto& process = cluster.daemon().process;
     const auto before = process.residentKilobytes();
     auto highest = before;
-    TestClient client(cluster.caller(), 16 * 1024);
+    TestClient client(cluster.caller(), receiveBufferBytes);
     const auto target = "/download?bytes=" + std::to_string(row.bytes) + row.query;
     client.send(TestRequest { "GET", target, {}, {}, "download" }.text());
     cr_assert(eventually([&] { return cluster.runs("download") == 1; }));
     std::size_t received = 0;
-    std::size_t nextSample = 0;
     while (received < row.bytes) {
         const auto part = client.readSome(partBytes);
         cr_assert_not(part.empty(), "%s: ended after %zu bytes", row.name, received);
         received += part.size();
-        if (received < nextSample)
-            continue;
-        nextSample = received + 4 * mebibyte;
-        ::usleep(2'000); // A slow caller.
+        std::this_thread::sleep_for(pauseAfterPart);
         highest = std::max(highest, process.residentKilobytes());
+        if (received < row.bytes / 2)
+            cr_assert_eq(cluster.inUse(0), 1, "%s: the upstream was not held back", row.name);
     }
     cr_log_info("download, %s: %zu kB before, at most %zu kB\n", row.name, before, highest);
     cr_assert(highest <= before + growthLimitKilobytes, "%s: %zu kB, then %zu kB", row.name, before, highest);
