Derive the allowance above the slots from round trip and service time

Change: DispatchAllowance takes the fewest requests that leave at most 1% of the slots idle in a round trip, between one and four. The round trip is the least of the last 16 health probes, the service time comes from answers. Ruled out: a fixed allowance of two, which raises p99 where one is enough. With an allowance of one everywhere four of the six rows of DispatchAllowanceTest fail.

--- a/bench/HomePlacement.cpp
+++ b/bench/HomePlacement.cpp
@@ -68,7 +68,8 @@
     const Deployment& deployment = m_world.deployment();
     PoolLimits limits;
     limits.queuePerSlot = m_world.options().queuePerSlot;
-    limits.allowance = SlotCount(m_world.options().allowance);
+    limits.allowance.least = SlotCount(m_world.options().leastAllowance);
+    limits.allowance.most = SlotCount(m_world.options().mostAllowance);
     limits.longSlotsPerEndpoint = SlotCount(m_world.options().longSlots);
     limits.longWorkShare = Fraction(m_world.options().longWorkShare);
     std::vector<PoolEndpoint> endpoints;
@@ -77,6 +78,7 @@
             endpoints.push_back({ EndpointId(nameOf(n)), SlotCount(deployment.slots), false });
     }
     auto pool = std::make_unique<Pool>(PoolId { service, DataCentreId(nameOf(dataCentre)) }, limits, leastInUse());
+    pool->observeRoundTrip(2 * deployment.withinDataCentre);
     pool->reconfigure(endpoints, limits, context());
     return pool;
 }
--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -125,7 +125,10 @@
     add("deadline-ms", po::value(&deadlineMs)->default_value(0), "deadline of a request; 0: 50 service times");
     add("duration", po::value(&seconds)->default_value(20), "virtual seconds, of which 2 warm up");
     add("queue-per-slot", po::value(&line.options.queuePerSlot)->default_value(6), "longest queue of a pool");
-    add("allowance", po::value(&line.options.allowance)->default_value(1), "requests above an endpoint's slots");
+    add("least-allowance", po::value(&line.options.leastAllowance)->default_value(1),
+        "least requests above an endpoint's slots");
+    add("most-allowance", po::value(&line.options.mostAllowance)->default_value(4),
+        "most requests above an endpoint's slots");
     add("long-share", po::value(&line.options.longWorkShare)->default_value(0.5), "share of slots for long work");
     add("long-slots", po::value(&line.options.longSlots)->default_value(1), "slots of an endpoint for long work");
     add("report-ms", po::value(&reportMs)->default_value(0), "period of load reports; 0: as the scenario says");
--- a/bench/Scenario.h
+++ b/bench/Scenario.h
@@ -55,7 +55,8 @@
     Duration duration = std::chrono::seconds(20);
     Duration warmUp = std::chrono::seconds(2);
     std::uint32_t queuePerSlot = 6;
-    std::uint64_t allowance = 1;
+    std::uint64_t leastAllowance = 1;
+    std::uint64_t mostAllowance = 4;
     double longWorkShare = 0.5;
     std::uint64_t longSlots = 1; // Of each endpoint, that long work may hold.
     Duration reportPeriod {}; // Zero: the scenario's.
--- a/packages/daemon/include/dogwoodhall/daemon/HealthProber.h
+++ b/packages/daemon/include/dogwoodhall/daemon/HealthProber.h
@@ -22,6 +22,7 @@
 struct HealthReport {
     bool isDraining = false;
     SlotCount inUse;
+    Duration roundTrip {}; // From the request to the head of the answer.
 };
 
 // Asks the endpoints of the pools whose home is this process for their state, each once in a period while the measuring
--- a/packages/daemon/src/HealthProber.cpp
+++ b/packages/daemon/src/HealthProber.cpp
@@ -76,15 +76,20 @@
     request.head.target = "/health";
     request.head.fields.add("Host", toString(target.address));
     request.readBody = emptyBody();
-    const auto deadline = std::chrono::steady_clock::now() + probeTimeout;
+    const auto sentAt = std::chrono::steady_clock::now();
+    const auto deadline = sentAt + probeTimeout;
     auto response = co_await m_client.exchange(target.address, std::move(request), deadline);
     if (!response)
         co_return;
+    const Duration roundTrip = std::chrono::steady_clock::now() - sentAt;
     auto body = co_await readWhole(*response, maxReport, deadline);
     if (!body)
         co_return;
-    if (auto report = parseReport(*body))
-        m_hooks.report(target, *report);
+    auto report = parseReport(*body);
+    if (!report)
+        co_return;
+    report->roundTrip = roundTrip;
+    m_hooks.report(target, *report);
 }
 
 } // namespace dogwoodhall
--- a/packages/daemon/src/PoolShard.cpp
+++ b/packages/daemon/src/PoolShard.cpp
@@ -69,6 +69,7 @@
 {
     Entry& entry = entryFor(target.pool);
     entry.pool.observeLoad(target.endpoint, report.inUse);
+    entry.pool.observeRoundTrip(report.roundTrip);
     if (report.isDraining)
         perform(target.pool, entry, entry.pool.setLeaving(target.endpoint, context()));
 }
--- a/packages/pool/include/dogwoodhall/pool/Pool.h
+++ b/packages/pool/include/dogwoodhall/pool/Pool.h
@@ -2,6 +2,7 @@
 
 #include "dogwoodhall/core/DecisionContext.h"
 #include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/pool/DispatchAllowance.h"
 #include "dogwoodhall/pool/EndpointHealth.h"
 #include "dogwoodhall/pool/PlacementPolicy.h"
 #include "dogwoodhall/pool/PoolActions.h"
@@ -23,8 +24,7 @@
     // Longest queue, in requests per slot. Six keep the wait near six service times while the pool is overloaded;
     // longer queues refuse fewer requests of a short swing and make all of them wait longer (docs/placement.md).
     std::uint32_t queuePerSlot = 6;
-    // Requests sent to an endpoint above its slots, so that it has the next one at hand during the hop.
-    SlotCount allowance { 1 };
+    AllowanceLimits allowance;
     SlotCount longSlotsPerEndpoint { 1 };
     Fraction longWorkShare { 0.5 };
     Duration coldRamp = std::chrono::seconds(10);
@@ -67,6 +67,8 @@
     PoolActions reconfigure(const std::vector<PoolEndpoint>&, const PoolLimits&, DecisionContext);
     PoolActions setLeaving(const EndpointId&, DecisionContext);
     void observeLoad(const EndpointId&, SlotCount reportedInUse);
+    // From here to an endpoint of the pool and back, without service.
+    void observeRoundTrip(Duration roundTrip) { m_allowance.observeRoundTrip(roundTrip); }
 
     // Time that a short request of normal priority, admitted now, would wait for a slot. Zero while nothing has been
     // measured, Duration::max() where no endpoint takes work.
@@ -85,6 +87,7 @@
         bool isKnownLeaving = false; // Learnt from an answer or setLeaving(), or declared.
         SlotCount inUse;
         SlotCount longInUse;
+        SlotCount allowance; // Requests above its slots.
         std::optional<SlotCount> reportedInUse;
         std::optional<TimePoint> coldSince;
         std::optional<SlotCount> refusedAt; // Requests there when it last refused one.
@@ -121,6 +124,7 @@
     void eject(Endpoint&, TimePoint);
     void countUsableSlots();
     void updateTypicalTime(TimePoint);
+    void updateAllowances();
     // Right after drainQueue(): a request of the class that could go anywhere waits, so that another cannot be placed.
     bool isBlocked(WorkClass) const;
     // Dispatches one request of the lane, if one fits.
@@ -146,6 +150,7 @@
     std::array<Duration, 2> m_meanHeld {}; // Time from dispatch to completion, by work class.
     Duration m_typicalTime {}; // Median of the endpoints' mean times for short work.
     std::optional<TimePoint> m_typicalTimeAt;
+    DispatchAllowance m_allowance;
     TimePoint m_lastEjectionEnd; // No endpoint is ejected from then on.
     std::optional<TimePoint> m_armedAt;
 };
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -11,7 +11,7 @@
 // Weight of the newest sample in the mean time that a slot is held: about the last 32 completions count, which a pool
 // of ten slots makes in a few service times.
 constexpr double newestShare = 1.0 / 32;
-// Least time between two computations of the median, which looks at every endpoint.
+// Least time between two computations of the median and of the allowances, which look at every endpoint.
 constexpr Duration typicalTimePeriod = std::chrono::milliseconds(100);
 
 } // namespace
@@ -113,6 +113,7 @@
     m_index = std::move(index);
     m_isConfigured = m_isConfigured || !endpoints.empty();
     countUsableSlots();
+    updateAllowances();
 
     PoolActions actions;
     drainQueue(context, actions);
@@ -178,9 +179,11 @@
         Duration& mean = m_meanHeld[static_cast<std::size_t>(dispatched.workClass)];
         const double share = mean.count() == 0 ? 1 : newestShare;
         mean += std::chrono::duration_cast<Duration>((held - mean) * share);
+        if (!isShort)
+            break;
+        m_allowance.observeAnswer(held, endpoint.declared.slots, endpoint.inUse + SlotCount(1));
         const Duration serviceTime = completion.serviceTime.count() > 0 ? completion.serviceTime : held;
-        if (isShort)
-            shouldEject = endpoint.health.recordAnswer(serviceTime, m_typicalTime, now, m_limits.health);
+        shouldEject = endpoint.health.recordAnswer(serviceTime, m_typicalTime, now, m_limits.health);
         break;
     }
     case CompletionResult::Refused:
@@ -233,6 +236,7 @@
     if (m_typicalTimeAt && now - *m_typicalTimeAt < typicalTimePeriod)
         return;
     m_typicalTimeAt = now;
+    updateAllowances();
     std::vector<Duration> means;
     for (const auto& endpoint : m_endpoints) {
         if (endpoint.health.meanServiceTime().count() > 0)
@@ -246,6 +250,12 @@
     m_typicalTime = *middle;
 }
 
+void Pool::updateAllowances()
+{
+    for (auto& endpoint : m_endpoints)
+        endpoint.allowance = m_allowance.forEndpoint(endpoint.declared.slots, m_limits.allowance);
+}
+
 SlotCount Pool::freeSlots() const
 {
     SlotCount free;
--- a/packages/pool/src/PoolPlacement.cpp
+++ b/packages/pool/src/PoolPlacement.cpp
@@ -37,7 +37,7 @@
     limit = std::max<std::uint64_t>(limit, 1);
     // No allowance where long work holds every slot: a short request there would wait for the long one to end.
     if (cold >= 1 && weight >= leastWeightForAllowance && endpoint.longInUse.count() < slots)
-        limit += m_limits.allowance.count();
+        limit += endpoint.allowance.count();
     if (endpoint.refusedAt) {
         const auto recovered = static_cast<std::uint64_t>((now - endpoint.lastRefusal) / m_limits.refusalRecovery);
         limit = std::min(limit, std::max<std::uint64_t>(endpoint.refusedAt->count(), 1) + recovered);
@@ -52,7 +52,7 @@
 
 bool Pool::canTake(const Endpoint& endpoint, const PoolRequest& request, bool mayUseEjected, TimePoint now) const
 {
-    if (!endpoint.isUsable() || endpoint.inUse >= endpoint.declared.slots + m_limits.allowance)
+    if (!endpoint.isUsable() || endpoint.inUse >= endpoint.declared.slots + endpoint.allowance)
         return false;
     if (endpoint.inUse.count() >= limitOf(endpoint, now))
         return false;
--- a/packages/pool/tests/PoolTest.cpp
+++ b/packages/pool/tests/PoolTest.cpp
@@ -121,7 +121,7 @@
 {
     PoolLimits limits;
     limits.queuePerSlot = queuePerSlot;
-    limits.allowance = SlotCount(allowance);
+    limits.allowance.least = SlotCount(allowance);
     limits.health.failuresToEject = 2;
     limits.health.ejection = std::chrono::milliseconds(100);
     return limits;
