Share an endpoint's connections between the entry hosts

Cause: maxConnections of a record was read and never used: each traffic thread kept up to 64 unused connections to an endpoint, 1,920 with 15 entry hosts of two threads. An unused connection was closed only when the next request to its address looked for one, so that connections to a host that was replaced without closing them stayed open for good. Change: ConnectionQuota gives each thread a share of maxConnections that follows from the number of members and from who is the pool's home; the heartbeat closes what is above it, unused for 30 s, or to an endpoint no longer declared. Result: with the former limit of 64 and nothing closed, five of the six rows of IdleConnectionsTest fail; now all pass. Ten system and unit test programs that use upstream connections pass. Latency was not measured again.

--- a/packages/daemon/include/dogwoodhall/daemon/TrafficServices.h
+++ b/packages/daemon/include/dogwoodhall/daemon/TrafficServices.h
@@ -2,6 +2,7 @@
 
 #include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/RandomEngine.h"
+#include "dogwoodhall/daemon/ConnectionQuotas.h"
 #include "dogwoodhall/daemon/DaemonMetrics.h"
 #include "dogwoodhall/daemon/RequestTrace.h"
 #include "dogwoodhall/daemon/SlotGateway.h"
@@ -17,6 +18,7 @@
     asio::io_context& io;
     SlotGateway& slots;
     UpstreamClient& upstreams;
+    ConnectionQuotas& connections;
     PeerClient& peers;
     DaemonMetrics& metrics;
     RandomEngine& random;
--- a/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
@@ -28,7 +28,6 @@
         NetworkAddress callerAddress;
         NetworkAddress peerAddress;
         CallerLimits callerLimits;
-        UpstreamLimits upstreamLimits;
         PeerLimits peerLimits;
         Fraction traceSampling;
         std::uint64_t seed = 0;
@@ -87,6 +86,7 @@
     RandomEngine m_random;
     PoolShard m_shard;
     SlotGateway m_slots;
+    ConnectionQuotas m_connections;
     UpstreamClient m_upstreams;
     PeerClient m_peers;
     TrafficServices m_services;
--- a/packages/daemon/src/HedgedExchange.cpp
+++ b/packages/daemon/src/HedgedExchange.cpp
@@ -50,6 +50,7 @@
 
 asio::awaitable<void> HedgedExchange::runFirst()
 {
+    m_services.connections.use(m_plan.address, m_plan.pool);
     m_first = co_await m_services.upstreams.exchange(m_plan.address, m_plan.makeRequest(), m_plan.deadline);
 }
 
@@ -81,6 +82,7 @@
         co_return false;
     m_hasHedged = true;
     m_services.metrics.hedges.add();
+    m_services.connections.use(lease->placement().address, m_plan.pool);
     auto response
         = co_await m_services.upstreams.exchange(lease->placement().address, m_plan.makeRequest(), m_plan.deadline);
     if (!response)
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -27,6 +27,13 @@
 constexpr auto drainGrace = std::chrono::milliseconds(1000);
 constexpr std::string_view ticketsPath = "/.dogwoodhall/tickets";
 
+UpstreamLimits upstreamLimits(const ConnectionQuotas& quotas)
+{
+    UpstreamLimits limits;
+    limits.idleLimit = [&quotas](const NetworkAddress& address) { return quotas.idleLimit(address); };
+    return limits;
+}
+
 } // namespace
 
 TrafficThread::TrafficThread(Options options, DaemonMetrics& metrics)
@@ -37,10 +44,11 @@
     , m_random(m_options.seed)
     , m_shard(m_io, m_options.seed + 1)
     , m_slots(m_io, m_options.index, m_options.postToShard)
-    , m_upstreams(m_io.get_executor(), m_options.upstreamLimits)
+    , m_connections(m_options.trafficThreads)
+    , m_upstreams(m_io.get_executor(), upstreamLimits(m_connections))
     , m_peers(m_io.get_executor(), m_options.peerLimits)
-    , m_services { m_io, m_slots, m_upstreams, m_peers, metrics, m_random, m_options.spans, m_options.member,
-        m_options.dataCentre, m_options.traceSampling, m_options.reportSilentMember }
+    , m_services { m_io, m_slots, m_upstreams, m_connections, m_peers, metrics, m_random, m_options.spans,
+        m_options.member, m_options.dataCentre, m_options.traceSampling, m_options.reportSilentMember }
     , m_runner(m_services, m_options.trafficThreads)
     , m_tickets(m_services, m_runner)
     , m_snapshot(std::make_shared<Snapshot>())
@@ -101,6 +109,7 @@
 {
     m_snapshot = snapshot;
     m_shard.apply(snapshot);
+    m_connections.apply(snapshot);
     m_tickets.apply(snapshot);
     m_runner.apply(std::move(snapshot));
 }
@@ -118,6 +127,7 @@
         observePauses();
         m_requestsRunning.store(m_runner.running(), std::memory_order_relaxed);
         m_options.shareLoads(m_shard.loads());
+        m_upstreams.closeIdle();
         timer.expires_after(heartbeatPeriod);
         co_await timer.async_wait(useTuple);
     }
--- a/packages/http/include/dogwoodhall/http/UpstreamClient.h
+++ b/packages/http/include/dogwoodhall/http/UpstreamClient.h
@@ -6,17 +6,22 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <chrono>
+#include <cstddef>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <unordered_map>
 
 namespace dogwoodhall {
 
+// How many unused connections to an address may be kept now.
+using IdleLimit = std::function<std::size_t(const NetworkAddress&)>;
+
 struct UpstreamLimits {
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration idleTimeout = std::chrono::seconds(30); // After which an unused connection is closed.
-    std::size_t idleConnectionsPerEndpoint = 64;
+    IdleLimit idleLimit = [](const NetworkAddress&) { return std::size_t { 64 }; };
 };
 
 // Sends requests to upstreams over HTTP/1.1, one at a time on each connection, and keeps connections for reuse. A
@@ -33,6 +38,10 @@
     ExchangeResult<IncomingResponse> exchange(
         const NetworkAddress&, OutgoingRequest, std::chrono::steady_clock::time_point deadline);
 
+    // Closes connections that were not used for the idle time-out, or that are more than the idle limit now allows. To
+    // be called now and then: the other side of a connection to a host that is gone never closes it.
+    void closeIdle();
+
     std::size_t openConnections() const { return m_connections.size(); }
 
 private:
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <iterator>
 #include <optional>
 #include <random>
 #include <utility>
@@ -278,7 +279,7 @@
     const bool reusable
         = connection.parser->keep_alive() && !connection.parser->need_eof() && connection.buffer.size() == 0;
     auto& idle = m_idle[connection.address];
-    if (!reusable || idle.size() >= m_limits.idleConnectionsPerEndpoint) {
+    if (!reusable || idle.size() >= m_limits.idleLimit(connection.address)) {
         close(id);
         return;
     }
@@ -287,6 +288,21 @@
     idle.push_back(id);
 }
 
+void UpstreamClient::closeIdle()
+{
+    const auto oldest = std::chrono::steady_clock::now() - m_limits.idleTimeout;
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        auto& [address, idle] = *it;
+        const std::size_t limit = m_limits.idleLimit(address);
+        // The front is unused for the longest time.
+        while (!idle.empty() && (idle.size() > limit || m_connections.at(idle.front())->idleSince <= oldest)) {
+            close(idle.front());
+            idle.pop_front();
+        }
+        it = idle.empty() ? m_idle.erase(it) : std::next(it);
+    }
+}
+
 std::string UpstreamClient::newExchangeId() { return m_idPrefix + std::to_string(m_nextExchange++); }
 
 void UpstreamClient::close(ConnectionId id) { m_connections.erase(id); }
