--- /dev/null
+++ b/packages/budget/src/PublicationPacer.cpp
@@ -0,0 +1,55 @@
+#include "dogwoodhall/budget/PublicationPacer.h"
+
+#include <algorithm>
+
+namespace dogwoodhall {
+
+std::optional<PublicationAction> PublicationPacer::changeNoted(PublicationReason reason, TimePoint now)
+{
+    const TimePoint deadline = now + mostDelay(reason);
+    m_deadline = m_deadline ? std::min(*m_deadline, deadline) : deadline;
+    return decide(now);
+}
+
+std::optional<PublicationAction> PublicationPacer::published(Duration cost, TimePoint now)
+{
+    const std::chrono::duration<double, Duration::period> pause(
+        static_cast<double>(cost.count()) / m_limits.processorShare.value());
+    const TimePoint paidAt = std::max(m_paidAt, now) + std::chrono::duration_cast<Duration>(pause);
+    m_paidAt = std::min(paidAt, now + m_limits.mostDebt);
+    if (!m_deadline)
+        return std::nullopt;
+    return decide(now);
+}
+
+std::optional<PublicationAction> PublicationPacer::timerDue(TimePoint now)
+{
+    if (!m_deadline)
+        return std::nullopt;
+    return decide(now);
+}
+
+Duration PublicationPacer::mostDelay(PublicationReason reason) const
+{
+    switch (reason) {
+    case PublicationReason::Standing:
+        return Duration::zero();
+    case PublicationReason::Upstreams:
+        return m_limits.mostUpstreamsDelay;
+    case PublicationReason::Records:
+    case PublicationReason::Members:
+        break;
+    }
+    return m_limits.mostDelay;
+}
+
+std::optional<PublicationAction> PublicationPacer::decide(TimePoint now)
+{
+    const TimePoint due = std::min(*m_deadline, m_paidAt);
+    if (now < due)
+        return ArmPublicationTimer { due };
+    m_deadline.reset();
+    return PublishNow {};
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/budget/tests/PublicationPacerTest.cpp
@@ -0,0 +1,168 @@
+#include "dogwoodhall/budget/PublicationPacer.h"
+
+#include "TableRows.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace dogwoodhall;
+using namespace std::chrono_literals;
+using enum PublicationReason;
+
+namespace {
+
+TimePoint at(std::chrono::microseconds time) { return TimePoint(100s + time); }
+
+// What a pacer decided, and what that cost.
+struct Tally {
+    Duration spent {};
+    Duration longestSpell {}; // Longest time for which a change waited.
+    unsigned publications = 0;
+};
+
+// Feeds one pacer in virtual time, in which a publication takes no time.
+class Run {
+public:
+    explicit Run(Duration cost)
+        : m_cost(cost)
+    {
+    }
+
+    void note(PublicationReason reason, TimePoint now)
+    {
+        runTimerUntil(now);
+        m_since = m_since.value_or(now);
+        perform(m_pacer.changeNoted(reason, now), now);
+    }
+
+    void runTimerUntil(TimePoint now)
+    {
+        while (m_timer && *m_timer <= now) {
+            const TimePoint due = *m_timer;
+            m_timer.reset();
+            perform(m_pacer.timerDue(due), due);
+        }
+    }
+
+    const Tally& tally() const { return m_tally; }
+    TimePoint lastAt() const { return m_lastAt; }
+
+private:
+    void perform(const std::optional<PublicationAction>& action, TimePoint now)
+    {
+        if (!action)
+            return;
+        if (const auto* timer = std::get_if<ArmPublicationTimer>(&*action)) {
+            cr_assert_gt(timer->at, now);
+            m_timer = timer->at;
+            return;
+        }
+        m_tally.spent += m_cost;
+        m_tally.longestSpell = std::max(m_tally.longestSpell, now - m_since.value_or(now));
+        ++m_tally.publications;
+        m_lastAt = now;
+        m_since.reset();
+        m_timer.reset();
+        perform(m_pacer.published(m_cost, now), now);
+    }
+
+    Duration m_cost;
+    PublicationPacer m_pacer;
+    std::optional<TimePoint> m_timer;
+    std::optional<TimePoint> m_since; // The first change that waits.
+    TimePoint m_lastAt;
+    Tally m_tally;
+};
+
+} // namespace
+
+struct PaceRow {
+    const char* guardsAgainst;
+    std::chrono::microseconds cost;
+    PublicationReason second; // 10 ms after a change of members that is published at once.
+    std::chrono::microseconds publishedAt;
+};
+
+const PaceRow paces[] = {
+    { "a pause where publications cost little", 70us, Records, 10ms },
+    { "members published beyond the share", 14ms, Members, 2000ms },
+    { "records published beyond the share", 14ms, Records, 2000ms },
+    { "an upstream that gets work while the share is paid for", 14ms, Upstreams, 1010ms },
+    { "readiness that waits", 14ms, Standing, 10ms },
+    { "a record that takes effect late on a slow machine", 1000ms, Records, 5010ms },
+    { "homes that stay wrong on a slow machine", 1000ms, Members, 5010ms },
+    { "an upstream that gets work on a slow machine", 1000ms, Upstreams, 1010ms },
+};
+
+ParameterizedTestParameters(PublicationPacer, paces) { return rowIndices(paces); }
+
+ParameterizedTest(std::size_t* index, PublicationPacer, paces)
+{
+    const PaceRow& row = paces[*index];
+    Run run(row.cost);
+    run.note(Members, at(0us));
+    cr_assert_eq(run.lastAt(), at(0us), "guards against a first change that waits");
+    run.note(row.second, at(10ms));
+    run.runTimerUntil(at(60s));
+    cr_assert_eq(run.lastAt(), at(row.publishedAt), "guards against %s", row.guardsAgainst);
+    cr_assert_eq(run.tally().publications, 2U);
+}
+
+struct LoadRow {
+    const char* name;
+    std::chrono::microseconds cost;
+    std::chrono::milliseconds membersEvery;
+    std::chrono::milliseconds recordsEvery;
+    std::chrono::milliseconds upstreamsEvery; // The host list's period; 0: none leaves.
+    bool isWithinShare;
+};
+
+const LoadRow loads[] = {
+    { "fleet of today", 300us, 3ms, 1400ms, 1000ms, true },
+    { "mass restart at the design size", 14ms, 1ms, 1400ms, 0ms, true },
+    { "upstreams that leave at each read of the host list besides", 14ms, 1ms, 1400ms, 6000ms, true },
+    { "machine half as fast", 28ms, 1ms, 1400ms, 0ms, true },
+    { "largest cost within the share", 35ms, 1ms, 1400ms, 0ms, true },
+    { "machine a tenth as fast", 140ms, 1ms, 1400ms, 1000ms, false },
+};
+
+// Guards against a mass restart in which publications take the processor time of gossip, and against changes that wait
+// beyond their limits because of it.
+ParameterizedTestParameters(PublicationPacer, staysWithinItsShare) { return rowIndices(loads); }
+
+ParameterizedTest(std::size_t* index, PublicationPacer, staysWithinItsShare)
+{
+    const LoadRow& row = loads[*index];
+    constexpr std::chrono::milliseconds length = 120s;
+    Run run(row.cost);
+    for (std::chrono::milliseconds time = 0ms; time < length; time += 1ms) {
+        if (row.upstreamsEvery > 0ms && time % row.upstreamsEvery == 0ms)
+            run.note(Upstreams, at(time));
+        if (time % row.recordsEvery == 0ms)
+            run.note(Records, at(time));
+        if (time % row.membersEvery == 0ms)
+            run.note(Members, at(time));
+    }
+    const auto share = PublicationLimits {}.processorShare.value();
+    // The first publication is paid for afterwards.
+    const bool isWithin = toSeconds(run.tally().spent) <= share * toSeconds(length) + 2 * toSeconds(row.cost);
+    cr_assert_eq(isWithin, row.isWithinShare, "%s: %f s", row.name, toSeconds(run.tally().spent));
+    cr_assert_leq(run.tally().longestSpell, PublicationLimits {}.mostDelay, "%s", row.name);
+    cr_assert_gt(run.tally().publications, 20U, "%s", row.name);
+}
+
+// Guards against a snapshot published twice for a timer that fires after the change was published for another reason,
+// and against publications at once that later ones do not make up for.
+Test(PublicationPacer, publishesChangesTogether)
+{
+    PublicationPacer pacer;
+    cr_assert(pacer.changeNoted(Records, at(0us)) == PublicationAction(PublishNow {}));
+    cr_assert_not(pacer.published(14ms, at(0us)));
+    cr_assert(pacer.changeNoted(Records, at(10ms)) == PublicationAction(ArmPublicationTimer { at(2s) }));
+    cr_assert(pacer.timerDue(at(1s)) == PublicationAction(ArmPublicationTimer { at(2s) }));
+    cr_assert(pacer.changeNoted(Standing, at(1s)) == PublicationAction(PublishNow {}));
+    cr_assert_not(pacer.published(14ms, at(1s)));
+    cr_assert_not(pacer.timerDue(at(2s)));
+    cr_assert(pacer.changeNoted(Members, at(2s)) == PublicationAction(ArmPublicationTimer { at(4s) }));
+}
