--- a/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/ControlThread.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dogwoodhall/budget/MeasuringBudget.h"
+#include "dogwoodhall/budget/PublicationPacer.h"
 #include "dogwoodhall/budget/TokenBucket.h"
 #include "dogwoodhall/configuration/ConfigurationInForce.h"
 #include "dogwoodhall/configuration/JoinBarrier.h"
@@ -10,11 +11,13 @@
 #include "dogwoodhall/daemon/OperatorServer.h"
 #include "dogwoodhall/daemon/PlatformWatcher.h"
 #include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/daemon/SnapshotBuilder.h"
 #include "dogwoodhall/daemon/SpanExporter.h"
 #include "dogwoodhall/daemon/StatusReport.h"
 #include "dogwoodhall/declarations/Settings.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -53,7 +56,7 @@
     // Load of pools of this process, for gossip.
     void setOwnLoads(const std::vector<PoolLoadSummary>&);
     // A traffic thread noticed a pause of the process; it waits for a snapshot from after the pause.
-    void reportPause() { publish(); }
+    void reportPause() { noteChange(PublicationReason::Standing); }
     void reportSilentMember(const MemberId& member) { m_gossip->reportSilent(member); }
     // A peer's gossip request, and the reply to it.
     tl::expected<std::string, std::string> answerGossip(std::string_view request);
@@ -61,13 +64,11 @@
 private:
     void acceptRecords(const std::vector<Record>&);
     void acceptHosts(const HostList&);
-    std::vector<ListedHost> listedEntryHosts() const;
     bool updateReadiness();
+    Duration drawFirstReadDelay();
+    void noteChange(PublicationReason);
+    void perform(const std::optional<PublicationAction>&);
     void publish();
-    void addHomes(Snapshot&) const;
-    std::vector<const Member*> knownEntryHosts() const;
-    std::set<HostId> leavingUpstreamHosts() const;
-    std::vector<PlacedPool> placedPools(const std::set<HostId>& leaving) const;
     StatusReport statusReport() const;
     std::vector<ProbeTarget> probeTargets() const;
     std::vector<PoolLoadSummary> ownLoads(std::size_t most);
@@ -83,6 +84,11 @@
     ConfigurationInForce m_configuration;
     RecordKey m_lastUnderRejection; // Where the last message's records of this kind ended.
     HostList m_hosts;
+    SnapshotBuilder m_builder;
+    PublicationPacer m_pacer;
+    asio::steady_timer m_publicationTimer { m_io };
+    SnapshotPointer m_published; // Null until the first publication.
+    RandomEngine m_random { std::random_device {}() };
     JoinBarrier m_joinBarrier;
     MeasuringBudget m_budget;
     TokenBucket<ByteCount> m_recordBytes; // For records sent to peers.
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -30,6 +30,8 @@
     Counter& ticketReplays;
     Counter& configurationRevision;
     Counter& recordsRejected;
+    Counter& publications; // Snapshots given to the traffic threads.
+    Counter& publicationMicroseconds; // Processor time of the control thread for them.
     Counter& platformReads;
     Counter& platformFailures;
     Counter& membersAlive;
--- a/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
+++ b/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
@@ -28,6 +28,7 @@
     std::set<HostId> leavingUpstreamHosts; // From the host list.
     // Pools whose home is another member. A pool that is not listed is placed by this process.
     std::unordered_map<PoolId, PoolHome> remoteHomes;
+    std::vector<PoolId> ownPools; // Pools whose home is this member.
     struct ServicePool {
         DataCentreId dataCentre;
         // Has a live home or belongs to this data centre, and has an endpoint whose host is not leaving.
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -2,11 +2,13 @@
 
 #include "dogwoodhall/daemon/PoolShard.h"
 #include "dogwoodhall/declarations/RecordParser.h"
+#include "dogwoodhall/fleet/FirstReadDelay.h"
 #include "dogwoodhall/telemetry/Logging.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <ctime>
 #include <utility>
 
 namespace dogwoodhall {
@@ -22,6 +24,13 @@
 // A pool's load in a gossip message, with ids of 15 characters.
 constexpr std::uint64_t loadBytes = 64;
 
+Duration threadProcessorTime()
+{
+    timespec time {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 } // namespace
 
 ControlThread::ControlThread(const Settings& settings, Incarnation incarnation, DaemonMetrics& metrics, Hooks hooks)
@@ -30,12 +39,13 @@
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
     , m_configuration(parseRecord)
+    , m_builder(m_settings, m_configuration, m_hosts)
     , m_joinBarrier(monotonicNow())
     , m_budget({ settings.measuringCallsPerSecond, settings.measuringBytesPerSecond })
     , m_recordBytes(recordBytesPerSecond, recordBurst)
     , m_platform(m_io, settings.platformAddress,
           { [this] { return m_gossip->fleet().isWatcher(); }, [this] { return m_configuration.highestRevision(); },
-              [this] { return m_gossip->fleet().hostListPeriod(); },
+              [this] { return m_gossip->fleet().hostListPeriod(); }, [this] { return drawFirstReadDelay(); },
               [this](const RecordBatch& batch) {
                   m_joinBarrier.platformAnswered(batch.highest);
                   acceptRecords(batch.records);
@@ -68,14 +78,15 @@
         [this](Revision since, ByteCount limit) { return m_configuration.recordsSince(since, limit); },
         [this](ByteCount limit) { return recordsUnderRejections(limit); },
         [this](std::size_t most) { return ownLoads(most); } };
-    GossipDriver::Hooks hooks { [this] { publish(); },
+    GossipDriver::Hooks hooks { [this] { noteChange(PublicationReason::Members); },
         [this](const std::vector<Record>& records) { acceptRecords(records); },
         [this](const std::vector<PoolLoadSummary>& loads) { m_hooks.observeLoads(loads); },
         [this](Duration gap) {
             m_metrics.wakeUps.add();
             m_joinBarrier.expire(monotonicNow());
             DOGWOODHALL_LOG(fleet, warning) << "The process was paused for " << toSeconds(gap) << " s.";
-            updateReadiness();
+            if (!updateReadiness())
+                noteChange(PublicationReason::Standing);
         },
         [this](const GossipMessage& message, ByteCount size) { return payGossip(message, size); },
         [this](const GossipMessage& reply) {
@@ -155,13 +166,15 @@
     return loads;
 }
 
+// By the homes last published: to work them out anew for each round would cost as much as a publication.
 std::vector<ProbeTarget> ControlThread::probeTargets() const
 {
     std::vector<ProbeTarget> targets;
-    for (const auto& service : m_configuration.sharedServices()) {
-        for (const auto& endpoint : service->endpoints) {
-            const PoolId pool { service->id, endpoint.dataCentre };
-            if (m_gossip->fleet().homeOf(pool) == m_settings.member)
+    if (!m_published)
+        return targets;
+    for (const auto& pool : m_published->ownPools) {
+        for (const auto& endpoint : m_published->routes.service(pool.service)->endpoints) {
+            if (endpoint.dataCentre == pool.dataCentre)
                 targets.push_back({ pool, endpoint.id, endpoint.address });
         }
     }
@@ -194,30 +207,25 @@
     m_metrics.configurationRevision.set(m_configuration.highestRevision().value());
     const bool isPublished = updateReadiness();
     if (hasChanged && !isPublished)
-        publish();
+        noteChange(PublicationReason::Records);
 }
 
 void ControlThread::acceptHosts(const HostList& hosts)
 {
     if (hosts.version <= m_hosts.version)
         return;
+    const auto leaving = m_builder.leavingUpstreamHosts();
     m_hosts = hosts;
-    const auto entryHosts = listedEntryHosts();
+    const auto entryHosts = m_builder.listedEntryHosts();
     const bool listsSelf = std::any_of(
         entryHosts.begin(), entryHosts.end(), [&](const ListedHost& host) { return host.id == m_settings.member; });
     m_joinBarrier.setListedPeers(entryHosts.size() - (listsSelf ? 1 : 0));
+    const auto published = m_published;
     m_gossip->perform(m_gossip->fleet().applyHostList(entryHosts, monotonicNow()));
-    publish();
-}
-
-std::vector<ListedHost> ControlThread::listedEntryHosts() const
-{
-    std::vector<ListedHost> listed;
-    for (const auto& host : m_hosts.hosts) {
-        if (host.isEntry)
-            listed.push_back({ MemberId(host.id.value()), host.dataCentre, host.address, host.isLeaving });
+    if (m_published == published) {
+        const bool isSame = leaving == m_builder.leavingUpstreamHosts();
+        noteChange(isSame ? PublicationReason::Members : PublicationReason::Upstreams);
     }
-    return listed;
 }
 
 // True where readiness has changed, and with it what is published.
@@ -231,88 +239,59 @@
     m_isReady = isReady;
     m_gossip->fleet().setReady(isReady);
     DOGWOODHALL_LOG(daemon, info) << (isReady ? "Ready." : "Not ready.");
-    publish();
+    noteChange(PublicationReason::Standing);
     return true;
 }
 
-// An event that waited during a pause must not publish readiness from before it.
-void ControlThread::publish()
-{
-    m_gossip->checkPause();
-    auto snapshot = std::make_shared<Snapshot>();
-    snapshot->revision = m_configuration.highestRevision();
-    snapshot->routes = RouteTable(m_configuration.sharedServices());
-    snapshot->topology = m_configuration.topology();
-    snapshot->memberIps.insert(m_settings.peerAddress.ip);
-    for (const auto& host : m_hosts.hosts) {
-        if (host.isEntry)
-            snapshot->memberIps.insert(host.address.ip);
-    }
-    snapshot->leavingUpstreamHosts = leavingUpstreamHosts();
-    snapshot->isReady = m_isReady;
-    snapshot->isDraining = m_isDraining;
-    addHomes(*snapshot);
-    m_hooks.publish(std::move(snapshot));
-}
-
-void ControlThread::addHomes(Snapshot& snapshot) const
+Duration ControlThread::drawFirstReadDelay()
 {
-    const Fleet& fleet = m_gossip->fleet();
-    for (const auto* member : knownEntryHosts()) {
-        if (member->state != MemberState::Gone)
-            snapshot.members[member->id] = { member->id, member->peerAddress };
-    }
-    for (const auto& [pool, home, hasEndpoint] : placedPools(snapshot.leavingUpstreamHosts)) {
-        const Member* member = home ? fleet.find(*home) : nullptr;
-        if (member)
-            snapshot.remoteHomes.emplace(pool, PoolHome { member->id, member->peerAddress });
-        const bool hasHome = home.has_value() || pool.dataCentre == m_settings.dataCentre;
-        snapshot.poolsOf[pool.service].push_back({ pool.dataCentre, hasHome && hasEndpoint });
-    }
+    if (m_hosts.version == 0)
+        return dogwoodhall::drawFirstReadDelay(std::nullopt, m_random);
+    return dogwoodhall::drawFirstReadDelay(m_builder.listedEntryHosts().size(), m_random);
 }
 
-// Members of the host list, in its order. This member is not among them, and neither is one that was never heard of.
-std::vector<const Member*> ControlThread::knownEntryHosts() const
-{
-    std::vector<const Member*> members;
-    for (const auto& host : m_hosts.hosts) {
-        if (const Member* member = host.isEntry ? m_gossip->fleet().find(MemberId(host.id.value())) : nullptr)
-            members.push_back(member);
-    }
-    return members;
-}
+void ControlThread::noteChange(PublicationReason reason) { perform(m_pacer.changeNoted(reason, monotonicNow())); }
 
-std::set<HostId> ControlThread::leavingUpstreamHosts() const
+void ControlThread::perform(const std::optional<PublicationAction>& action)
 {
-    std::set<HostId> leaving;
-    for (const auto& host : m_hosts.hosts) {
-        if (!host.isEntry && host.isLeaving)
-            leaving.insert(host.id);
+    if (!action)
+        return;
+    if (const auto* timer = std::get_if<ArmPublicationTimer>(&*action)) {
+        m_publicationTimer.expires_at(toSteadyClock(timer->at));
+        m_publicationTimer.async_wait([this](const boost::system::error_code& ec) {
+            if (!ec)
+                perform(m_pacer.timerDue(monotonicNow()));
+        });
+        return;
     }
-    return leaving;
+    publish();
 }
 
-// The pools of the services in force, by service and data centre.
-std::vector<PlacedPool> ControlThread::placedPools(const std::set<HostId>& leaving) const
+void ControlThread::publish()
 {
-    std::vector<PlacedPool> pools;
-    for (const auto& service : m_configuration.sharedServices()) {
-        std::map<DataCentreId, bool> dataCentres;
-        for (const auto& endpoint : service->endpoints)
-            dataCentres[endpoint.dataCentre] |= !leaving.contains(endpoint.host);
-        for (const auto& [dataCentre, hasEndpoint] : dataCentres) {
-            const PoolId pool { service->id, dataCentre };
-            pools.push_back({ pool, m_gossip->fleet().homeOf(pool), hasEndpoint });
-        }
-    }
-    return pools;
+    const auto published = m_published;
+    // An event that waited during a pause must not publish readiness from before it.
+    m_gossip->checkPause();
+    if (m_published != published)
+        return; // Waking has published all of it.
+    const Duration start = threadProcessorTime();
+    auto snapshot = std::make_shared<Snapshot>(m_builder.build(m_gossip->fleet()));
+    snapshot->isReady = m_isReady;
+    snapshot->isDraining = m_isDraining;
+    m_published = std::move(snapshot);
+    m_hooks.publish(m_published);
+    const Duration cost = threadProcessorTime() - start;
+    m_metrics.publications.add();
+    m_metrics.publicationMicroseconds.add(
+        static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::microseconds>(cost).count()));
+    perform(m_pacer.published(cost, monotonicNow()));
 }
 
 void ControlThread::setDraining()
 {
     m_isDraining = true;
     m_gossip->fleet().announceLeaving();
-    publish();
+    noteChange(PublicationReason::Standing);
 }
 
 StatusReport ControlThread::statusReport() const
@@ -327,8 +306,8 @@
     report.revision = m_configuration.highestRevision();
     report.hostListVersion = m_hosts.version;
     report.requestsRunning = m_hooks.requestsRunning();
-    report.members = knownEntryHosts();
-    report.homes = placedPools(leavingUpstreamHosts());
+    report.members = m_builder.knownEntryHosts(m_gossip->fleet());
+    report.homes = m_builder.placedPools(m_gossip->fleet(), m_builder.leavingUpstreamHosts());
     return report;
 }
 
--- a/packages/daemon/src/PlatformWatcher.cpp
+++ b/packages/daemon/src/PlatformWatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "dogwoodhall/telemetry/Logging.h"
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,6 +16,9 @@
 constexpr Duration retryDelay = std::chrono::milliseconds(500);
 // How often a member that is no watcher checks whether it has become one.
 constexpr Duration roleCheckPeriod = std::chrono::seconds(1);
+// How long the first read of the records waits for the host list, which tells the size of the fleet. The host list
+// answers within milliseconds where it answers at all.
+constexpr Duration hostsPatience = std::chrono::seconds(1);
 
 } // namespace
 
@@ -25,12 +29,14 @@
     , m_metrics(metrics)
     , m_records(io.get_executor(), platform)
     , m_hosts(io.get_executor(), platform)
+    , m_hostsAsked(io, std::chrono::duration_cast<std::chrono::steady_clock::duration>(hostsPatience))
 {
 }
 
 asio::awaitable<void> PlatformWatcher::watchRecords()
 {
     bool isStarted = false;
+    co_await awaitFirstRead();
     while (true) {
         if (isStarted && !m_hooks.isWatcher()) {
             co_await pause(roleCheckPeriod);
@@ -40,10 +46,23 @@
         const bool isRead = co_await readRecords(isStarted ? watchWait : Duration::zero());
         isStarted = isStarted || isRead;
         if (!isRead)
-            co_await pause(retryDelay);
+            co_await pause(isStarted ? retryDelay : startRetryDelay());
     }
 }
 
+// Members that start at once, and those that start while the configuration service is down, spread their reads.
+asio::awaitable<void> PlatformWatcher::awaitFirstRead()
+{
+    co_await m_hostsAsked.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await pause(m_hooks.firstReadDelay());
+}
+
+// Longer in a large fleet, all of which may be starting while the configuration service is down.
+Duration PlatformWatcher::startRetryDelay() const
+{
+    return std::max(retryDelay, m_hooks.hostListPeriod() / 2) + m_hooks.firstReadDelay();
+}
+
 asio::awaitable<bool> PlatformWatcher::readRecords(Duration wait)
 {
     m_metrics.platformReads.add();
@@ -71,6 +90,7 @@
             m_metrics.platformFailures.add();
             DOGWOODHALL_LOG(platform, warning) << "Cannot read the host list: " << hosts.error().detail << ".";
         }
+        m_hostsAsked.expires_after(std::chrono::steady_clock::duration::zero());
         co_await pause(m_hooks.hostListPeriod());
     }
 }
--- /dev/null
+++ b/packages/daemon/src/SnapshotBuilder.cpp
@@ -0,0 +1,94 @@
+#include "dogwoodhall/daemon/SnapshotBuilder.h"
+
+#include <map>
+#include <utility>
+
+namespace dogwoodhall {
+
+SnapshotBuilder::SnapshotBuilder(
+    const Settings& settings, const ConfigurationInForce& configuration, const HostList& hosts)
+    : m_settings(settings)
+    , m_configuration(configuration)
+    , m_hosts(hosts)
+{
+}
+
+Snapshot SnapshotBuilder::build(const Fleet& fleet) const
+{
+    Snapshot snapshot;
+    snapshot.revision = m_configuration.highestRevision();
+    snapshot.routes = RouteTable(m_configuration.sharedServices());
+    snapshot.topology = m_configuration.topology();
+    snapshot.memberIps.insert(m_settings.peerAddress.ip);
+    for (const auto& host : m_hosts.hosts) {
+        if (host.isEntry)
+            snapshot.memberIps.insert(host.address.ip);
+    }
+    snapshot.leavingUpstreamHosts = leavingUpstreamHosts();
+    addHomes(snapshot, fleet);
+    return snapshot;
+}
+
+void SnapshotBuilder::addHomes(Snapshot& snapshot, const Fleet& fleet) const
+{
+    for (const auto* member : knownEntryHosts(fleet)) {
+        if (member->state != MemberState::Gone)
+            snapshot.members[member->id] = { member->id, member->peerAddress };
+    }
+    for (const auto& [pool, home, hasEndpoint] : placedPools(fleet, snapshot.leavingUpstreamHosts)) {
+        const Member* member = home ? fleet.find(*home) : nullptr;
+        if (member)
+            snapshot.remoteHomes.emplace(pool, PoolHome { member->id, member->peerAddress });
+        else if (home)
+            snapshot.ownPools.push_back(pool);
+        const bool hasHome = home.has_value() || pool.dataCentre == m_settings.dataCentre;
+        snapshot.poolsOf[pool.service].push_back({ pool.dataCentre, hasHome && hasEndpoint });
+    }
+}
+
+std::vector<ListedHost> SnapshotBuilder::listedEntryHosts() const
+{
+    std::vector<ListedHost> listed;
+    for (const auto& host : m_hosts.hosts) {
+        if (host.isEntry)
+            listed.push_back({ MemberId(host.id.value()), host.dataCentre, host.address, host.isLeaving });
+    }
+    return listed;
+}
+
+std::vector<const Member*> SnapshotBuilder::knownEntryHosts(const Fleet& fleet) const
+{
+    std::vector<const Member*> members;
+    for (const auto& host : m_hosts.hosts) {
+        if (const Member* member = host.isEntry ? fleet.find(MemberId(host.id.value())) : nullptr)
+            members.push_back(member);
+    }
+    return members;
+}
+
+std::set<HostId> SnapshotBuilder::leavingUpstreamHosts() const
+{
+    std::set<HostId> leaving;
+    for (const auto& host : m_hosts.hosts) {
+        if (!host.isEntry && host.isLeaving)
+            leaving.insert(host.id);
+    }
+    return leaving;
+}
+
+std::vector<PlacedPool> SnapshotBuilder::placedPools(const Fleet& fleet, const std::set<HostId>& leaving) const
+{
+    std::vector<PlacedPool> pools;
+    for (const auto& service : m_configuration.sharedServices()) {
+        std::map<DataCentreId, bool> dataCentres;
+        for (const auto& endpoint : service->endpoints)
+            dataCentres[endpoint.dataCentre] |= !leaving.contains(endpoint.host);
+        for (const auto& [dataCentre, hasEndpoint] : dataCentres) {
+            const PoolId pool { service->id, dataCentre };
+            pools.push_back({ pool, fleet.homeOf(pool), hasEndpoint });
+        }
+    }
+    return pools;
+}
+
+} // namespace dogwoodhall
--- a/packages/fleet/bench/FleetSlopes.cpp
+++ b/packages/fleet/bench/FleetSlopes.cpp
@@ -1,65 +1,15 @@
 // Prints what the fleet costs: memory by members, processor time and bytes of an exchange, of homeOf() and of a change
 // of membership.
+#include "SettledFleet.h"
 #include "SlopeFit.h"
-#include "dogwoodhall/fleet/Fleet.h"
 
 #include <cstdlib>
-#include <memory>
-#include <string>
 
 using namespace dogwoodhall;
 using namespace std::chrono_literals;
 
 namespace {
 
-constexpr int dataCentres = 7;
-
-Member memberOf(int n, std::uint64_t incarnation = 1'764'800'000'000)
-{
-    const auto number = std::to_string(n);
-    return { MemberId("entry-host-" + number), DataCentreId("dc-" + std::to_string(n % dataCentres)), std::nullopt,
-        { "10.1." + std::to_string(n / 250) + "." + std::to_string(n % 250), 7400 }, Incarnation(incarnation), 1,
-        MemberState::Alive, true };
-}
-
-std::vector<PoolLoadSummary> poolLoads(std::size_t count)
-{
-    std::vector<PoolLoadSummary> loads;
-    for (std::size_t n = 0; n < count; ++n)
-        loads.push_back({ { ServiceId("service-" + std::to_string(n)), DataCentreId("dc-1") }, 3ms, SlotCount(4), 1s });
-    return loads;
-}
-
-GossipMessage requestFrom(const Member& sender)
-{
-    GossipMessage message;
-    message.sender = sender;
-    message.configuration.highest = Revision(1);
-    return message;
-}
-
-// A member of a settled fleet: it has heard all others, and no claim circulates any more.
-std::unique_ptr<Fleet> makeFleet(int members)
-{
-    auto fleet = std::make_unique<Fleet>(memberOf(0),
-        Fleet::Hooks { [] {
-                          return ConfigurationDigest { Revision(1), 0 };
-                      },
-            [](Revision, ByteCount) { return std::vector<Record> {}; },
-            [](ByteCount) { return std::vector<Record> {}; }, poolLoads });
-    std::vector<ListedHost> hosts;
-    for (int n = 0; n < members; ++n) {
-        const auto member = memberOf(n);
-        hosts.push_back({ member.id, member.dataCentre, member.peerAddress, false });
-    }
-    fleet->applyHostList(hosts, TimePoint(1s));
-    for (int n = 1; n < members; ++n)
-        fleet->handle(requestFrom(memberOf(n)), TimePoint(1s));
-    for (int n = 0; n < 4 * members; ++n)
-        fleet->messageFor(memberOf(1).id, TimePoint(1s));
-    return fleet;
-}
-
 void printMemory()
 {
     SlopeFit memory("memory of the member list", "bytes", "members");
