Fail the spans of an answer that breaks off, and say why a request was placed

An answer from a home that broke off left the "peer", "home" and "entry" spans without an error, no span said why a request was placed where it was, a request refused before routing had no span, and the wait for a permit's slot was missing from dogwoodhall_queue_wait_seconds. The relay now fails its hop and that of the entry; hops carry a reason; the entry's span begins before routing; permits wait by the same path as other requests. A log line is written at once, line end included: lines of processes that share a standard error were mixed.

--- a/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -42,7 +42,10 @@
 
 private:
     const PoolHome* homeFor(const RequestWork&) const;
+    std::string_view reasonToPlaceHere(const RequestWork&) const;
+    // Waits for a slot, with a span and the wait recorded.
     asio::awaitable<tl::expected<SlotLease, ErrorKind>> acquireSlot(const RequestWork&);
+    asio::awaitable<tl::expected<SlotLease, ErrorKind>> waitForSlot(const RequestWork&);
     asio::awaitable<AttemptResult> direct(RequestWork&, const ResponseWriter&);
     asio::awaitable<AttemptResult> viaHome(RequestWork&, const ResponseWriter&, PoolHome);
     asio::awaitable<AttemptResult> withPermit(RequestWork&, const ResponseWriter&, PoolHome);
@@ -50,10 +53,11 @@
     HedgedExchange::Plan planExchange(RequestWork&, const RequestTrace::Hop&, const NetworkAddress& first);
     asio::awaitable<AttemptResult> relayFromUpstream(
         RequestWork&, const ResponseWriter&, IncomingResponse&, RequestTrace::Hop&, Completion&);
-    asio::awaitable<AttemptResult> relayFromHome(RequestWork&, const ResponseWriter&, IncomingResponse&);
+    asio::awaitable<AttemptResult> relayFromHome(
+        RequestWork&, const ResponseWriter&, IncomingResponse&, RequestTrace::Hop&);
     void addLoadFields(const RequestWork&, HeaderFields&);
-    // Relays the answer and records what it took.
-    asio::awaitable<RelayResult> relay(RequestWork&, const ResponseWriter&, IncomingResponse&);
+    // Relays the answer and records what it took. One that breaks off fails the hop and that of the entry.
+    asio::awaitable<RelayResult> relay(RequestWork&, const ResponseWriter&, IncomingResponse&, RequestTrace::Hop&);
     OutgoingRequest outgoing(RequestWork&, const RequestTrace::Hop&, bool withBody) const;
     OutgoingRequest requestToHome(RequestWork&, const RequestTrace::Hop&, ForwardEnvelope::Purpose) const;
     AttemptResult homeFailed(RequestWork&, const PoolHome&, ErrorKind, bool provenNotRun);
--- a/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
@@ -31,7 +31,7 @@
     bool spill(RequestWork&);
     asio::awaitable<void> answer(RequestWork&, const ResponseWriter&, AnswerWithError);
     RetryBudget& retryBudget(const ServiceId&);
-    asio::awaitable<void> refuse(const ResponseWriter&, ErrorKind);
+    asio::awaitable<void> refuse(const ResponseWriter&, RequestTrace::Hop&, ErrorKind);
 
     TrafficServices& m_services;
     PoolDirectory m_pools;
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -103,7 +103,31 @@
     return &it->second;
 }
 
+std::string_view AttemptRunner::reasonToPlaceHere(const RequestWork& work) const
+{
+    if (work.isForwarded)
+        return "this member is the pool's home";
+    if (!work.mayUseHome)
+        return "the pool's home failed this request";
+    return m_snapshot->remoteHomes.contains(work.pool) ? "the pool's home failed lately"
+                                                       : "no other member is the pool's home";
+}
+
 asio::awaitable<tl::expected<SlotLease, ErrorKind>> AttemptRunner::acquireSlot(const RequestWork& work)
+{
+    RequestTrace::Hop hop(work.trace, "queue", work.entryHop.id());
+    hop.note("reason", std::string(reasonToPlaceHere(work)));
+    const TimePoint queuedAt = monotonicNow();
+    auto lease = co_await waitForSlot(work);
+    m_services.metrics.queueWait.observe(monotonicNow() - queuedAt);
+    if (lease)
+        hop.note("endpoint", lease->placement().endpoint.value());
+    else
+        hop.fail(answerFor(lease.error()).name);
+    co_return lease;
+}
+
+asio::awaitable<tl::expected<SlotLease, ErrorKind>> AttemptRunner::waitForSlot(const RequestWork& work)
 {
     PoolRequest wanted = slotRequest(work);
     if (work.refusedBy)
@@ -119,16 +143,9 @@
 
 asio::awaitable<AttemptResult> AttemptRunner::direct(RequestWork& work, const ResponseWriter& writer)
 {
-    RequestTrace::Hop queueHop(work.trace, "queue", work.entryHop.id());
-    const TimePoint queuedAt = monotonicNow();
     auto lease = co_await acquireSlot(work);
-    m_services.metrics.queueWait.observe(monotonicNow() - queuedAt);
-    if (!lease) {
-        queueHop.fail(answerFor(lease.error()).name);
+    if (!lease)
         co_return TurnedAway { lease.error() };
-    }
-    queueHop.note("endpoint", lease->placement().endpoint.value());
-    queueHop.end();
     Completion completion { CompletionResult::Cancelled, {}, {}, false };
     const TimePoint startedAt = monotonicNow();
     auto result = co_await runAt(work, writer, lease->placement(), completion);
@@ -210,21 +227,24 @@
     headerFields.remove(fields::outcome);
     if (work.isForwarded)
         addLoadFields(work, headerFields);
-    const auto result = co_await relay(work, writer, response);
-    completion.result = toCompletionResult(result);
-    if (result != RelayResult::Whole)
-        hop.fail("broken");
+    completion.result = toCompletionResult(co_await relay(work, writer, response, hop));
     co_return Finished {};
 }
 
 asio::awaitable<RelayResult> AttemptRunner::relay(
-    RequestWork& work, const ResponseWriter& writer, IncomingResponse& response)
+    RequestWork& work, const ResponseWriter& writer, IncomingResponse& response, RequestTrace::Hop& hop)
 {
+    hop.note("status", std::to_string(response.head.status));
     const TimePoint startedAt = monotonicNow();
     const auto relayed = co_await relayAnswer(response, writer,
         [&] { m_services.metrics.addedLatency.observe(monotonicNow() - work.receivedAt - work.upstreamTime); });
     const Duration serviceTime = work.upstreamTime + (monotonicNow() - startedAt);
     work.isAnswered = relayed.result == RelayResult::Whole;
+    if (!work.isAnswered) {
+        const auto* reason = relayed.result == RelayResult::SourceFailed ? "answer-broken-off" : "receiver-gone";
+        hop.fail(reason);
+        work.entryHop.fail(reason);
+    }
     (work.isAnswered ? m_services.metrics.relayed : m_services.metrics.broken).add();
     if (work.isAnswered)
         m_classifier.record(work.route.service, work.route.rule, pathOf(work.head.target), serviceTime, relayed.bytes);
@@ -245,6 +265,7 @@
 {
     RequestTrace::Hop hop(work.trace, "peer", work.entryHop.id());
     hop.note("home", home.member.value());
+    hop.note("reason", "the pool's home is another member");
     m_services.metrics.forwarded.add();
     auto request = requestToHome(work, hop, ForwardEnvelope::Purpose::Forward);
     work.lifecycle.attemptStarted();
@@ -256,7 +277,7 @@
     }
     const auto kind = errorKindFromName(response->head.fields.find(fields::error).value_or(""));
     if (!kind)
-        co_return co_await relayFromHome(work, writer, *response);
+        co_return co_await relayFromHome(work, writer, *response, hop);
     const bool isNotRun = response->head.fields.find(fields::outcome) == toString(Outcome::NotRun);
     response->abandon();
     hop.fail(answerFor(*kind).name);
@@ -271,7 +292,7 @@
 }
 
 asio::awaitable<AttemptResult> AttemptRunner::relayFromHome(
-    RequestWork& work, const ResponseWriter& writer, IncomingResponse& response)
+    RequestWork& work, const ResponseWriter& writer, IncomingResponse& response, RequestTrace::Hop& hop)
 {
     auto& headerFields = response.head.fields;
     work.upstreamTime += microsecondsField(headerFields, upstreamTimeField).value_or(Duration::zero());
@@ -279,7 +300,7 @@
         m_pools.loads().observe(work.pool, *wait, monotonicNow());
     headerFields.remove(upstreamTimeField);
     headerFields.remove(expectedWaitField);
-    co_await relay(work, writer, response);
+    co_await relay(work, writer, response, hop);
     co_return Finished {};
 }
 
@@ -287,6 +308,7 @@
 {
     RequestTrace::Hop hop(work.trace, "permit", work.entryHop.id());
     hop.note("home", home.member.value());
+    hop.note("reason", "long work takes no second hop within its data centre");
     auto request = requestToHome(work, hop, ForwardEnvelope::Purpose::Permit);
     auto permit
         = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
@@ -305,6 +327,7 @@
     if (!placement) {
         const auto kind
             = errorKindFromName(permit->head.fields.find(fields::error).value_or("")).value_or(ErrorKind::PeerFailed);
+        hop.fail(answerFor(kind).name);
         if (!isNoLongerHome(kind))
             co_return TurnedAway { kind };
         work.lifecycle.attemptStarted();
@@ -318,9 +341,9 @@
 
 asio::awaitable<void> AttemptRunner::grantPermit(const RequestWork& work, const ResponseWriter& writer)
 {
-    const PoolRequest wanted = slotRequest(work);
-    auto lease = co_await m_services.slots.acquire(work.pool, wanted);
+    auto lease = co_await acquireSlot(work);
     if (!lease) {
+        work.entryHop.fail(answerFor(lease.error()).name);
         co_await writeError(writer, lease.error(), Outcome::NotRun);
         co_return;
     }
--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -52,22 +52,23 @@
     const TimePoint receivedAt = monotonicNow();
     m_services.metrics.requests.add();
     removeInternalFields(request.head.fields);
+    RequestTrace trace(request.head.fields, m_services.traceSampling, m_services.random, m_services.spans);
+    RequestTrace::Hop hop(trace, "entry", std::nullopt);
     if (!m_snapshot->isReady)
-        co_return co_await refuse(writer, ErrorKind::NotReady);
+        co_return co_await refuse(writer, hop, ErrorKind::NotReady);
     const auto found = route(request.head);
     if (!found)
-        co_return co_await refuse(writer, ErrorKind::NoRoute);
+        co_return co_await refuse(writer, hop, ErrorKind::NoRoute);
+    hop.note("service", found->service.value());
+    hop.note("rule", found->rule.value());
     const auto workClass
         = m_classifier.classify(found->workClass, found->service, found->rule, pathOf(request.head.target));
     const auto pool = m_pools.choose(found->service, workClass);
     if (!pool)
-        co_return co_await refuse(writer, ErrorKind::NoEndpoint);
-
-    RequestTrace trace(request.head.fields, m_services.traceSampling, m_services.random, m_services.spans);
-    RequestTrace::Hop hop(trace, "entry", std::nullopt);
-    hop.note("service", found->service.value());
-    hop.note("rule", found->rule.value());
+        co_return co_await refuse(writer, hop, ErrorKind::NoEndpoint);
     hop.note("pool", toString(*pool));
+    const bool isOwn = pool->dataCentre == m_services.dataCentre;
+    hop.note("reason", isOwn ? "own data centre" : "the own data centre has a longer wait or no pool");
     const Duration allowed
         = std::min(found->deadline, durationField(request.head.fields, fields::deadlineMs).value_or(found->deadline));
     RequestWork work { std::move(request.head), ReplayableBody(std::move(request.readBody), replayLimit), *found,
@@ -82,13 +83,13 @@
     RunningGuard guard(m_running);
     const TimePoint receivedAt = monotonicNow();
     const auto left = durationField(request.head.fields, fields::deadlineMs);
+    RequestTrace trace(request.head.fields, Fraction(0), m_services.random, m_services.spans);
+    RequestTrace::Hop hop(trace, "home", std::nullopt);
     if (!m_snapshot->isReady || !left)
-        co_return co_await refuse(writer, left ? ErrorKind::NotReady : ErrorKind::BadRequest);
+        co_return co_await refuse(writer, hop, left ? ErrorKind::NotReady : ErrorKind::BadRequest);
     removeInternalFields(request.head.fields);
     const auto workClass = m_classifier.classify(
         envelope.route.workClass, envelope.pool.service, envelope.route.rule, pathOf(request.head.target));
-    RequestTrace trace(request.head.fields, Fraction(0), m_services.random, m_services.spans);
-    RequestTrace::Hop hop(trace, "home", std::nullopt);
     RequestWork work { std::move(request.head), ReplayableBody(std::move(request.readBody), replayLimit),
         envelope.route, workClass, envelope.pool, receivedAt, receivedAt + *left,
         RequestLifecycle(envelope.route.isIdempotent, maxAttempts), trace, hop, true, false };
@@ -147,12 +148,14 @@
 asio::awaitable<void> RequestRunner::answer(RequestWork& work, const ResponseWriter& writer, AnswerWithError error)
 {
     work.entryHop.fail(answerFor(error.kind).name);
+    work.entryHop.note("outcome", std::string(toString(error.outcome)));
     m_services.metrics.error(error.kind).add();
     co_await writeError(writer, error.kind, error.outcome);
 }
 
-asio::awaitable<void> RequestRunner::refuse(const ResponseWriter& writer, ErrorKind kind)
+asio::awaitable<void> RequestRunner::refuse(const ResponseWriter& writer, RequestTrace::Hop& hop, ErrorKind kind)
 {
+    hop.fail(answerFor(kind).name);
     m_services.metrics.error(kind).add();
     co_await writeError(writer, kind, Outcome::NotRun);
 }
--- a/packages/telemetry/src/Logging.cpp
+++ b/packages/telemetry/src/Logging.cpp
@@ -70,7 +70,8 @@
 private:
     void write(const std::string& level, const std::string& line)
     {
-        m_out << formatLogLine(m_format, utcNow(), level, line) << std::endl;
+        // One write for each line, so that lines of processes with a common standard error do not mix.
+        m_out << formatLogLine(m_format, utcNow(), level, line) + "\n" << std::flush;
     }
 
     std::ostream& m_out;
--- a/tests/system/TraceTest.cpp
+++ b/tests/system/TraceTest.cpp
@@ -31,18 +31,38 @@
 
 } // namespace
 
+// A span of a row, with the name of its parent; empty for that of the caller or none.
+struct ExpectedSpan {
+    const char* name;
+    std::string parent;
+    bool fails = false;
+};
+
 struct TraceRow {
     const char* name;
     bool isForwarded; // Through a member that is not the home.
     double samplingPercent;
     const char* traceParentFlags; // Of the caller's field; null: the caller sends none.
-    std::vector<const char*> path; // Names of the spans from the entry to the upstream; empty: no spans.
+    std::vector<ExpectedSpan> spans; // From the entry to the upstream.
+    const char* target = "/a";
 };
 
+const std::vector<ExpectedSpan> spansThroughHop { { "entry", "" }, { "peer", "entry" }, { "home", "peer" },
+    { "queue", "home" }, { "upstream", "home" } };
+
 const TraceRow traceRows[] = {
-    { "at the home", false, 100, nullptr, { "entry", "upstream" } },
-    { "through a hop", true, 100, nullptr, { "entry", "peer", "home", "upstream" } },
-    { "of a caller's trace", true, 0, "01", { "entry", "peer", "home", "upstream" } },
+    { "at the home", false, 100, nullptr, { { "entry", "" }, { "queue", "entry" }, { "upstream", "entry" } } },
+    { "through a hop", true, 100, nullptr, spansThroughHop },
+    { "with a permit", true, 100, nullptr,
+        { { "entry", "" }, { "permit", "entry" }, { "home", "permit" }, { "queue", "home" }, { "upstream", "entry" } },
+        "/download?bytes=100000" },
+    { "broken off at the home", false, 100, nullptr,
+        { { "entry", "", true }, { "queue", "entry" }, { "upstream", "entry", true } }, "/a?bytes=100000&truncate=1" },
+    { "broken off through a hop", true, 100, nullptr,
+        { { "entry", "", true }, { "peer", "entry", true }, { "home", "peer", true }, { "queue", "home" },
+            { "upstream", "home", true } },
+        "/a?bytes=100000&truncate=1" },
+    { "of a caller's trace", true, 0, "01", spansThroughHop },
     { "of a caller's trace that is not sampled", true, 100, "00", {} },
     { "not sampled", true, 0, nullptr, {} },
 };
@@ -68,17 +88,15 @@
         send(m_row.traceParentFlags);
         // Spans leave in the order in which they end. A sampled request that is sent later shows that the earlier ones
         // of both members have left.
-        const std::size_t expected = m_row.path.empty() ? 0 : m_row.path.size() + 1;
-        awaitSpans(expected);
-        if (expected == 0) {
+        awaitSpans(m_row.spans.size());
+        if (m_row.spans.empty()) {
             send("01");
-            awaitSpans(5);
+            awaitSpans(spansThroughHop.size());
         }
         cr_assert_eq(m_collector.malformedRequests(), 0, "%s", m_row.name);
         for (const auto& daemon : m_cluster.daemons())
             cr_assert_eq(counterOf(daemon, "dogwoodhall_spans_dropped_total"), 0, "%s", m_row.name);
-        if (expected > 0)
-            checkPath();
+        checkSpans();
     }
 
 private:
@@ -87,7 +105,7 @@
         std::string field;
         if (flags)
             field = std::string("traceparent: 00-") + callerTrace + "-" + callerSpan + "-" + flags + "\r\n";
-        cr_assert_eq(call(m_entry->caller, { "GET", "/a", field, {}, {} }).status, 200, "%s", m_row.name);
+        cr_assert_eq(call(m_entry->caller, { "GET", m_row.target, field, {}, {} }).status, 200, "%s", m_row.name);
     }
 
     void awaitSpans(std::size_t count)
@@ -96,19 +114,22 @@
         cr_assert_eq(m_collector.spans().size(), count, "%s", m_row.name);
     }
 
-    void checkPath() const
+    void checkSpans() const
     {
         const auto spans = m_collector.spans();
-        std::string parent = m_row.traceParentFlags ? callerSpan : "";
-        for (const auto* name : m_row.path) {
+        for (const auto& expected : m_row.spans) {
+            const auto* name = expected.name;
             const auto span = only(spans, name);
-            const bool isAtEntry = span.name == "entry" || span.name == "peer" || !m_row.isForwarded;
+            const auto parent = !expected.parent.empty() ? only(spans, expected.parent).id
+                                                         : std::string(m_row.traceParentFlags ? callerSpan : "");
+            const bool isAtHome = span.name == "home" || expected.parent == "home" || !m_row.isForwarded;
             cr_assert(span.parent == parent, "%s: parent of %s", m_row.name, name);
             cr_assert(span.trace == spans.front().trace, "%s: trace of %s", m_row.name, name);
-            cr_assert(span.instance == (isAtEntry ? m_entry : m_home)->name, "%s: member of %s", m_row.name, name);
-            parent = span.id;
+            cr_assert(span.instance == (isAtHome ? m_home : m_entry)->name, "%s: member of %s", m_row.name, name);
+            cr_assert_eq(span.error, expected.fails ? "answer-broken-off" : "", "%s: %s", m_row.name, name);
+            const bool placesRequest = span.name != "home" && span.name != "upstream";
+            cr_assert_neq(span.reason.empty(), placesRequest, "%s: reason of %s", m_row.name, name);
         }
-        cr_assert(only(spans, "queue").parent == only(spans, "upstream").parent, "%s", m_row.name);
         cr_assert(!m_row.traceParentFlags || spans.front().trace == callerTrace, "%s", m_row.name);
         cr_assert_eq(spans.front().trace.size(), 32, "%s", m_row.name);
     }
--- a/tools/include/TraceCollector.h
+++ b/tools/include/TraceCollector.h
@@ -16,6 +16,8 @@
     std::string parent; // Empty for the first of a trace.
     std::string name;
     std::string instance; // service.instance.id of its resource: the member.
+    std::string error; // Empty where its status is no error.
+    std::string reason; // Of the placement; empty where the span has none.
 };
 
 // Stand-in for an OTLP collector: a server on a thread of its own that keeps the spans of the export requests it gets.
--- a/tools/src/TraceCollector.cpp
+++ b/tools/src/TraceCollector.cpp
@@ -28,28 +28,38 @@
     return value ? json::value_to<std::string>(*value) : std::string();
 }
 
-std::string instanceOf(const json::value& resource)
+// The text of an attribute; empty where there is none of this name.
+std::string attributeOf(const json::value& object, std::string_view name)
 {
-    for (const auto& attribute : resource.at("attributes").as_array()) {
-        if (attribute.at("key").as_string() == "service.instance.id")
+    for (const auto& attribute : object.at("attributes").as_array()) {
+        if (attribute.at("key").as_string() == name)
             return textOf(attribute.at("value"), "stringValue");
     }
     return {};
 }
 
+// The attribute "error" of a span whose status says so (code 2), which has to agree.
+std::string errorOf(const json::value& span)
+{
+    auto error = attributeOf(span, "error");
+    if (error.empty() != (span.at("status").at("code").as_int64() == 1))
+        throw std::runtime_error("a span whose status and error differ");
+    return error;
+}
+
 // Throws where a required field is missing or of another type.
 std::vector<CollectedSpan> parseExport(const std::string& body)
 {
     std::vector<CollectedSpan> spans;
     const auto document = json::parse(body);
     for (const auto& resourceSpans : document.at("resourceSpans").as_array()) {
-        const auto instance = instanceOf(resourceSpans.at("resource"));
+        const auto instance = attributeOf(resourceSpans.at("resource"), "service.instance.id");
         for (const auto& scopeSpans : resourceSpans.at("scopeSpans").as_array()) {
             for (const auto& span : scopeSpans.at("spans").as_array()) {
                 if (std::stoull(textOf(span, "endTimeUnixNano")) < std::stoull(textOf(span, "startTimeUnixNano")))
                     throw std::runtime_error("a span that ends before it starts");
                 spans.push_back({ textOf(span, "traceId"), textOf(span, "spanId"), textOf(span, "parentSpanId"),
-                    textOf(span, "name"), instance });
+                    textOf(span, "name"), instance, errorOf(span), attributeOf(span, "reason") });
             }
         }
     }
