--- a/packages/core/include/dogwoodhall/core/LogOptions.h
+++ b/packages/core/include/dogwoodhall/core/LogOptions.h
@@ -20,6 +20,8 @@
 struct LogOptions {
     LogFormat format = LogFormat::Text;
     LogLevel level = LogLevel::Info;
+
+    friend bool operator==(const LogOptions&, const LogOptions&) = default;
 };
 
 } // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -38,6 +38,8 @@
     Counter& controlBytes;
     std::array<Counter*, measuringCategoryCount> controlCalls {};
     std::array<Counter*, measuringCategoryCount> measuringDenied {}; // Not sent because the budget was spent.
+    Counter& measuringBytesBudget; // Each second, as controlBytes and controlCalls are compared with it.
+    Counter& measuringCallsBudget;
     Counter& wakeUps; // Pauses of the process that were detected.
     Counter& spansDropped;
     Counter& peerProtocolErrors;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -40,6 +40,8 @@
               [this](const std::vector<PoolLoadSummary>& loads) { observeLoads(loads); } })
     , m_signals(m_control.io(), SIGTERM, SIGINT)
 {
+    m_metrics.measuringBytesBudget.set(settings.measuringBytesPerSecond.count());
+    m_metrics.measuringCallsBudget.set(settings.measuringCallsPerSecond.count());
 }
 
 int Daemon::run()
--- a/packages/declarations/include/dogwoodhall/declarations/Settings.h
+++ b/packages/declarations/include/dogwoodhall/declarations/Settings.h
@@ -29,6 +29,8 @@
     ByteCount measuringBytesPerSecond { 14'000 }; // The control traffic target of docs/CAPACITY.md.
     CallCount measuringCallsPerSecond { 50 };
     ByteCount ticketBytes { 16ULL * 1024 * 1024 }; // Memory for the kept answers of tickets.
+
+    friend bool operator==(const Settings&, const Settings&) = default;
 };
 
 } // namespace dogwoodhall
--- a/tests/system/MeasuringTest.cpp
+++ b/tests/system/MeasuringTest.cpp
@@ -175,8 +175,11 @@
         members.push_back(&daemon);
     const auto home = agreedHome(members);
     std::vector<Spent> first;
-    for (const auto* member : members)
+    for (const auto* member : members) {
+        cr_assert_eq(counterOf(*member, "dogwoodhall_measuring_budget_calls_per_second"), row.callsPerSecond);
+        cr_assert_eq(counterOf(*member, "dogwoodhall_measuring_budget_bytes_per_second"), row.bytesPerSecond);
         first.push_back(spentBy(*member));
+    }
     {
         Demand demand(members);
         for (std::size_t n = 0; n < windows; ++n) {
