--- a/packages/commandline/src/CommandLine.cpp
+++ b/packages/commandline/src/CommandLine.cpp
@@ -21,24 +21,48 @@
     return names;
 }
 
+options::variables_map parse(const std::vector<std::string>& arguments, const options::options_description& description,
+    const options::positional_options_description& positional)
+{
+    using namespace options::command_line_style;
+    options::command_line_parser parser(arguments);
+    parser.options(description).positional(positional).style(unix_style & ~allow_guessing);
+    options::variables_map values;
+    options::store(parser.run(), values);
+    options::notify(values);
+    return values;
+}
+
+// The first argument that is one too many, which Boost does not name.
+std::string firstSurplus(const std::vector<std::string>& arguments, const options::options_description& description,
+    const options::positional_options_description& positional)
+{
+    for (std::size_t n = 1; n <= arguments.size(); ++n) {
+        try {
+            parse({ arguments.begin(), arguments.begin() + static_cast<std::ptrdiff_t>(n) }, description, positional);
+        } catch (const options::too_many_positional_options_error&) {
+            return arguments[n - 1];
+        } catch (const options::error&) {
+            continue; // An option whose value follows, or a required one that comes later.
+        }
+    }
+    return {};
+}
+
 } // namespace
 
 tl::expected<options::variables_map, std::string> parseCommandLine(const std::vector<std::string>& arguments,
     const options::options_description& description, const options::positional_options_description& positional)
 {
-    using namespace options::command_line_style;
-    options::variables_map values;
     try {
-        options::command_line_parser parser(arguments);
-        parser.options(description).positional(positional).style(unix_style & ~allow_guessing);
-        options::store(parser.run(), values);
-        options::notify(values);
+        return parse(arguments, description, positional);
     } catch (const options::unknown_option& error) {
         return tl::unexpected(unknownName("option", error.get_option_name(), longNames(description)));
+    } catch (const options::too_many_positional_options_error&) {
+        return tl::unexpected("unexpected argument " + firstSurplus(arguments, description, positional));
     } catch (const options::error& error) {
         return tl::unexpected(std::string(error.what()));
     }
-    return values;
 }
 
 std::string unknownName(const std::string& kind, const std::string& name, const std::vector<std::string>& candidates)
@@ -54,7 +78,7 @@
     std::ostringstream text;
     // An ifstream opens a directory without an error; only reading from it fails.
     if (!file || (file.peek() == std::ifstream::traits_type::eof() && !file.eof()))
-        return tl::unexpected(path + ": cannot be read: " + std::strerror(errno));
+        return tl::unexpected(std::string("cannot be read: ") + std::strerror(errno));
     file.clear();
     text << file.rdbuf();
     return text.str();
--- a/packages/ctl/src/CheckCommand.cpp
+++ b/packages/ctl/src/CheckCommand.cpp
@@ -9,10 +9,8 @@
 
 int runCheck(const Invocation& invocation)
 {
-    if (!invocation.has("file")) {
-        invocation.err << "dogwoodhallctl: check: at least one FILE is required\n";
-        return badInputStatus;
-    }
+    if (!invocation.has("file"))
+        return invocation.fail("at least one FILE is required", badInputStatus);
     const auto paths = invocation.arguments["file"].as<std::vector<std::string>>();
     const auto input = readInputFiles(paths);
     printProblems(input.problems, invocation.wantsJson(), invocation.out);
@@ -34,7 +32,8 @@
     Command command { "check", "check settings and records, offline", "FILE...",
         { "check entry.json records.json", "check --json topology.json services/claims.json" }, {}, {}, runCheck };
     command.options.add_options()("file", options::value<std::vector<std::string>>(),
-        "settings, a record, or a bundle {\"records\": {\"services/x\": {...}, \"topology\": {...}}}");
+        "settings, a record, or a bundle of records by key {\"records\": {\"services/x\": {...}, \"topology\": "
+        "{...}}}");
     command.positional.add("file", -1);
     return command;
 }
--- a/packages/ctl/src/CompletionCommand.cpp
+++ b/packages/ctl/src/CompletionCommand.cpp
@@ -23,11 +23,9 @@
            << "        case \"${COMP_WORDS[1]}\" in\n";
     for (const auto& command : commands) {
         script << "            " << command.name << ") words=\"";
-        const auto description = command.allOptions();
-        for (const auto& option : description.options()) {
-            if (option->long_name() != "file")
-                script << "--" << option->long_name() << " ";
-        }
+        const auto description = command.namedOptions();
+        for (const auto& option : description.options())
+            script << "--" << option->long_name() << " ";
         script << "\" ;;\n";
     }
     script << "        esac\n"
--- a/packages/ctl/src/DiffCommand.cpp
+++ b/packages/ctl/src/DiffCommand.cpp
@@ -25,10 +25,8 @@
 {
     const auto paths = invocation.has("file") ? invocation.arguments["file"].as<std::vector<std::string>>()
                                               : std::vector<std::string> {};
-    if (paths.size() != 2) {
-        invocation.err << "dogwoodhallctl: diff: two files are required, OLD and NEW\n";
-        return badInputStatus;
-    }
+    if (paths.size() != 2)
+        return invocation.fail("two files are required, OLD and NEW", badInputStatus);
     const auto before = readInputFiles({ paths[0] });
     const auto after = readInputFiles({ paths[1] });
     auto problems = before.problems;
@@ -59,7 +57,7 @@
     Command command { "diff", "say which services, endpoints and rules change, and what that does", "OLD NEW",
         { "diff records.json records.new.json" }, {}, {}, runDiff };
     command.options.add_options()("file", options::value<std::vector<std::string>>(),
-        "OLD and NEW: a record or a bundle each; what only one of them holds is added or removed");
+        "a record or a bundle each; what only one of them holds is added or removed");
     command.positional.add("file", 2);
     return command;
 }
--- a/packages/ctl/src/ExplainCommand.cpp
+++ b/packages/ctl/src/ExplainCommand.cpp
@@ -74,6 +74,10 @@
 {
     if (!invocation.text("path").starts_with('/'))
         return "--path: expected a path that starts with '/', found \"" + invocation.text("path") + "\"";
+    // An IPv6 address keeps its brackets in a Host header.
+    const auto host = invocation.text("host");
+    if (host.find(':') != std::string::npos && !host.ends_with(']'))
+        return "--host: expected a host name without port, found \"" + host + "\"";
     if (!invocation.has("data-centre"))
         return "";
     if (!input.topology)
@@ -93,10 +97,8 @@
         printProblems(input.problems, invocation.wantsJson(), invocation.out);
         return badInputStatus;
     }
-    if (const auto message = checkArguments(invocation, input); !message.empty()) {
-        invocation.err << "dogwoodhallctl: explain: " << message << "\n";
-        return badInputStatus;
-    }
+    if (const auto message = checkArguments(invocation, input); !message.empty())
+        return invocation.fail(message, badInputStatus);
     const auto method = invocation.text("method"), path = pathOf(invocation.text("path")),
                host = invocation.text("host");
     std::optional<DataCentreId> own;
@@ -120,12 +122,13 @@
         { "explain --records records.json --method GET --path /previews/7 --host jingles.example",
             "explain --records records.json --method POST --path /claims --host x --data-centre cairo-1" },
         {}, {}, runExplain };
-    command.options.add_options()("records", options::value<std::vector<std::string>>()->required(),
-        "a record or a bundle; may be given more than once")("method",
-        options::value<std::string>()->default_value("GET"),
-        "HTTP method")("path", options::value<std::string>()->required(), "path of the request; a query is ignored")(
-        "host", options::value<std::string>()->default_value(""), "Host header of the request, without port")(
-        "data-centre", options::value<std::string>(), "data centre of the entry host, which orders the endpoints");
+    command.options.add_options()("records", options::value<std::vector<std::string>>()->required()->value_name("FILE"),
+        "a record or a bundle; may be given more than once")(
+        "method", options::value<std::string>()->default_value("GET")->value_name("METHOD"), "HTTP method")("path",
+        options::value<std::string>()->required()->value_name("PATH"), "path of the request; a query is ignored")(
+        "host", options::value<std::string>()->default_value("")->value_name("NAME"),
+        "Host header of the request, without port")("data-centre", options::value<std::string>()->value_name("ID"),
+        "data centre of the entry host, which orders the endpoints");
     return command;
 }
 
--- a/packages/ctl/src/InputFiles.cpp
+++ b/packages/ctl/src/InputFiles.cpp
@@ -65,7 +65,7 @@
     for (const auto& path : paths) {
         const auto text = readFile(path);
         if (!text) {
-            input.problems.push_back({ path, 0, 0, "", "a readable file", text.error() });
+            input.problems.push_back({ path, 0, 0, "", "a readable file", "one that " + text.error() });
             continue;
         }
         auto file = readDeclarationFile(*text, path);
--- a/packages/ctl/src/Program.cpp
+++ b/packages/ctl/src/Program.cpp
@@ -1,6 +1,7 @@
 #include "dogwoodhall/ctl/Command.h"
 
 #include <algorithm>
+#include <boost/json.hpp>
 
 namespace dogwoodhall {
 
@@ -36,8 +37,10 @@
 void printCommandHelp(const Command& command, std::ostream& out)
 {
     out << "dogwoodhallctl " << command.name << ": " << command.summary << "\n\n"
-        << "Usage: dogwoodhallctl " << command.name << " " << command.usage << "\n\n"
-        << command.allOptions() << "\nExamples:\n";
+        << "Usage: dogwoodhallctl " << command.name << (command.usage.empty() ? "" : " ") << command.usage << "\n\n";
+    if (const auto* files = command.options.find_nothrow("file", false))
+        out << "Arguments:\n  " << command.usage << ": " << files->description() << "\n\n";
+    out << command.namedOptions() << "\nExamples:\n";
     for (const auto& example : command.examples)
         out << "  dogwoodhallctl " << example << "\n";
 }
@@ -48,6 +51,14 @@
     return badInputStatus;
 }
 
+int fail(const Command& command, const std::string& message, bool asJson, std::ostream& out, std::ostream& err)
+{
+    if (!asJson)
+        return complain(err, command.name + ": " + message);
+    out << boost::json::object { { "error", message } } << "\n";
+    return badInputStatus;
+}
+
 int runCommand(const Command& command, const std::vector<Command>& commands, std::vector<std::string> arguments,
     std::ostream& out, std::ostream& err)
 {
@@ -60,9 +71,9 @@
         }
     }
     const auto values = parseCommandLine(arguments, description, command.positional);
-    if (!values)
-        return complain(err, command.name + ": " + values.error());
-    return command.run({ *values, commands, out, err });
+    const bool asJson = std::find(arguments.begin(), arguments.end(), "--json") != arguments.end();
+    return values ? command.run({ command, *values, commands, out, err })
+                  : fail(command, values.error(), asJson, out, err);
 }
 
 } // namespace
@@ -76,6 +87,23 @@
     return all;
 }
 
+options::options_description Command::namedOptions() const
+{
+    options::options_description named("Options");
+    const auto all = allOptions();
+    for (const auto& option : all.options()) {
+        if (option->long_name() != "file")
+            named.add(option);
+    }
+    return named;
+}
+
+int Invocation::fail(const std::string& message, int status) const
+{
+    dogwoodhall::fail(command, message, wantsJson(), out, err);
+    return status;
+}
+
 int runProgram(const std::vector<std::string>& arguments, std::ostream& out, std::ostream& err)
 {
     const auto commands = makeCommands();
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -31,7 +31,7 @@
 {
     const auto text = dogwoodhall::readFile(path);
     if (!text)
-        return complain(text.error());
+        return complain(path + ": " + text.error());
     const auto settings = dogwoodhall::parseSettings(*text, path);
     if (!settings) {
         std::cerr << toString(settings.error()) << "\n";
@@ -54,7 +54,8 @@
 int main(int argc, char** argv)
 {
     options::options_description description("dogwoodhalld: load balancer between callers and upstreams");
-    description.add_options()("help,h", "print this help")("settings,s", options::value<std::string>(),
+    description.add_options()("help,h", "print this help")("settings,s",
+        options::value<std::string>()->value_name("FILE"),
         "settings file, JSON with comments; docs/configuration.md describes its fields")(
         "check", "check the settings file and exit: 0 where it is valid, 2 otherwise");
     const auto arguments = dogwoodhall::parseCommandLine({ argv + 1, argv + argc }, description);
@@ -63,7 +64,8 @@
     if (arguments->count("help")) {
         std::cout << description << "\nExamples:\n"
                   << "  dogwoodhalld --settings entry.json --check\n"
-                  << "  dogwoodhalld --settings entry.json\n";
+                  << "  dogwoodhalld --settings entry.json\n\n"
+                  << "Exit status: 0 after a graceful stop, 2 the input has to be corrected, 3 after a forced stop.\n";
         return 0;
     }
     if (!arguments->count("settings"))
