Treat capital and small letters of host names alike

A caller that sent "Jingles.Nilewave.example" got 404 no-route, and check accepted two services whose host names differ in case only. RFC 9110, 4.2.3: host names are compared without regard to case. The route table's map and the check of overlaps use HostNameLess. Two rows of RouteTableTest and one of ProgramTest failed before. Release: both pass.

--- a/packages/ctl/src/InputFiles.cpp
+++ b/packages/ctl/src/InputFiles.cpp
@@ -1,11 +1,13 @@
 #include "dogwoodhall/ctl/InputFiles.h"
 
 #include "dogwoodhall/commandline/CommandLine.h"
+#include "dogwoodhall/core/HostName.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
 #include <map>
 #include <ostream>
+#include <set>
 
 namespace dogwoodhall {
 
@@ -17,8 +19,8 @@
 {
     if (a.hostNames.empty() || b.hostNames.empty())
         return true;
-    return std::any_of(a.hostNames.begin(), a.hostNames.end(),
-        [&](const auto& name) { return std::find(b.hostNames.begin(), b.hostNames.end(), name) != b.hostNames.end(); });
+    const std::set<std::string, HostNameLess> names(a.hostNames.begin(), a.hostNames.end());
+    return std::any_of(b.hostNames.begin(), b.hostNames.end(), [&](const auto& name) { return names.contains(name); });
 }
 
 // Two services that match the same requests: only the one with the lower id would receive any.
--- a/packages/ctl/tests/ProgramTest.cpp
+++ b/packages/ctl/tests/ProgramTest.cpp
@@ -26,7 +26,8 @@
   "services/a": {"schemaVersion": 2, "service": "a", "dataCentres": [{"id": "c9", "endpoints": []}], "rule": []}}})";
 
 const char* const overlapping = R"({"records": {"services/a": {"service": "a", "endpoints": []},
-  "services/b": {"service": "b", "hostNames": ["h"], "endpoints": []}}})";
+  "services/b": {"service": "b", "hostNames": ["h"], "endpoints": []},
+  "services/c": {"service": "c", "hostNames": ["H"], "endpoints": []}}})";
 
 // A file that lives as long as the object. Named by the process, since rows run in parallel processes.
 class TemporaryFile {
@@ -94,6 +95,7 @@
         ":2:77: /records/services~1a/dataCentres/0/id: expected a data centre of the topology, found \"c9\"" },
     { "check --json BAD", 2, "\"line\":2,\"column\":102,\"pointer\":\"/records/services~1a/rule\",\"expected\":" },
     { "check OVERLAPPING", 2, "services a and b with the same host name and path prefix /" },
+    { "check OVERLAPPING", 2, "services b and c with the same host name" },
     { "check GOOD OVERLAPPING", 2, "expected each record in one file, found services/a, which " },
     { "diff GOOD", 2, "two files are required" },
     { "diff GOOD GOOD", 0, "The two mean the same." },
--- a/packages/routing/include/dogwoodhall/routing/RouteTable.h
+++ b/packages/routing/include/dogwoodhall/routing/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dogwoodhall/configuration/ServiceDeclaration.h"
+#include "dogwoodhall/core/HostName.h"
 
 #include <functional>
 #include <map>
@@ -15,7 +16,7 @@
 
 // The parts of a request that routing looks at.
 struct RouteQuery {
-    std::string_view hostName; // Without port.
+    std::string_view hostName; // Without port, in capital or small letters.
     std::string_view path; // Without query.
     std::string_view method;
 };
@@ -54,7 +55,7 @@
 
     Services m_services;
     std::unordered_map<ServiceId, std::size_t> m_byId;
-    std::map<std::string, Prefixes, std::less<>> m_byHostName;
+    std::map<std::string, Prefixes, HostNameLess> m_byHostName;
     Prefixes m_forAnyHost;
 };
 
--- a/packages/routing/tests/RouteTableTest.cpp
+++ b/packages/routing/tests/RouteTableTest.cpp
@@ -20,7 +20,7 @@
         std::chrono::seconds(1) };
     claims.rules = { lookups };
     ServiceDeclaration archive { ServiceId("archive"), {}, "/previews/old/", {}, {}, {} };
-    ServiceDeclaration again { ServiceId("claims-2"), { "claims.example", "b.example" }, "/claims", {}, {}, {} };
+    ServiceDeclaration again { ServiceId("claims-2"), { "claims.example", "B.example" }, "/claims", {}, {}, {} };
     ServiceDeclaration longer { ServiceId("longer"), {}, "/claims/long", {}, {}, {} };
     return RouteTable({ catalogue, claims, archive, again, longer });
 }
@@ -53,6 +53,7 @@
     { "b.example", "/claims", "GET", "claims-2", "", true },
     { "b.example", "/claims/long/1", "GET", "longer", "", true },
     { "claims.example", "/claims/longest", "GET", "claims", "", true },
+    { "Claims.EXAMPLE", "/claims/1", "POST", "claims", "", false },
     { "any", "", "GET", "", "", true },
 };
 
