--- a/packages/ctl/tests/ProgramTest.cpp
+++ b/packages/ctl/tests/ProgramTest.cpp
@@ -26,7 +26,8 @@
   "services/a": {"schemaVersion": 2, "service": "a", "dataCentres": [{"id": "c9", "endpoints": []}], "rule": []}}})";
 
 const char* const overlapping = R"({"records": {"services/a": {"service": "a", "endpoints": []},
-  "services/b": {"service": "b", "hostNames": ["h"], "endpoints": []}}})";
+  "services/b": {"service": "b", "hostNames": ["h"], "endpoints": []},
+  "services/c": {"service": "c", "hostNames": ["H"], "endpoints": []}}})";
 
 // A file that lives as long as the object. Named by the process, since rows run in parallel processes.
 class TemporaryFile {
@@ -75,11 +76,18 @@
     { "--hepl", 2, "unknown option --hepl; did you mean --help?" },
     { "explain --recrods x", 2, "unknown option --recrods; did you mean --records?" },
     { "drain --help", 0, "Usage: dogwoodhallctl drain --admin IP:PORT" },
+    { "check --help", 0, "Arguments:\n  FILE...: settings, a record" },
+    { "drain --help", 0, "  --admin IP:PORT " },
+    { "completion bash", 2, "dogwoodhallctl: completion: unexpected argument bash" },
+    { "diff GOOD GOOD third", 2, "unexpected argument third" },
+    { "check --json", 2, "{\"error\":\"at least one FILE is required\"}" },
+    { "explain --json --path /", 2, "{\"error\":\"the option '--records' is required but missing\"}" },
+    { "explain --records GOOD --path a --json", 2, "{\"error\":\"--path: expected a path" },
+    { "explain --records GOOD --path / --host h:80", 2, "--host: expected a host name without port, found \"h:80\"" },
     { "completion", 0, "complete -o default -F _dogwoodhallctl dogwoodhallctl" },
     { "completion --json", 0, "{\"script\":\"# bash" },
     { "check", 2, "at least one FILE is required" },
-    { "check missing.json", 2,
-        "missing.json: expected a readable file, found missing.json: cannot be read: No such file" },
+    { "check missing.json", 2, "missing.json: expected a readable file, found one that cannot be read: No such file" },
     { "check GOOD", 0, "1 file is valid: 0 settings, 2 services, 1 topology" },
     { "check --json GOOD", 0, "{\"valid\":true,\"problems\":[]}" },
     { "check BAD", 2, ":2:102: /records/services~1a/rule: expected a known field; the nearest is \"rules\"" },
@@ -87,6 +95,7 @@
         ":2:77: /records/services~1a/dataCentres/0/id: expected a data centre of the topology, found \"c9\"" },
     { "check --json BAD", 2, "\"line\":2,\"column\":102,\"pointer\":\"/records/services~1a/rule\",\"expected\":" },
     { "check OVERLAPPING", 2, "services a and b with the same host name and path prefix /" },
+    { "check OVERLAPPING", 2, "services b and c with the same host name" },
     { "check GOOD OVERLAPPING", 2, "expected each record in one file, found services/a, which " },
     { "diff GOOD", 2, "two files are required" },
     { "diff GOOD GOOD", 0, "The two mean the same." },
