Let a retry use ejected endpoints where it excludes the others

A request that had failed at every serving endpoint of its pool waited in the queue until an ejection ended, often past its deadline, since the pool judged by all endpoints whether ejected ones may be used. It now judges by those that the request does not exclude.

--- a/packages/pool/include/dogwoodhall/pool/Pool.h
+++ b/packages/pool/include/dogwoodhall/pool/Pool.h
@@ -105,7 +105,8 @@
     bool canTake(const Endpoint&, const PoolRequest&, bool mayUseEjected, TimePoint) const;
     bool isExcluded(const Endpoint&, const PoolRequest&) const;
     bool hasUsableEndpoint(const PoolRequest&) const;
-    bool hasServingEndpoint(TimePoint) const;
+    // One that is not ejected, and that the request may use.
+    bool hasServingEndpoint(const PoolRequest&, TimePoint) const;
     std::uint64_t longLimit() const;
     std::size_t queueCapacity(WorkClass) const;
     Duration expectedWait(WorkClass, Priority, TimePoint) const;
--- a/packages/pool/src/PoolPlacement.cpp
+++ b/packages/pool/src/PoolPlacement.cpp
@@ -73,10 +73,11 @@
         [&](const Endpoint& endpoint) { return endpoint.isUsable() && !isExcluded(endpoint, request); });
 }
 
-bool Pool::hasServingEndpoint(TimePoint now) const
+bool Pool::hasServingEndpoint(const PoolRequest& request, TimePoint now) const
 {
     return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const Endpoint& endpoint) {
-        return endpoint.isUsable() && endpoint.health.state(now) == EndpointHealth::State::Serving;
+        return endpoint.isUsable() && endpoint.health.state(now) == EndpointHealth::State::Serving
+            && !isExcluded(endpoint, request);
     });
 }
 
@@ -103,7 +104,7 @@
         ahead += m_queue.lane(workClass, Priority::Low).size();
     bool isUsable = false;
     bool hasRoom = false;
-    const bool mayUseEjected = !hasServingEndpoint(now);
+    const bool mayUseEjected = !hasServingEndpoint(probe, now);
     double places = 0;
     for (const auto& endpoint : m_endpoints) {
         if (!endpoint.isUsable())
@@ -145,7 +146,7 @@
 
 bool Pool::tryDispatch(const PoolRequest& request, DecisionContext context, PoolActions& actions)
 {
-    collectCandidates(request, !hasServingEndpoint(context.now), context.now);
+    collectCandidates(request, !hasServingEndpoint(request, context.now), context.now);
     if (m_candidates.empty())
         return false;
     // An endpoint due for its probe gets this request: by its weight alone it would rarely be chosen.
--- a/packages/pool/tests/PoolTest.cpp
+++ b/packages/pool/tests/PoolTest.cpp
@@ -189,6 +189,8 @@
         "1>b 2>b 3>a 4>b 5>b 6>a " },
     { "more than one probe at a time", 9, 0, "=a:1,b:2 s1 f1 s2 f2 +100 s3 s4 s5 f3", "1>b 2>b 3>b 4>a t300 " },
     { "no timer for the end of an ejection", 9, 0, "=a:1,b:1 s1 f1 s2 f2 s3 s4 +100 x", "1>a 2>a 3>b t100 4>a " },
+    { "a retry waiting for the end of an ejection where it excludes the others", 9, 0, "=a:1,b:1 s1 f1 s2 f2 s3-b",
+        "1>a 2>a 3>a " },
     { "an endpoint that hangs until the deadlines pass", 9, 0, "=a:1,b:1 s1 +10 d1 s2 +10 d2 s3 +100 h3 s4 +100 h4 s5",
         "1>a 2>a 3>a 4>a 5>b " },
     { "an endpoint that hangs while hedges answer for it", 9, 0, "=a:1,b:1 s1 +10 d1 s2 +10 d2 s3 +20 o3 s4 +20 o4 s5",
