Let a refused request go on to further pools

A request spilled to another pool only once, so that it failed where the upstreams of two data centres were dead and a third had room. A request also ended without a spill where it had used up its attempts on endpoints of its pool that refuse connections. PoolChooser now decides by the refusals so far: at most four pools, at most two that refuse for lack of room, and after such a refusal only a pool with at most half of the wait. A pool that refused for lack of endpoints sets no bound on the wait of the next. A refusal by an upstream is paid from the retry budget before another pool is tried.

PoolChooserTest has eight rows for sequences of refusals.

--- a/bench/HomePlacement.cpp
+++ b/bench/HomePlacement.cpp
@@ -168,7 +168,9 @@
     const Arrival& arrival = m_world.request(index).arrival;
     Entry& entry = m_entries[arrival.host];
     updateAges(entry, dataCentreOf(index));
-    const auto choice = entry.chooser.chooseAfterRefusal(entry.states, bytesOf(arrival), entry.link, context());
+    const std::vector<PoolRefusal> refusals { { DataCentreId(nameOf(dataCentreOf(index))), ErrorKind::QueueFull } };
+    const auto choice
+        = entry.chooser.chooseAfterRefusal(entry.states, refusals, bytesOf(arrival), entry.link, context());
     if (choice)
         forward(index, std::stoul(choice->dataCentre.value()));
 }
--- a/packages/daemon/include/dogwoodhall/daemon/PoolDirectory.h
+++ b/packages/daemon/include/dogwoodhall/daemon/PoolDirectory.h
@@ -20,8 +20,8 @@
     void apply(SnapshotPointer);
 
     std::optional<PoolId> choose(const ServiceId&, WorkClass);
-    // A pool for a request that `refused` turned away with proof that it did not run.
-    std::optional<PoolId> chooseAfterRefusal(const PoolId& refused, WorkClass);
+    // A pool for a request that these pools of the service turned away with proof that it did not run.
+    std::optional<PoolId> chooseAfterRefusal(const ServiceId&, const std::vector<PoolRefusal>&, WorkClass);
     // Corrects the charge for an answer from another region once its size is known.
     void recordBytes(const PoolId&, WorkClass, ByteCount);
 
--- a/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
@@ -27,8 +27,10 @@
 private:
     asio::awaitable<void> runAttempts(RequestWork&, const ResponseWriter&);
     std::optional<Route> route(const RequestHead&) const;
-    // Moves a request that its pool turned away to another pool; false where none is better.
-    bool spill(RequestWork&);
+    // Moves a request that its pool turned away to another pool; false where none may be tried.
+    bool spill(RequestWork&, ErrorKind, RetryBudget&);
+    AfterFailure afterTurnedAway(RequestWork&, ErrorKind, RetryBudget&);
+    AfterFailure afterFailure(RequestWork&, AttemptFailure, RetryBudget&);
     asio::awaitable<void> answer(RequestWork&, const ResponseWriter&, AnswerWithError);
     RetryBudget& retryBudget(const ServiceId&);
     asio::awaitable<void> refuse(const ResponseWriter&, ErrorKind);
--- a/packages/daemon/include/dogwoodhall/daemon/RequestWork.h
+++ b/packages/daemon/include/dogwoodhall/daemon/RequestWork.h
@@ -3,6 +3,7 @@
 #include "dogwoodhall/daemon/RequestTrace.h"
 #include "dogwoodhall/exchange/ReplayableBody.h"
 #include "dogwoodhall/request/RequestLifecycle.h"
+#include "dogwoodhall/routing/PoolChooser.h"
 #include "dogwoodhall/routing/RouteTable.h"
 
 #include <optional>
@@ -24,7 +25,7 @@
     RequestTrace::Hop& entryHop;
     bool isForwarded = false; // By another member to this one, the pool's home.
     bool mayUseHome = true; // False at the home itself, and after the home did not answer.
-    bool hasSpilled = false; // Was turned away by its first pool.
+    std::vector<PoolRefusal> refusals {}; // Of the pools that turned it away.
     std::vector<EndpointId> excluded {}; // Endpoints that failed this request.
     // The last endpoint that refused it. Avoided while there is another; it may have a free slot again later.
     std::optional<EndpointId> refusedBy {};
--- a/packages/daemon/src/PoolDirectory.cpp
+++ b/packages/daemon/src/PoolDirectory.cpp
@@ -76,13 +76,13 @@
     return PoolId { service, states.front().dataCentre };
 }
 
-std::optional<PoolId> PoolDirectory::chooseAfterRefusal(const PoolId& refused, WorkClass workClass)
+std::optional<PoolId> PoolDirectory::chooseAfterRefusal(
+    const ServiceId& service, const std::vector<PoolRefusal>& refusals, WorkClass workClass)
 {
     const TimePoint now = monotonicNow();
-    const auto states = statesOf(refused.service, now);
-    auto pool = toPool(refused.service,
-        m_chooser.chooseAfterRefusal(states, estimateFor(workClass), m_links, { now, m_services.random }));
-    return pool == refused ? std::nullopt : pool;
+    const auto states = statesOf(service, now);
+    return toPool(service,
+        m_chooser.chooseAfterRefusal(states, refusals, estimateFor(workClass), m_links, { now, m_services.random }));
 }
 
 std::optional<PoolId> PoolDirectory::toPool(const ServiceId& service, const std::optional<PoolChoice>& choice)
--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -112,15 +112,9 @@
         const auto result = co_await m_attempts.attempt(work, writer);
         if (std::holds_alternative<Finished>(result))
             break;
-        AfterFailure next = RetryRequest {};
-        if (const auto* turnedAway = std::get_if<TurnedAway>(&result)) {
-            if (!spill(work))
-                next = work.lifecycle.endWithoutAttempt(turnedAway->kind);
-        } else {
-            auto failure = std::get<AttemptFailure>(result);
-            failure.bodyCanBeReplayed = failure.bodyCanBeReplayed && work.body.canRewind();
-            next = work.lifecycle.attemptFailed(failure, budget);
-        }
+        const auto* turnedAway = std::get_if<TurnedAway>(&result);
+        const AfterFailure next = turnedAway ? afterTurnedAway(work, turnedAway->kind, budget)
+                                             : afterFailure(work, std::get<AttemptFailure>(result), budget);
         if (const auto* error = std::get_if<AnswerWithError>(&next))
             co_return co_await answer(work, writer, *error);
         m_services.metrics.retries.add();
@@ -130,14 +124,38 @@
         budget.recordSuccess();
 }
 
-bool RequestRunner::spill(RequestWork& work)
+AfterFailure RequestRunner::afterTurnedAway(RequestWork& work, ErrorKind kind, RetryBudget& budget)
+{
+    if (spill(work, kind, budget))
+        return RetryRequest {};
+    return work.lifecycle.endWithoutAttempt(kind);
+}
+
+AfterFailure RequestRunner::afterFailure(RequestWork& work, AttemptFailure failure, RetryBudget& budget)
 {
-    if (work.isForwarded || work.hasSpilled || !work.body.canRewind())
+    failure.bodyCanBeReplayed = failure.bodyCanBeReplayed && work.body.canRewind();
+    const auto next = work.lifecycle.attemptFailed(failure, budget);
+    // No endpoint that was tried accepts connections: the pool's other endpoints are likely gone too.
+    const bool isPoolDead = !failure.reachedUpstream && work.lifecycle.outcome() == Outcome::NotRun;
+    if (std::holds_alternative<AnswerWithError>(next) && isPoolDead)
+        return afterTurnedAway(work, failure.kind, budget);
+    return next;
+}
+
+bool RequestRunner::spill(RequestWork& work, ErrorKind kind, RetryBudget& budget)
+{
+    if (work.isForwarded || !work.body.canRewind() || monotonicNow() >= work.deadline)
+        return false;
+    // A refusal by an upstream cost it work; another attempt after it is paid from the retry budget.
+    const bool costsRetry = kind == ErrorKind::UpstreamRefused;
+    if (costsRetry && budget.available() < 1)
         return false;
-    const auto pool = m_pools.chooseAfterRefusal(work.pool, work.workClass);
+    work.refusals.push_back({ work.pool.dataCentre, kind });
+    const auto pool = m_pools.chooseAfterRefusal(work.route.service, work.refusals, work.workClass);
     if (!pool)
         return false;
-    work.hasSpilled = true;
+    if (costsRetry)
+        budget.tryTake();
     work.mayUseHome = true;
     work.pool = *pool;
     work.entryHop.note("spilled", toString(*pool));
--- a/packages/routing/include/dogwoodhall/routing/PoolChooser.h
+++ b/packages/routing/include/dogwoodhall/routing/PoolChooser.h
@@ -3,6 +3,7 @@
 #include "dogwoodhall/budget/LinkBudget.h"
 #include "dogwoodhall/configuration/TopologyDeclaration.h"
 #include "dogwoodhall/core/DecisionContext.h"
+#include "dogwoodhall/core/ErrorKind.h"
 #include "dogwoodhall/core/Ids.h"
 
 #include <optional>
@@ -23,7 +24,17 @@
     bool isOtherRegion = false;
 };
 
+// A pool that turned a request away with proof that it did not run, and why.
+struct PoolRefusal {
+    DataCentreId dataCentre;
+    ErrorKind kind;
+};
+
 struct SpillLimits {
+    // Pools that one request may try. Four are two regions of two data centres, or a region of three and one beyond.
+    std::size_t mostPools = 4;
+    // Of these, pools that refuse for lack of room. In an overload of all regions each further try adds to it.
+    std::size_t mostFullPools = 2;
     // A pool elsewhere must be better by this much beyond the hop. Expected waits are stale, and a smaller gain is
     // often gone when the request arrives.
     Duration leastGain = std::chrono::milliseconds(2);
@@ -45,18 +56,24 @@
     // Empty where no pool is reachable, or only one in another region that the link budget does not allow.
     std::optional<PoolChoice> choose(
         const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext);
-    // Where to send a request that the own pool refused, with proof that it did not run: a pool with at most half of
-    // the own pool's expected wait, so that a swing in all regions does not make each request try all of them.
-    std::optional<PoolChoice> chooseAfterRefusal(
-        const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, DecisionContext);
+    // Where to send a request that these pools refused: one that it has not tried. After a refusal for lack of room
+    // only a pool with at most half of the refusing pool's expected wait, so that a swing in all regions does not make
+    // each request try all of them; after refusals for lack of endpoints alone, any. Empty where the limits are
+    // reached, or a refusal would be the same at every pool.
+    std::optional<PoolChoice> chooseAfterRefusal(const std::vector<PoolState>&, const std::vector<PoolRefusal>&,
+        ByteCount expectedBytes, LinkBudget&, DecisionContext);
 
 private:
+    using Refusals = std::vector<PoolRefusal>;
+
     const PoolState* ownState(const std::vector<PoolState>&) const;
+    // The longest wait that another pool may have; empty where no other pool should be tried.
+    std::optional<Duration> longestWaitAfter(const Refusals&, const std::vector<PoolState>&) const;
     // A pool elsewhere whose wait is at most `within` its region or `across` regions; charges the link for the latter.
-    std::optional<PoolChoice> chooseElsewhere(const std::vector<PoolState>&, Duration within, Duration across,
-        ByteCount expectedBytes, LinkBudget&, DecisionContext);
-    std::optional<PoolChoice> pick(
-        const std::vector<PoolState>&, bool isOtherRegion, Duration longestWait, Duration oldest, RandomEngine&) const;
+    std::optional<PoolChoice> chooseElsewhere(const std::vector<PoolState>&, const Refusals&, Duration within,
+        Duration across, ByteCount expectedBytes, LinkBudget&, DecisionContext);
+    std::optional<PoolChoice> pick(const std::vector<PoolState>&, const Refusals&, bool isOtherRegion,
+        Duration longestWait, Duration oldest, RandomEngine&) const;
 
     TopologyDeclaration m_topology;
     DataCentreId m_own;
--- a/packages/routing/src/PoolChooser.cpp
+++ b/packages/routing/src/PoolChooser.cpp
@@ -9,6 +9,24 @@
 
 bool takesWork(const PoolState& state) { return state.isReachable && state.expectedWait != Duration::max(); }
 
+// The pool has endpoints, but no room.
+bool isForLackOfRoom(ErrorKind kind)
+{
+    return kind == ErrorKind::QueueFull || kind == ErrorKind::DeadlineUnreachable || kind == ErrorKind::UpstreamRefused;
+}
+
+// The pool has no endpoint or home that accepts connections.
+bool isForLackOfEndpoints(ErrorKind kind)
+{
+    return kind == ErrorKind::NoEndpoint || kind == ErrorKind::UpstreamFailed || kind == ErrorKind::PeerFailed;
+}
+
+bool hasRefused(const std::vector<PoolRefusal>& refusals, const DataCentreId& dataCentre)
+{
+    return std::any_of(
+        refusals.begin(), refusals.end(), [&](const PoolRefusal& refusal) { return refusal.dataCentre == dataCentre; });
+}
+
 } // namespace
 
 PoolChooser::PoolChooser(TopologyDeclaration topology, DataCentreId own, SpillLimits limits)
@@ -29,16 +47,40 @@
         within = own->expectedWait - m_limits.leastGain - 2 * m_topology.delayWithinRegion;
         across = own->expectedWait - m_limits.leastGain - 2 * m_topology.delayBetweenRegions;
     }
-    const auto elsewhere = chooseElsewhere(states, within, across, expectedBytes, link, context);
+    const auto elsewhere = chooseElsewhere(states, {}, within, across, expectedBytes, link, context);
     return !elsewhere && own ? PoolChoice { m_own, false } : elsewhere;
 }
 
-std::optional<PoolChoice> PoolChooser::chooseAfterRefusal(
-    const std::vector<PoolState>& states, ByteCount expectedBytes, LinkBudget& link, DecisionContext context)
+std::optional<PoolChoice> PoolChooser::chooseAfterRefusal(const std::vector<PoolState>& states,
+    const std::vector<PoolRefusal>& refusals, ByteCount expectedBytes, LinkBudget& link, DecisionContext context)
 {
+    const auto longestWait = longestWaitAfter(refusals, states);
+    if (!longestWait)
+        return std::nullopt;
     const PoolState* own = ownState(states);
-    const Duration longestWait = own ? own->expectedWait / 2 : Duration::max();
-    return chooseElsewhere(states, longestWait, longestWait, expectedBytes, link, context);
+    if (own && own->expectedWait <= *longestWait && !hasRefused(refusals, m_own))
+        return PoolChoice { m_own, false };
+    return chooseElsewhere(states, refusals, *longestWait, *longestWait, expectedBytes, link, context);
+}
+
+std::optional<Duration> PoolChooser::longestWaitAfter(
+    const Refusals& refusals, const std::vector<PoolState>& states) const
+{
+    if (refusals.size() >= m_limits.mostPools)
+        return std::nullopt;
+    Duration longest = Duration::max();
+    std::size_t full = 0;
+    for (const auto& refusal : refusals) {
+        if (isForLackOfEndpoints(refusal.kind))
+            continue;
+        if (!isForLackOfRoom(refusal.kind) || ++full >= m_limits.mostFullPools)
+            return std::nullopt;
+        for (const auto& state : states) {
+            if (state.dataCentre == refusal.dataCentre && takesWork(state))
+                longest = std::min(longest, state.expectedWait / 2);
+        }
+    }
+    return longest;
 }
 
 const PoolState* PoolChooser::ownState(const std::vector<PoolState>& states) const
@@ -48,22 +90,22 @@
     return own == states.end() ? nullptr : &*own;
 }
 
-std::optional<PoolChoice> PoolChooser::chooseElsewhere(const std::vector<PoolState>& states, Duration within,
-    Duration across, ByteCount expectedBytes, LinkBudget& link, DecisionContext context)
+std::optional<PoolChoice> PoolChooser::chooseElsewhere(const std::vector<PoolState>& states, const Refusals& refusals,
+    Duration within, Duration across, ByteCount expectedBytes, LinkBudget& link, DecisionContext context)
 {
     if (within < Duration::zero())
         return std::nullopt;
-    if (const auto inRegion = pick(states, false, within, Duration::max(), context.random))
+    if (const auto inRegion = pick(states, refusals, false, within, Duration::max(), context.random))
         return inRegion;
     if (across < Duration::zero())
         return std::nullopt;
     // Where nothing takes work nearby, stale knowledge is better than none.
     const bool hasChoice = across != Duration::max();
-    auto picked = pick(states, true, across, hasChoice ? m_limits.freshFor : Duration::max(), context.random);
+    auto picked = pick(states, refusals, true, across, hasChoice ? m_limits.freshFor : Duration::max(), context.random);
     const bool mayTry = !m_lastTrial || context.now - *m_lastTrial >= m_limits.trialPeriod;
     const bool isTrial = !picked && mayTry;
     if (isTrial)
-        picked = pick(states, true, across, Duration::max(), context.random);
+        picked = pick(states, refusals, true, across, Duration::max(), context.random);
     if (!picked || !link.tryTake(expectedBytes, context.now))
         return std::nullopt;
     if (isTrial)
@@ -72,13 +114,13 @@
 }
 
 // A data centre that the topology does not name counts as one of another region.
-std::optional<PoolChoice> PoolChooser::pick(const std::vector<PoolState>& states, bool isOtherRegion,
-    Duration longestWait, Duration oldest, RandomEngine& random) const
+std::optional<PoolChoice> PoolChooser::pick(const std::vector<PoolState>& states, const Refusals& refusals,
+    bool isOtherRegion, Duration longestWait, Duration oldest, RandomEngine& random) const
 {
     std::optional<PoolChoice> picked;
     std::size_t suitable = 0;
     for (const auto& state : states) {
-        if (state.dataCentre == m_own || !takesWork(state))
+        if (state.dataCentre == m_own || !takesWork(state) || hasRefused(refusals, state.dataCentre))
             continue;
         const auto region = m_topology.regionOf(state.dataCentre);
         const bool isElsewhere = !region || region != m_ownRegion;
--- a/packages/routing/tests/PoolChooserTest.cpp
+++ b/packages/routing/tests/PoolChooserTest.cpp
@@ -5,6 +5,7 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <set>
+#include <sstream>
 
 using namespace dogwoodhall;
 
@@ -13,6 +14,8 @@
     int waitMs[4]; // Of a1 (own) and a2 in one region, b1 and b2 in another; -1: unreachable, -2: takes no work.
     unsigned linkBytes; // Left in the link budget; each request takes 100.
     const char* chosen; // All that may be chosen, in order; empty: none.
+    // Pools that refused: "-" for lack of endpoints, "+" for lack of room, "!" since the deadline passed.
+    const char* refusals = "";
 };
 
 const ChooserRow rows[] = {
@@ -28,8 +31,33 @@
     { "a pool that takes no work", { -2, -2, 70, -1 }, 1000, "b1 " },
     { "a lost region reached beyond the link budget", { -1, -1, 0, 0 }, 50, "" },
     { "a choice where nothing takes work", { -1, -2, -1, -2 }, 1000, "" },
+    { "failing on dead endpoints while a pool has room", { 0, 0, 0, 0 }, 1000, "b1 b2 ", "a1- a2-" },
+    { "a pool tried twice", { 0, 0, 0, 0 }, 1000, "b2 ", "a1- a2- b1-" },
+    { "a long way round the own pool", { 30, 0, 0, 0 }, 1000, "a1 ", "a2-" },
+    { "a dead pool that lets a swing try the busy ones", { 0, 40, 30, 10 }, 1000, "b2 ", "a1- a2+" },
+    { "an overload that makes each request try all pools", { 90, 40, 0, 0 }, 1000, "", "a1+ a2+" },
+    { "a request without end where nothing answers", { 0, 0, 0, 0 }, 1000, "", "a1- a2- c1- c2-" },
+    { "another attempt after the deadline", { 0, 0, 0, 0 }, 1000, "", "a1!" },
+    { "crossing regions for dead endpoints beyond the budget", { 0, 0, 0, 0 }, 50, "", "a1- a2-" },
 };
 
+namespace {
+
+std::vector<PoolRefusal> parseRefusals(const char* text)
+{
+    std::vector<PoolRefusal> refusals;
+    std::istringstream in(text);
+    for (std::string item; in >> item;) {
+        const auto kind = item.back() == '-' ? ErrorKind::NoEndpoint
+            : item.back() == '+'             ? ErrorKind::QueueFull
+                                             : ErrorKind::DeadlineExceeded;
+        refusals.push_back({ DataCentreId(item.substr(0, 2)), kind });
+    }
+    return refusals;
+}
+
+} // namespace
+
 ParameterizedTestParameters(PoolChooser, chooses) { return rowIndices(rows); }
 
 ParameterizedTest(std::size_t* index, PoolChooser, chooses)
@@ -44,12 +72,16 @@
         states.push_back({ DataCentreId(names[n]), wait, row.waitMs[n] != -1, {} });
     }
     RandomEngine random(3);
+    const auto refusals = parseRefusals(row.refusals);
     std::set<std::string> seen;
     for (int n = 0; n < 50; ++n) {
         LinkBudget link(ByteCount(1000), std::chrono::seconds(1), TimePoint());
         link.charge(ByteCount(1000 - row.linkBytes), TimePoint());
         PoolChooser chooser(topology, DataCentreId("a1"));
-        const auto choice = chooser.choose(states, ByteCount(100), link, { TimePoint(), random });
+        const DecisionContext context { TimePoint(), random };
+        const auto choice = refusals.empty()
+            ? chooser.choose(states, ByteCount(100), link, context)
+            : chooser.chooseAfterRefusal(states, refusals, ByteCount(100), link, context);
         if (choice)
             seen.insert(choice->dataCentre.value());
         const bool isCharged = link.available(TimePoint()) < row.linkBytes;
@@ -98,8 +130,9 @@
     unsigned crossings = 0;
     for (unsigned n = 0; n < 10; ++n) {
         const DecisionContext context { TimePoint(milliseconds(50 * n)), random };
-        const auto choice = row.isAfterRefusal ? chooser.chooseAfterRefusal(states, ByteCount(1), link, context)
-                                               : chooser.choose(states, ByteCount(1), link, context);
+        const auto choice = row.isAfterRefusal
+            ? chooser.chooseAfterRefusal(states, parseRefusals("a1+"), ByteCount(1), link, context)
+            : chooser.choose(states, ByteCount(1), link, context);
         crossings += choice && choice->isOtherRegion ? 1 : 0;
     }
     cr_assert_eq(crossings, row.crossings, "guards against %s: got %u", row.guardsAgainst, crossings);
--- a/tests/system/RegionTest.cpp
+++ b/tests/system/RegionTest.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t lossSlots = 2 * spillRequests;
 constexpr std::size_t upstreamOfOtherRegion = 2;
 
-// Data centre n has upstream n; the last is the other region's. Ready when each member has heard of all homes.
+// In each data centre as many upstreams, in order; the last is the other region's. Ready when each member has heard of
+// all homes.
 Cluster threeCentres(Cluster::Builder builder)
 {
     auto cluster = builder.dataCentres(3).otherRegionFrom(2).start();
@@ -59,10 +60,19 @@
 
 void killUpstreams(Cluster& cluster, std::size_t centres)
 {
-    for (std::size_t n = 0; n < centres; ++n)
+    for (std::size_t n = 0; n < centres * cluster.upstreamCount() / 3; ++n)
         cluster.upstream(n).process.kill();
 }
 
+std::size_t receivedIn(const Cluster& cluster, std::size_t centre)
+{
+    const std::size_t each = cluster.upstreamCount() / 3;
+    std::size_t received = 0;
+    for (std::size_t n = 0; n < each; ++n)
+        received += cluster.received(centre * each + n);
+    return received;
+}
+
 void fill(Cluster& cluster, std::size_t centres)
 {
     for (std::size_t n = 0; n < centres; ++n)
@@ -76,6 +86,7 @@
     void (*strike)(Cluster&, std::size_t centres);
     std::size_t centres; // Struck ones, from the own data centre on.
     bool isFull = false; // The struck pools serve, but slowly; requests come until the next data centre has some.
+    std::size_t upstreams = 1; // In each data centre.
 };
 
 const SpillRow spillRows[] = {
@@ -86,6 +97,8 @@
     { "endpoints of the region removed", remove, 2 },
     { "upstreams of the region leaving", leave, 2 },
     { "pools of the region full", fill, 2, true },
+    { "upstreams of the region killed", killUpstreams, 2 },
+    { "upstreams of the region killed, more than a request's attempts", killUpstreams, 2, false, 4 },
 };
 
 // Guards against requests that fail while a pool elsewhere has room, and against crossing regions without need.
@@ -94,7 +107,7 @@
 ParameterizedTest(std::size_t* index, Region, spills, .timeout = 120)
 {
     const auto& row = spillRows[*index];
-    auto cluster = threeCentres({});
+    auto cluster = threeCentres(Cluster::Builder().upstreams(row.upstreams));
     SentRequests requests(row.name);
     row.strike(cluster, row.centres);
     if (row.isFull) {
@@ -114,9 +127,9 @@
             requests.readAll();
         }
         requests.check(cluster);
-        for (std::size_t n = 0; n < 3; ++n)
-            cr_assert(n < row.centres || cluster.received(n) == (n == row.centres ? 2 * spillRequests : 0),
-                "%s: upstream %zu received %zu", row.name, n, cluster.received(n));
+        for (std::size_t n = row.centres; n < 3; ++n)
+            cr_assert_eq(receivedIn(cluster, n), n == row.centres ? 2 * spillRequests : 0,
+                "%s: data centre %zu received %zu", row.name, n, receivedIn(cluster, n));
     }
     requests.check(cluster);
 }
