--- a/packages/daemon/include/dogwoodhall/daemon/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/PlatformWatcher.h
@@ -10,7 +10,7 @@
 namespace dogwoodhall {
 
 // Reads the configuration service and the host list on the control thread. Only watchers keep a watch open; the other
-// members read the records once, at their start, after a delay that the first host list decides.
+// members read the records once after a pause and at their start, there after a delay that the first host list decides.
 class PlatformWatcher {
 public:
     struct Hooks {
@@ -27,6 +27,8 @@
     // Read until the event loop ends.
     asio::awaitable<void> watchRecords();
     asio::awaitable<void> watchHosts();
+    // Reads the records without waiting, in place of a watch under way, whose answer may be watchWait away.
+    void readAtOnce();
 
 private:
     asio::awaitable<void> awaitFirstRead();
@@ -40,6 +42,8 @@
     PlatformClient m_records;
     PlatformClient m_hosts;
     asio::steady_timer m_hostsAsked; // Ends with the first read of the host list.
+    asio::steady_timer m_interrupt; // Cancelled to end a read.
+    bool m_mustReadAtOnce = true; // At the start, so that a starting member learns what is in force.
 };
 
 } // namespace dogwoodhall
--- a/packages/daemon/src/PlatformWatcher.cpp
+++ b/packages/daemon/src/PlatformWatcher.cpp
@@ -4,14 +4,18 @@
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
+#include <variant>
 
 namespace dogwoodhall {
 
+using asio::experimental::awaitable_operators::operator||;
+
 namespace {
 
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Duration watchWait = std::chrono::seconds(20);
 constexpr Duration retryDelay = std::chrono::milliseconds(500);
 // How often a member that is no watcher checks whether it has become one.
@@ -30,30 +34,33 @@
     , m_records(io.get_executor(), platform)
     , m_hosts(io.get_executor(), platform)
     , m_hostsAsked(io, std::chrono::duration_cast<std::chrono::steady_clock::duration>(hostsPatience))
+    , m_interrupt(io, asio::steady_timer::time_point::max())
 {
 }
 
 asio::awaitable<void> PlatformWatcher::watchRecords()
 {
-    bool isStarted = false;
     co_await awaitFirstRead();
     while (true) {
-        if (isStarted && !m_hooks.isWatcher()) {
+        if (!m_mustReadAtOnce && !m_hooks.isWatcher()) {
             co_await pause(roleCheckPeriod);
             continue;
         }
-        // The first read does not wait, so that a starting member learns what is in force.
-        const bool isRead = co_await readRecords(isStarted ? watchWait : Duration::zero());
-        isStarted = isStarted || isRead;
-        if (!isRead)
-            co_await pause(isStarted ? retryDelay : startRetryDelay());
+        const bool isAtOnce = std::exchange(m_mustReadAtOnce, false);
+        const Duration wait = isAtOnce ? Duration::zero() : watchWait;
+        const auto ended = co_await (readRecords(wait) || m_interrupt.async_wait(useTuple));
+        const bool* isRead = std::get_if<0>(&ended);
+        if (!isRead || *isRead)
+            continue;
+        m_mustReadAtOnce = m_mustReadAtOnce || isAtOnce;
+        co_await pause(isAtOnce ? startRetryDelay() : retryDelay);
     }
 }
 
 // Members that start at once, and those that start while the configuration service is down, spread their reads.
 asio::awaitable<void> PlatformWatcher::awaitFirstRead()
 {
-    co_await m_hostsAsked.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await m_hostsAsked.async_wait(useTuple);
     co_await pause(m_hooks.firstReadDelay());
 }
 
@@ -63,6 +70,12 @@
     return std::max(retryDelay, m_hooks.hostListPeriod() / 2) + m_hooks.firstReadDelay();
 }
 
+void PlatformWatcher::readAtOnce()
+{
+    m_mustReadAtOnce = true;
+    m_interrupt.cancel();
+}
+
 asio::awaitable<bool> PlatformWatcher::readRecords(Duration wait)
 {
     m_metrics.platformReads.add();
@@ -98,7 +111,7 @@
 asio::awaitable<void> PlatformWatcher::pause(Duration duration)
 {
     asio::steady_timer timer(m_io, std::chrono::duration_cast<std::chrono::steady_clock::duration>(duration));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await timer.async_wait(useTuple);
 }
 
 } // namespace dogwoodhall
