Do not blame endpoints and homes for callers that leave

The cancellation of a request that waited for the head of its answer looked like a broken connection, and a caller that broke off its body like a failing upstream; both counted as failures, so that callers that went away ejected sound endpoints, and a body cut off on its way to the pool's home made the entry pass the home by for 1 s. The upstream client now tells its own cancellation (Cancelled) from a failure, an error of the caller's body is CallerFailed, and so is a caller that leaves within the answer.

The row of PoolTest fails where CallerFailed is treated as Cancelled ("5>b").

--- a/packages/daemon/src/AnswerRelay.cpp
+++ b/packages/daemon/src/AnswerRelay.cpp
@@ -46,7 +46,9 @@
         if (!n || *n == 0)
             guard.disarm();
         if (!n) {
-            outcome.result = RelayResult::SourceFailed;
+            // A relay is cancelled when its receiver goes away.
+            if (n.error().kind != ErrorKind::Cancelled)
+                outcome.result = RelayResult::SourceFailed;
             co_return outcome;
         }
         if (*n == 0)
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -24,6 +24,13 @@
 // A home that drains, or that has yet to ask its peers for their records, is about to be replaced in the members' view.
 bool isNoLongerHome(ErrorKind kind) { return kind == ErrorKind::Draining || kind == ErrorKind::NotReady; }
 
+// The caller broke off its request's body, or sent it too slowly or too long.
+bool isCallersFault(ErrorKind kind)
+{
+    return kind == ErrorKind::BadRequest || kind == ErrorKind::RequestTimeout || kind == ErrorKind::BodyTooLarge
+        || kind == ErrorKind::Cancelled;
+}
+
 Duration timeLeft(const RequestWork& work)
 {
     return std::max<Duration>(std::chrono::milliseconds(1), work.deadline - monotonicNow());
@@ -39,7 +46,16 @@
     case RelayResult::ReceiverFailed:
         break;
     }
-    return CompletionResult::Cancelled;
+    return CompletionResult::CallerFailed;
+}
+
+CompletionResult toCompletionResult(const ExchangeError& error)
+{
+    if (error.kind == ErrorKind::Cancelled)
+        return CompletionResult::Cancelled;
+    if (isCallersFault(error.kind))
+        return CompletionResult::CallerFailed;
+    return error.provenNotRun ? CompletionResult::ConnectFailed : CompletionResult::Failed;
 }
 
 // The endpoint that a permit names; empty where the answer is no permit.
@@ -57,6 +73,26 @@
     return { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
 }
 
+// Returns a slot with what is known of its endpoint, also where a cancellation ends the attempt.
+struct Completing {
+    explicit Completing(SlotLease& lease, TimePoint since = monotonicNow())
+        : lease(lease)
+        , since(since)
+    {
+    }
+    Completing(const Completing&) = delete;
+    Completing& operator=(const Completing&) = delete;
+    ~Completing()
+    {
+        completion.serviceTime = monotonicNow() - since;
+        lease.complete(completion);
+    }
+
+    SlotLease& lease;
+    TimePoint since;
+    Completion completion { CompletionResult::Cancelled, {}, {}, false };
+};
+
 AttemptFailure toFailure(const ExchangeError& error, bool reachedUpstream)
 {
     return { error.kind, error.provenNotRun, true, reachedUpstream };
@@ -129,12 +165,8 @@
     }
     queueHop.note("endpoint", lease->placement().endpoint.value());
     queueHop.end();
-    Completion completion { CompletionResult::Cancelled, {}, {}, false };
-    const TimePoint startedAt = monotonicNow();
-    auto result = co_await runAt(work, writer, lease->placement(), completion);
-    completion.serviceTime = monotonicNow() - startedAt;
-    lease->complete(completion);
-    co_return result;
+    Completing completing(*lease);
+    co_return co_await runAt(work, writer, lease->placement(), completing.completion);
 }
 
 asio::awaitable<AttemptResult> AttemptRunner::runAt(
@@ -157,7 +189,7 @@
     if (!response) {
         const auto& error = response.error();
         hop.fail(answerFor(error.kind).name);
-        completion.result = error.provenNotRun ? CompletionResult::ConnectFailed : CompletionResult::Failed;
+        completion.result = toCompletionResult(error);
         co_return toFailure(error, !error.provenNotRun);
     }
     if (work.workClass == WorkClass::Short)
@@ -167,11 +199,8 @@
         co_return co_await relayFromUpstream(work, writer, *response, hop, completion);
     hop.note("hedge", hedge->placement().endpoint.value());
     completion.result = CompletionResult::Overtaken;
-    Completion hedgeCompletion;
-    auto result = co_await relayFromUpstream(work, writer, *response, hop, hedgeCompletion);
-    hedgeCompletion.serviceTime = monotonicNow() - sentAt;
-    hedge->complete(hedgeCompletion);
-    co_return result;
+    Completing completing(*hedge, sentAt);
+    co_return co_await relayFromUpstream(work, writer, *response, hop, completing.completion);
 }
 
 HedgedExchange::Plan AttemptRunner::planExchange(
@@ -210,6 +239,7 @@
     headerFields.remove(fields::outcome);
     if (work.isForwarded)
         addLoadFields(work, headerFields);
+    completion.result = CompletionResult::CallerFailed;
     const auto result = co_await relay(work, writer, response);
     completion.result = toCompletionResult(result);
     if (result != RelayResult::Whole)
@@ -358,7 +388,7 @@
 AttemptResult AttemptRunner::homeFailed(RequestWork& work, const PoolHome& home, ErrorKind kind, bool provenNotRun)
 {
     work.mayUseHome = false;
-    if (kind != ErrorKind::DeadlineExceeded) {
+    if (kind != ErrorKind::DeadlineExceeded && !isCallersFault(kind)) {
         m_services.metrics.bypassedHomes.add();
         m_bypassUntil[home.member] = monotonicNow() + homeBypassTime;
         m_services.reportSilentMember(home.member);
--- a/packages/http/include/dogwoodhall/http/UpstreamClient.h
+++ b/packages/http/include/dogwoodhall/http/UpstreamClient.h
@@ -29,7 +29,8 @@
     ~UpstreamClient();
 
     // Sends the request and gives the answer once its head has arrived, by `deadline` on the steady clock. The error
-    // is proven not-run only where no byte was handed to a connection.
+    // is proven not-run only where no byte was handed to a connection. An error of the request's own body is passed on;
+    // Cancelled means that this call was cancelled.
     ExchangeResult<IncomingResponse> exchange(
         const NetworkAddress&, OutgoingRequest, std::chrono::steady_clock::time_point deadline);
 
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -32,6 +32,9 @@
 {
     if (ec == beast::error::timeout)
         kind = ErrorKind::DeadlineExceeded;
+    // Nothing closes a connection in use but the cancellation of its request.
+    if (ec == asio::error::operation_aborted)
+        kind = ErrorKind::Cancelled;
     return tl::unexpected(ExchangeError { kind, provenNotRun, ec.message() });
 }
 
@@ -169,7 +172,7 @@
     connection->stream.expires_at(std::min(deadline, connectBy));
     auto [ec] = co_await connection->stream.async_connect(target, useTuple);
     if (ec)
-        co_return tl::unexpected(ExchangeError { ErrorKind::UpstreamFailed, true, ec.message() });
+        co_return failure(ErrorKind::UpstreamFailed, true, ec == beast::error::timeout ? asio::error::timed_out : ec);
     beast::error_code optionError;
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), optionError);
     m_connections.emplace(id, std::move(connection));
@@ -245,7 +248,7 @@
         auto [ec, n] = co_await http::async_read_some(connection.stream, connection.buffer, parser, useTuple);
         if (ec && ec != http::error::need_buffer) {
             close(id);
-            co_return tl::unexpected(ExchangeError { ErrorKind::UpstreamTruncated, false, ec.message() });
+            co_return failure(ErrorKind::UpstreamTruncated, false, ec);
         }
         size = buf.size() - parser.get().body().size;
     }
--- a/packages/pool/include/dogwoodhall/pool/PoolActions.h
+++ b/packages/pool/include/dogwoodhall/pool/PoolActions.h
@@ -26,7 +26,8 @@
     Refused, // The endpoint said that it did not run the request.
     ConnectFailed, // No byte was handed to a connection.
     Failed, // The connection broke, or the answer was malformed or cut short.
-    Cancelled, // The caller went away or the deadline passed.
+    Cancelled, // The caller went away or the deadline passed before the answer started.
+    CallerFailed, // The caller went away, or was too slow, in its own body or in the answer: no fault of the endpoint.
     Overtaken, // A hedge that was sent later to another endpoint was answered first.
 };
 
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -200,6 +200,8 @@
         if (isShort && m_typicalTime.count() > 0 && held > m_limits.health.slowFactor * m_typicalTime)
             shouldEject = endpoint.health.recordFailure(m_limits.health);
         break;
+    case CompletionResult::CallerFailed:
+        break;
     }
     if (shouldEject)
         eject(endpoint, now);
--- a/packages/pool/tests/PoolInvariantTest.cpp
+++ b/packages/pool/tests/PoolInvariantTest.cpp
@@ -83,7 +83,7 @@
     void finish(RequestId id)
     {
         m_running.erase(id);
-        apply(m_pool.complete(id, { static_cast<CompletionResult>(draw(6)), {}, {}, draw(50) == 0 }, context()));
+        apply(m_pool.complete(id, { static_cast<CompletionResult>(draw(7)), {}, {}, draw(50) == 0 }, context()));
     }
 
     void cancel(RequestId id)
--- a/packages/pool/tests/PoolTest.cpp
+++ b/packages/pool/tests/PoolTest.cpp
@@ -26,8 +26,8 @@
 // Runs a script of steps against a pool and writes down what it does. Steps, separated by spaces:
 //   =a:2,b:1!  reconfigure: endpoints with slots, "!" for leaving     Ea  setLeaving(a)
 //   s1 l1 w1   admit 1 as short, long, or short of low priority; "@50" adds a deadline at 50 ms, "-a" excludes a
-//   d1 r1 f1 g1 h1 o1  complete 1: answered, refused, failed, answered while draining, cancelled, overtaken
-//   c1  cancel 1     +50  50 ms pass     x  expire     ?  write down the expected wait in ms
+//   d1 r1 f1 g1 h1 o1 u1  complete 1: answered, refused, failed, answered while draining, cancelled, overtaken, caller
+//   failed c1  cancel 1     +50  50 ms pass     x  expire     ?  write down the expected wait in ms
 class Script {
 public:
     explicit Script(PoolLimits limits)
@@ -93,6 +93,7 @@
             : kind == 'f'               ? CompletionResult::Failed
             : kind == 'h'               ? CompletionResult::Cancelled
             : kind == 'o'               ? CompletionResult::Overtaken
+            : kind == 'u'               ? CompletionResult::CallerFailed
                                         : CompletionResult::Answered;
         return { result, {}, {}, kind == 'g' };
     }
@@ -193,6 +194,8 @@
         "1>a 2>a 3>a " },
     { "an endpoint that hangs until the deadlines pass", 9, 0, "=a:1,b:1 s1 +10 d1 s2 +10 d2 s3 +100 h3 s4 +100 h4 s5",
         "1>a 2>a 3>a 4>a 5>b " },
+    { "an endpoint ejected for callers that read slowly and leave", 9, 0,
+        "=a:1,b:1 s1 +10 d1 s2 +10 d2 s3 +100 u3 s4 +100 u4 s5", "1>a 2>a 3>a 4>a 5>a " },
     { "an endpoint that hangs while hedges answer for it", 9, 0, "=a:1,b:1 s1 +10 d1 s2 +10 d2 s3 +20 o3 s4 +20 o4 s5",
         "1>a 2>a 3>a 4>a 5>b " },
 };
--- a/tests/system/OutcomeTest.cpp
+++ b/tests/system/OutcomeTest.cpp
@@ -1,9 +1,10 @@
-#include "Cluster.h"
+#include "MemberStatus.h"
 #include "TableRows.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <csignal>
+#include <memory>
 
 using namespace dogwoodhall;
 
@@ -157,6 +158,52 @@
     cr_assert(cluster.runs("only") <= (outcome == "not-run" ? 0 : 1), "%s", row.name);
 }
 
+struct LeavingCallerRow {
+    const char* name;
+    TestRequest request;
+    std::size_t sentBytes; // Of the request, before the caller leaves.
+    bool readsHead = false; // Of the answer, before the caller leaves.
+};
+
+const LeavingCallerRow leavingCallerRows[] = {
+    { "before the answer", { "GET", "/a?delay_ms=1000", {}, {}, "gone" }, 1000 },
+    { "within the answer", { "GET", "/a?bytes=200000&pause_ms=1000", {}, {}, "gone" }, 1000, true },
+    { "within the body", { "POST", "/a", {}, std::string(200'000, 'x'), "gone" }, 100'000 },
+};
+
+// Guards against endpoints that are ejected, and homes that are passed by, for callers that go away.
+ParameterizedTestParameters(Outcome, leavingCallersEjectNothing) { return rowIndices(leavingCallerRows); }
+
+ParameterizedTest(std::size_t* index, Outcome, leavingCallersEjectNothing, .timeout = 120)
+{
+    const auto& row = leavingCallerRows[*index];
+    constexpr std::size_t callers = 24; // Far more than the failures in a row that eject one of two endpoints.
+    auto cluster = Cluster::Builder().upstreams(2).daemons(2).start();
+    const auto received = [&] { return cluster.received(0) + cluster.received(1); };
+    for (std::size_t n = 0; n < callers; ++n) {
+        TestClient gone(cluster.daemon(n % 2).caller);
+        gone.send(row.request.text().substr(0, row.sentBytes));
+        cr_assert(eventually([&] { return received() == n + 1; }), "%s: %zu", row.name, received());
+        if (row.readsHead)
+            cr_assert_eq(gone.readAnswer(true).status, 200);
+        gone.cut();
+        cr_assert(eventually([&] { return cluster.inUse(0) + cluster.inUse(1) == 0; }), "%s", row.name);
+    }
+    const std::size_t before[] = { cluster.received(0), cluster.received(1) };
+    std::vector<std::unique_ptr<TestClient>> last;
+    for (std::size_t n = 0; n < 4; ++n) {
+        last.push_back(std::make_unique<TestClient>(cluster.caller()));
+        last.back()->send(TestRequest { "POST", "/a?delay_ms=500", {}, {}, {} }.text());
+    }
+    for (auto& client : last)
+        cr_assert_eq(client->readAnswer().status, 200, "%s", row.name);
+    for (std::size_t n = 0; n < 2; ++n) {
+        cr_assert_eq(cluster.received(n) - before[n], 2, "%s: upstream %zu is avoided", row.name, n);
+        const auto bypassed = counterOf(cluster.daemon(n), "dogwoodhall_bypassed_homes_total");
+        cr_assert_eq(bypassed, 0, "%s: daemon %zu passed its home by", row.name, n);
+    }
+}
+
 struct QueuedRow {
     const char* name;
     const char* method;
