Probe ejected endpoints with idempotent requests only

The request that probes an endpoint after its ejection could be one that is not idempotent, and end as unknown although other endpoints would have served it. The pool now lets only idempotent requests probe. So that a service without them gets its endpoint back, an answer of the health endpoint after the end of the ejection allows any request as the probe, one at a time; it does not end the ejection, since health endpoints may mislead. A request with no other endpoint left may go to an ejected one as before.

Four rows of PoolTest; three fail where every request may probe, one of these also where health answers are ignored, and the last where a request with no other endpoint may not probe.

--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -70,7 +70,7 @@
 
 PoolRequest slotRequest(const RequestWork& work)
 {
-    return { {}, work.workClass, work.route.priority, work.deadline, work.excluded };
+    return { {}, work.workClass, work.route.priority, work.deadline, work.excluded, work.route.isIdempotent };
 }
 
 // Returns a slot with what is known of its endpoint, also where a cancellation ends the attempt.
--- a/packages/daemon/src/PoolShard.cpp
+++ b/packages/daemon/src/PoolShard.cpp
@@ -68,7 +68,7 @@
 void PoolShard::observeHealth(const ProbeTarget& target, const HealthReport& report)
 {
     Entry& entry = entryFor(target.pool);
-    entry.pool.observeLoad(target.endpoint, report.inUse);
+    entry.pool.observeLoad(target.endpoint, report.inUse, monotonicNow());
     if (report.isDraining)
         perform(target.pool, entry, entry.pool.setLeaving(target.endpoint, context()));
 }
--- a/packages/pool/include/dogwoodhall/pool/EndpointHealth.h
+++ b/packages/pool/include/dogwoodhall/pool/EndpointHealth.h
@@ -14,7 +14,8 @@
 };
 
 // What one endpoint's answers say about it. An ejected endpoint takes no work for a bounded time, and then one probe
-// request at a time until a probe shows that it has recovered.
+// request at a time until a probe shows that it has recovered. A request that is not idempotent may be the probe only
+// once the endpoint has answered a health call, or where the pool has nothing else.
 class EndpointHealth {
 public:
     enum class State {
@@ -29,6 +30,11 @@
     Duration meanServiceTime() const { return m_meanServiceTime; }
     TimePoint ejectedUntil() const { return m_ejectedUntil; }
 
+    // An answer of its health endpoint. Not trusted to end an ejection: health endpoints lag and may mislead.
+    void recordHealthAnswer(TimePoint now) { m_isHealthy = state(now) == State::Probing; }
+    // In state Probing: takes any request as the probe.
+    bool takesAnyProbe() const { return m_isHealthy; }
+
     // These return true where the endpoint should be ejected now; the owner decides, since it must not eject all.
     bool recordAnswer(Duration serviceTime, Duration typical, TimePoint now, const EndpointHealthLimits&);
     bool recordFailure(const EndpointHealthLimits&);
@@ -42,6 +48,7 @@
     unsigned m_failuresInRow = 0;
     double m_failureShare = 0;
     bool m_isEjected = false;
+    bool m_isHealthy = false; // Has answered a health call since the last ejection ended.
     unsigned m_ejectionsInRow = 0;
     TimePoint m_ejectedUntil;
 };
--- a/packages/pool/include/dogwoodhall/pool/Pool.h
+++ b/packages/pool/include/dogwoodhall/pool/Pool.h
@@ -66,7 +66,8 @@
     // Replaces the endpoints. Requests at an endpoint that is gone keep running, and count again if it comes back.
     PoolActions reconfigure(const std::vector<PoolEndpoint>&, const PoolLimits&, DecisionContext);
     PoolActions setLeaving(const EndpointId&, DecisionContext);
-    void observeLoad(const EndpointId&, SlotCount reportedInUse);
+    // What the endpoint's health endpoint answered.
+    void observeLoad(const EndpointId&, SlotCount reportedInUse, TimePoint now);
 
     // Time that a short request of normal priority, admitted now, would wait for a slot. Zero while nothing has been
     // measured, Duration::max() where no endpoint takes work.
--- a/packages/pool/include/dogwoodhall/pool/PoolActions.h
+++ b/packages/pool/include/dogwoodhall/pool/PoolActions.h
@@ -18,6 +18,7 @@
     Priority priority = Priority::Normal;
     TimePoint deadline = TimePoint::max(); // Latest start of the answer.
     std::vector<EndpointId> excluded; // Endpoints that already refused or failed this request.
+    bool isIdempotent = false; // May run twice, so that it may try whether an ejected endpoint has recovered.
 };
 
 // How a dispatched request ended at its endpoint.
--- a/packages/pool/src/EndpointHealth.cpp
+++ b/packages/pool/src/EndpointHealth.cpp
@@ -71,6 +71,7 @@
     if (state(now) == State::Ejected)
         return;
     m_isEjected = true;
+    m_isHealthy = false;
     m_ejectedUntil = now + limits.ejection * (1 << std::min(m_ejectionsInRow, mostDoublings));
     ++m_ejectionsInRow;
 }
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -133,10 +133,13 @@
     return actions;
 }
 
-void Pool::observeLoad(const EndpointId& id, SlotCount reportedInUse)
+void Pool::observeLoad(const EndpointId& id, SlotCount reportedInUse, TimePoint now)
 {
-    if (Endpoint* endpoint = find(id))
-        endpoint->reportedInUse = reportedInUse;
+    Endpoint* endpoint = find(id);
+    if (!endpoint)
+        return;
+    endpoint->reportedInUse = reportedInUse;
+    endpoint->health.recordHealthAnswer(now);
 }
 
 Pool::Endpoint* Pool::find(const EndpointId& id)
--- a/packages/pool/src/PoolPlacement.cpp
+++ b/packages/pool/src/PoolPlacement.cpp
@@ -59,7 +59,8 @@
     const auto state = endpoint.health.state(now);
     if (state == EndpointHealth::State::Ejected && !mayUseEjected)
         return false;
-    if (state == EndpointHealth::State::Probing && endpoint.inUse.count() > 0 && !mayUseEjected)
+    const bool mayProbe = request.isIdempotent || endpoint.health.takesAnyProbe();
+    if (state == EndpointHealth::State::Probing && (endpoint.inUse.count() > 0 || !mayProbe) && !mayUseEjected)
         return false;
     if (request.workClass == WorkClass::Long
         && (endpoint.longInUse >= m_limits.longSlotsPerEndpoint || m_longInUse >= longLimit()))
@@ -98,7 +99,7 @@
 // its endpoints.
 Duration Pool::expectedWait(WorkClass workClass, Priority priority, TimePoint now) const
 {
-    const PoolRequest probe { RequestId(0), workClass, priority, TimePoint::max(), {} };
+    const PoolRequest probe { RequestId(0), workClass, priority, TimePoint::max(), {}, true };
     std::size_t ahead = m_queue.lane(workClass, Priority::Normal).size();
     if (priority == Priority::Low)
         ahead += m_queue.lane(workClass, Priority::Low).size();
--- a/packages/pool/tests/PoolTest.cpp
+++ b/packages/pool/tests/PoolTest.cpp
@@ -25,9 +25,11 @@
 
 // Runs a script of steps against a pool and writes down what it does. Steps, separated by spaces:
 //   =a:2,b:1!  reconfigure: endpoints with slots, "!" for leaving     Ea  setLeaving(a)
-//   s1 l1 w1   admit 1 as short, long, or short of low priority; "@50" adds a deadline at 50 ms, "-a" excludes a
-//   d1 r1 f1 g1 h1 o1 u1  complete 1: answered, refused, failed, answered while draining, cancelled, overtaken, caller
-//   failed c1  cancel 1     +50  50 ms pass     x  expire     ?  write down the expected wait in ms
+//   s1 l1 w1 n1  admit 1 as short, long, short of low priority, or short and not idempotent; "@50" adds a deadline at
+//              50 ms, "-a" excludes a
+//   d1 r1 f1 g1 h1 o1  complete 1: answered, refused, failed, answered while draining, cancelled, overtaken
+//   u1         complete 1: its caller failed     Ha  a answers a health call
+//   c1  cancel 1     +50  50 ms pass     x  expire     ?  write down the expected wait in ms
 class Script {
 public:
     explicit Script(PoolLimits limits)
@@ -52,8 +54,10 @@
             write(m_pool.reconfigure(endpoints(rest), m_limits, context));
         else if (kind == 'E')
             write(m_pool.setLeaving(EndpointId(rest), context));
-        else if (kind == 's' || kind == 'l' || kind == 'w')
+        else if (kind == 's' || kind == 'l' || kind == 'w' || kind == 'n')
             write(m_pool.admit(request(kind, rest), context));
+        else if (kind == 'H')
+            m_pool.observeLoad(EndpointId(rest), SlotCount(0), m_now);
         else if (kind == 'c')
             write(m_pool.cancel(RequestId(std::stoul(rest)), context));
         else if (kind == '+')
@@ -79,7 +83,7 @@
     static PoolRequest request(char kind, const std::string& text)
     {
         PoolRequest request { RequestId(std::stoul(text)), kind == 'l' ? WorkClass::Long : WorkClass::Short,
-            kind == 'w' ? Priority::Low : Priority::Normal, TimePoint::max(), {} };
+            kind == 'w' ? Priority::Low : Priority::Normal, TimePoint::max(), {}, kind != 'n' };
         if (const auto at = text.find('@'); at != std::string::npos)
             request.deadline = TimePoint(std::chrono::milliseconds(std::stoul(text.substr(at + 1))));
         if (const auto at = text.find('-'); at != std::string::npos)
@@ -188,6 +192,11 @@
     { "ejecting every endpoint", 9, 0, "=a:1,b:1 s1 f1 s2 f2 s3 f3 s4 f4 s5", "1>a 2>a 3>b 4>b 5>b " },
     { "an ejected endpoint that is never tried again", 9, 0, "=a:1,b:2 s1 f1 s2 f2 s3 f3 +100 s4 d4 s5 s6",
         "1>b 2>b 3>a 4>b 5>b 6>a " },
+    { "a probe that must not run twice", 9, 0, "=a:1,b:2 s1 f1 s2 f2 +100 n3 s4", "1>b 2>b 3>a 4>b " },
+    { "an endpoint lost to a service without idempotent requests", 9, 0, "=a:1,b:2 s1 f1 s2 f2 +100 Hb n3 f3 +200 n4",
+        "1>b 2>b 3>b 4>a " },
+    { "a health answer from before the end of the ejection", 9, 0, "=a:1,b:2 s1 f1 s2 f2 Hb +100 n3", "1>b 2>b 3>a " },
+    { "no endpoint left for what must not run twice", 9, 0, "=a:1,b:2 s1 f1 s2 f2 +100 n3-a", "1>b 2>b 3>b " },
     { "more than one probe at a time", 9, 0, "=a:1,b:2 s1 f1 s2 f2 +100 s3 s4 s5 f3", "1>b 2>b 3>b 4>a t300 " },
     { "no timer for the end of an ejection", 9, 0, "=a:1,b:1 s1 f1 s2 f2 s3 s4 +100 x", "1>a 2>a 3>b t100 4>a " },
     { "a retry waiting for the end of an ejection where it excludes the others", 9, 0, "=a:1,b:1 s1 f1 s2 f2 s3-b",
