Apply a changed retry share to services in use

RequestRunner kept the share with which a service's retry budget was made, so that a changed retrySharePercent held only for services not yet served. RetryBudget::setShare() changes it, and is called with the share in force for each request; what is left of the budget stays.

Two rows of RequestLifecycleTest; "share raised" fails where setShare() does nothing. The call in RequestRunner was not run by a test of its own.

--- a/packages/budget/include/dogwoodhall/budget/RetryBudget.h
+++ b/packages/budget/include/dogwoodhall/budget/RetryBudget.h
@@ -10,6 +10,9 @@
     // `reserve` retries may be made before any success; at most `reserve` unused ones are kept.
     RetryBudget(Fraction share, unsigned reserve);
 
+    // Holds for the successes from now on; what is left of the budget stays.
+    void setShare(Fraction share) { m_share = share; }
+
     void recordSuccess();
     // Takes one retry from the budget; false where none is left.
     bool tryTake();
--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -184,7 +184,9 @@
 {
     const auto* service = m_snapshot->routes.service(id);
     const Fraction share = service ? service->limits.retryShare : Fraction(0.1);
-    return m_retryBudgets.try_emplace(id, share, retryReserve).first->second;
+    RetryBudget& budget = m_retryBudgets.try_emplace(id, share, retryReserve).first->second;
+    budget.setShare(share);
+    return budget;
 }
 
 } // namespace dogwoodhall
--- a/packages/request/tests/RequestLifecycleTest.cpp
+++ b/packages/request/tests/RequestLifecycleTest.cpp
@@ -16,6 +16,8 @@
     unsigned budget;
     unsigned expectedAttempts;
     Outcome expectedOutcome;
+    // Of successes; where it is set, the budget is spent before the share changes, and one request succeeds after it.
+    std::optional<double> changedShare = {};
 };
 
 const LifecycleRow rows[] = {
@@ -27,6 +29,8 @@
     { "lost lookup", true, false, true, true, 10, 2, Outcome::Unknown },
     { "lost lookup, no budget", true, false, true, true, 0, 1, Outcome::Unknown },
     { "refused lookup", true, true, true, true, 10, 2, Outcome::NotRun },
+    { "refused lookup, share raised", true, true, true, true, 1, 2, Outcome::NotRun, 1 },
+    { "refused lookup, share lowered", true, true, true, true, 1, 1, Outcome::NotRun, 0 },
 };
 
 // Guards against a second run of a request that is not idempotent, and against not-run without proof.
@@ -36,6 +40,11 @@
 {
     const LifecycleRow& row = rows[*index];
     RetryBudget budget(Fraction(0.1), row.budget);
+    if (row.changedShare) {
+        budget.tryTake();
+        budget.setShare(Fraction(*row.changedShare));
+        budget.recordSuccess();
+    }
     RequestLifecycle request(row.isIdempotent, 2);
     request.attemptStarted();
     auto next = request.attemptFailed({ ErrorKind::UpstreamFailed, row.firstProven, row.replayable, true }, budget);
