Decide in PoolChooser which data centres are of another region

PoolDirectory took a data centre that the topology does not name for a near one, PoolChooser for one of another region, so that the same request was charged to the link budget or not by the way its pool was found. PoolChooser::isOtherRegion() decides for both: an unnamed data centre is of another region, except the member's own. The choice of the nearest pool where none is reachable moves from PoolDirectory to PoolChooser::chooseNearest().

Seven rows of PoolChooserTest; the two with an unnamed data centre elsewhere fail with PoolDirectory's former rule.

--- a/packages/daemon/include/dogwoodhall/daemon/PoolDirectory.h
+++ b/packages/daemon/include/dogwoodhall/daemon/PoolDirectory.h
@@ -29,7 +29,6 @@
 
 private:
     std::vector<PoolState> statesOf(const ServiceId&, TimePoint now) const;
-    bool isOtherRegion(const DataCentreId&) const;
     std::optional<PoolId> toPool(const ServiceId&, const std::optional<PoolChoice>&);
 
     TrafficServices& m_services;
--- a/packages/daemon/src/PoolDirectory.cpp
+++ b/packages/daemon/src/PoolDirectory.cpp
@@ -1,6 +1,5 @@
 #include "dogwoodhall/daemon/PoolDirectory.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace dogwoodhall {
@@ -57,23 +56,12 @@
 {
     const TimePoint now = monotonicNow();
     auto states = statesOf(service, now);
-    if (states.empty())
-        return std::nullopt;
     auto pool = toPool(service, m_chooser.choose(states, estimateFor(workClass), m_links, { now, m_services.random }));
     if (pool)
         return pool;
-    // No pool has a live home that this member hears, or the links are spent: the request goes to its own data centre,
-    // or to the first that needs no link, and is placed by this process's own counts.
-    const auto own = std::find_if(states.begin(), states.end(),
-        [&](const PoolState& state) { return state.dataCentre == m_services.dataCentre; });
-    const auto near = std::find_if(
-        states.begin(), states.end(), [&](const PoolState& state) { return !isOtherRegion(state.dataCentre); });
-    const auto& nearest = own != states.end() ? own : near;
-    if (nearest != states.end())
-        return PoolId { service, nearest->dataCentre };
-    if (!m_links.tryTake(estimateFor(workClass), now))
-        return std::nullopt;
-    return PoolId { service, states.front().dataCentre };
+    // No pool has a live home that this member hears, or the links are spent: placed by this process's own counts.
+    const auto nearest = m_chooser.chooseNearest(states, estimateFor(workClass), m_links, now);
+    return nearest ? std::make_optional(PoolId { service, nearest->dataCentre }) : std::nullopt;
 }
 
 std::optional<PoolId> PoolDirectory::chooseAfterRefusal(
@@ -97,15 +85,8 @@
 void PoolDirectory::recordBytes(const PoolId& pool, WorkClass workClass, ByteCount bytes)
 {
     const ByteCount estimate = estimateFor(workClass);
-    if (isOtherRegion(pool.dataCentre) && bytes > estimate)
+    if (m_chooser.isOtherRegion(pool.dataCentre) && bytes > estimate)
         m_links.charge(bytes - estimate, monotonicNow());
 }
 
-bool PoolDirectory::isOtherRegion(const DataCentreId& dataCentre) const
-{
-    const auto own = m_snapshot->topology.regionOf(m_services.dataCentre);
-    const auto other = m_snapshot->topology.regionOf(dataCentre);
-    return own && other && *own != *other;
-}
-
 } // namespace dogwoodhall
--- a/packages/routing/include/dogwoodhall/routing/PoolChooser.h
+++ b/packages/routing/include/dogwoodhall/routing/PoolChooser.h
@@ -63,6 +63,15 @@
     std::optional<PoolChoice> chooseAfterRefusal(const std::vector<PoolState>&, const std::vector<PoolRefusal>&,
         ByteCount expectedBytes, LinkBudget&, DecisionContext);
 
+    // Where choose() finds none: the own data centre's pool, else one in the own region, else one in another region
+    // that the link budget allows, reachable or not.
+    std::optional<PoolChoice> chooseNearest(
+        const std::vector<PoolState>&, ByteCount expectedBytes, LinkBudget&, TimePoint now) const;
+
+    // Whether traffic to this data centre is charged to the link budget. One that the topology does not name counts as
+    // of another region, so that a link that must be paid for is not used without a bound.
+    bool isOtherRegion(const DataCentreId&) const;
+
 private:
     using Refusals = std::vector<PoolRefusal>;
 
@@ -72,7 +81,7 @@
     // A pool elsewhere whose wait is at most `within` its region or `across` regions; charges the link for the latter.
     std::optional<PoolChoice> chooseElsewhere(const std::vector<PoolState>&, const Refusals&, Duration within,
         Duration across, ByteCount expectedBytes, LinkBudget&, DecisionContext);
-    std::optional<PoolChoice> pick(const std::vector<PoolState>&, const Refusals&, bool isOtherRegion,
+    std::optional<PoolChoice> pick(const std::vector<PoolState>&, const Refusals&, bool inOtherRegion,
         Duration longestWait, Duration oldest, RandomEngine&) const;
 
     TopologyDeclaration m_topology;
--- a/packages/routing/src/PoolChooser.cpp
+++ b/packages/routing/src/PoolChooser.cpp
@@ -113,23 +113,43 @@
     return picked;
 }
 
-// A data centre that the topology does not name counts as one of another region.
 std::optional<PoolChoice> PoolChooser::pick(const std::vector<PoolState>& states, const Refusals& refusals,
-    bool isOtherRegion, Duration longestWait, Duration oldest, RandomEngine& random) const
+    bool inOtherRegion, Duration longestWait, Duration oldest, RandomEngine& random) const
 {
     std::optional<PoolChoice> picked;
     std::size_t suitable = 0;
     for (const auto& state : states) {
         if (state.dataCentre == m_own || !takesWork(state) || hasRefused(refusals, state.dataCentre))
             continue;
-        const auto region = m_topology.regionOf(state.dataCentre);
-        const bool isElsewhere = !region || region != m_ownRegion;
-        if (isElsewhere != isOtherRegion || state.expectedWait > longestWait || state.age > oldest)
+        if (isOtherRegion(state.dataCentre) != inOtherRegion || state.expectedWait > longestWait || state.age > oldest)
             continue;
         if (std::uniform_int_distribution<std::size_t>(0, suitable++)(random) == 0)
-            picked = PoolChoice { state.dataCentre, isOtherRegion };
+            picked = PoolChoice { state.dataCentre, inOtherRegion };
     }
     return picked;
 }
 
+std::optional<PoolChoice> PoolChooser::chooseNearest(
+    const std::vector<PoolState>& states, ByteCount expectedBytes, LinkBudget& link, TimePoint now) const
+{
+    const auto own
+        = std::find_if(states.begin(), states.end(), [&](const PoolState& state) { return state.dataCentre == m_own; });
+    const auto near = std::find_if(
+        states.begin(), states.end(), [&](const PoolState& state) { return !isOtherRegion(state.dataCentre); });
+    const auto& nearest = own != states.end() ? own : near;
+    if (nearest != states.end())
+        return PoolChoice { nearest->dataCentre, false };
+    if (states.empty() || !link.tryTake(expectedBytes, now))
+        return std::nullopt;
+    return PoolChoice { states.front().dataCentre, true };
+}
+
+bool PoolChooser::isOtherRegion(const DataCentreId& dataCentre) const
+{
+    if (dataCentre == m_own)
+        return false;
+    const auto region = m_topology.regionOf(dataCentre);
+    return !region || region != m_ownRegion;
+}
+
 } // namespace dogwoodhall
--- a/packages/routing/tests/PoolChooserTest.cpp
+++ b/packages/routing/tests/PoolChooserTest.cpp
@@ -11,11 +11,14 @@
 
 struct ChooserRow {
     const char* guardsAgainst;
-    int waitMs[4]; // Of a1 (own) and a2 in one region, b1 and b2 in another; -1: unreachable, -2: takes no work.
+    int waitMs[4]; // Of a1 (own) and a2 in one region, b1 and b2 in another; -1: unreachable, -2: takes no work, -3:
+                   // none.
     unsigned linkBytes; // Left in the link budget; each request takes 100.
     const char* chosen; // All that may be chosen, in order; empty: none.
     // Pools that refused: "-" for lack of endpoints, "+" for lack of room, "!" since the deadline passed.
     const char* refusals = "";
+    bool isNearest = false; // Chosen where nothing is reachable.
+    const char* unnamed = ""; // A data centre that the topology does not name.
 };
 
 const ChooserRow rows[] = {
@@ -39,6 +42,13 @@
     { "a request without end where nothing answers", { 0, 0, 0, 0 }, 1000, "", "a1- a2- c1- c2-" },
     { "another attempt after the deadline", { 0, 0, 0, 0 }, 1000, "", "a1!" },
     { "crossing regions for dead endpoints beyond the budget", { 0, 0, 0, 0 }, 50, "", "a1- a2-" },
+    { "leaving the own data centre where nothing is reachable", { -1, -1, -1, -1 }, 1000, "a1 ", "", true },
+    { "crossing regions before the own one", { -3, -1, -1, -1 }, 50, "a2 ", "", true },
+    { "an unreachable region that is not tried", { -3, -3, -1, -1 }, 1000, "b1 ", "", true },
+    { "an unreachable region tried beyond the link budget", { -3, -3, -1, -1 }, 50, "", "", true },
+    { "an unnamed data centre taken for a near one", { -3, -1, -3, -3 }, 50, "", "", true, "a2" },
+    { "an unnamed own data centre taken for a far one", { -1, -1, -1, -1 }, 50, "a1 ", "", true, "a1" },
+    { "spilling to an unnamed data centre beyond the link budget", { 90, 0, -3, -3 }, 50, "a1 ", "", false, "a2" },
 };
 
 namespace {
@@ -67,7 +77,10 @@
     TopologyDeclaration topology;
     std::vector<PoolState> states;
     for (std::size_t n = 0; n < 4; ++n) {
-        topology.dataCentres.push_back({ DataCentreId(names[n]), RegionId(std::string(1, names[n][0])) });
+        if (std::string(names[n]) != row.unnamed)
+            topology.dataCentres.push_back({ DataCentreId(names[n]), RegionId(std::string(1, names[n][0])) });
+        if (row.waitMs[n] == -3)
+            continue;
         const Duration wait = row.waitMs[n] == -2 ? Duration::max() : std::chrono::milliseconds(row.waitMs[n]);
         states.push_back({ DataCentreId(names[n]), wait, row.waitMs[n] != -1, {} });
     }
@@ -79,9 +92,9 @@
         link.charge(ByteCount(1000 - row.linkBytes), TimePoint());
         PoolChooser chooser(topology, DataCentreId("a1"));
         const DecisionContext context { TimePoint(), random };
-        const auto choice = refusals.empty()
-            ? chooser.choose(states, ByteCount(100), link, context)
-            : chooser.chooseAfterRefusal(states, refusals, ByteCount(100), link, context);
+        const auto choice = row.isNearest ? chooser.chooseNearest(states, ByteCount(100), link, TimePoint())
+            : refusals.empty()            ? chooser.choose(states, ByteCount(100), link, context)
+                                          : chooser.chooseAfterRefusal(states, refusals, ByteCount(100), link, context);
         if (choice)
             seen.insert(choice->dataCentre.value());
         const bool isCharged = link.available(TimePoint()) < row.linkBytes;
