Count requests with bodies above 64 KB as long work

A slow sender of a body above 64 KB held a slot as short work while it sent, so that a few of them kept every slot of a pool from short requests. A body that is late at the deadline is now the caller's request-timeout; it was deadline-exceeded, and counted as a failure of the endpoint.

Three rows of OutcomeTest.

--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -107,6 +107,9 @@
             const AnswerWithError error { prefetched.error().kind, Outcome::NotRun };
             co_return co_await answer(work, writer, error);
         }
+        // Its sender may be slow and holds a slot meanwhile: no more of them than the share of long work.
+        if (!work.body.hasEnded())
+            work.workClass = *(work.route.workClass = WorkClass::Long);
     }
     while (true) {
         const auto result = co_await m_attempts.attempt(work, writer);
--- a/packages/exchange/include/dogwoodhall/exchange/ReplayableBody.h
+++ b/packages/exchange/include/dogwoodhall/exchange/ReplayableBody.h
@@ -18,6 +18,8 @@
     // Reading starts at the first byte afterwards.
     ExchangeResult<void> prefetch();
 
+    // The body has been read to its end.
+    bool hasEnded() const { return m_ended; }
     bool canRewind() const { return !m_overflowed; }
     void rewind();
 
--- a/packages/http/include/dogwoodhall/http/UpstreamClient.h
+++ b/packages/http/include/dogwoodhall/http/UpstreamClient.h
@@ -29,7 +29,8 @@
     ~UpstreamClient();
 
     // Sends the request and gives the answer once its head has arrived, by `deadline` on the steady clock. The error
-    // is proven not-run only where no byte was handed to a connection. An error of the request's own body is passed on;
+    // is proven not-run only where no byte was handed to a connection. An error of the request's own body is passed on,
+    // and is RequestTimeout where the body is what was late at the deadline;
     // Cancelled means that this call was cancelled.
     ExchangeResult<IncomingResponse> exchange(
         const NetworkAddress&, OutgoingRequest, std::chrono::steady_clock::time_point deadline);
@@ -40,7 +41,7 @@
     class Connection;
 
     ExchangeResult<ConnectionId> acquire(const NetworkAddress&, std::chrono::steady_clock::time_point deadline);
-    ExchangeResult<void> send(Connection&, OutgoingRequest&);
+    ExchangeResult<void> send(Connection&, OutgoingRequest&, std::chrono::steady_clock::time_point deadline);
     ExchangeResult<ResponseHead> readHead(Connection&);
     std::string newExchangeId();
     ExchangeResult<std::size_t> readBody(ConnectionId, asio::mutable_buffer);
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -48,14 +48,19 @@
 }
 
 // Apart from send(), so that the frame of a request without a body does not hold the buffer.
-ExchangeResult<void> sendBody(
-    beast::tcp_stream& stream, BodyRequest& message, RequestSerializer& serializer, const ReadBody& readBody)
+ExchangeResult<void> sendBody(beast::tcp_stream& stream, BodyRequest& message, RequestSerializer& serializer,
+    const ReadBody& readBody, std::chrono::steady_clock::time_point deadline)
 {
     std::array<char, relayBufferBytes> buf;
     while (!serializer.is_done()) {
         auto n = co_await readBody(asio::buffer(buf));
         if (!n)
             co_return tl::unexpected(n.error());
+        // The endpoint has taken all that was sent: the sender is late, not the endpoint.
+        if (std::chrono::steady_clock::now() >= deadline) {
+            ExchangeError error { ErrorKind::RequestTimeout, false, "body not sent by the deadline" };
+            co_return tl::unexpected(std::move(error));
+        }
         message.body().data = *n == 0 ? nullptr : buf.data();
         message.body().size = *n;
         message.body().more = *n != 0;
@@ -147,7 +152,7 @@
     connection.isHead = request.head.method == "HEAD";
     connection.exchangeId = newExchangeId();
     connection.resetParser();
-    if (auto sent = co_await send(connection, request); !sent)
+    if (auto sent = co_await send(connection, request, deadline); !sent)
         co_return tl::unexpected(sent.error());
     auto head = co_await readHead(connection);
     if (!head)
@@ -179,7 +184,8 @@
     co_return id;
 }
 
-ExchangeResult<void> UpstreamClient::send(Connection& connection, OutgoingRequest& request)
+ExchangeResult<void> UpstreamClient::send(
+    Connection& connection, OutgoingRequest& request, std::chrono::steady_clock::time_point deadline)
 {
     BodyRequest message;
     message.version(11);
@@ -203,7 +209,7 @@
         co_return failure(ErrorKind::UpstreamFailed, false, ec);
     if (!hasBody)
         co_return tl::expected<void, ExchangeError> {};
-    co_return co_await sendBody(connection.stream, message, serializer, request.readBody);
+    co_return co_await sendBody(connection.stream, message, serializer, request.readBody, deadline);
 }
 
 ExchangeResult<ResponseHead> UpstreamClient::readHead(Connection& connection)
--- a/tests/system/OutcomeTest.cpp
+++ b/tests/system/OutcomeTest.cpp
@@ -204,6 +204,56 @@
     }
 }
 
+struct SlowSenderRow {
+    const char* name;
+    std::size_t daemons; // Two: the requests come to the pool with permits of its home.
+    const char* fields; // Of the uploads.
+    unsigned status;
+};
+
+const SlowSenderRow slowSenderRows[] = {
+    { "at the home", 1, "", 200 },
+    { "with permits", 2, "", 200 },
+    { "later than the deadline", 1, "Dogwoodhall-Deadline-Ms: 700\r\n", 408 },
+};
+
+// Guards against short requests that wait while slow senders of large bodies hold the slots, and against an endpoint
+// that is blamed for them.
+ParameterizedTestParameters(Outcome, slowSendersLeaveRoom) { return rowIndices(slowSenderRows); }
+
+ParameterizedTest(std::size_t* index, Outcome, slowSendersLeaveRoom, .timeout = 120)
+{
+    const auto& row = slowSenderRows[*index];
+    constexpr std::size_t senders = 6; // More than the slots of the endpoint and the allowance.
+    constexpr std::size_t sentBytes = 100'000;
+    auto cluster = Cluster::Builder().daemons(row.daemons).start();
+    const auto home = row.daemons == 1 ? std::string() : agreedHome({ &cluster.daemon(0), &cluster.daemon(1) });
+    const auto& entry = cluster.daemon(row.daemons == 2 && home == cluster.daemon(0).name ? 1 : 0);
+    const auto upload = TestRequest { "POST", "/a", row.fields, std::string(200'000, 'x'), {} }.text();
+    std::vector<std::unique_ptr<TestClient>> slow;
+    for (std::size_t n = 0; n < senders; ++n) {
+        slow.push_back(std::make_unique<TestClient>(entry.caller));
+        slow.back()->send(upload.substr(0, sentBytes));
+    }
+    cr_assert(eventually([&] { return cluster.inUse(0) > 0; }), "%s: no upload", row.name);
+    for (std::size_t n = 0; n < 10; ++n) {
+        const auto answer = call(entry.caller, { "POST", "/a", {}, "order", {} });
+        cr_assert_eq(answer.status, 200, "%s: short request got %u", row.name, answer.status);
+        // An upload, and the short request where the endpoint has not ended it yet.
+        const auto inUse = cluster.inUse(0);
+        cr_assert_leq(inUse, 2, "%s: %zu slots in use", row.name, inUse);
+    }
+    if (row.status != 200)
+        ::usleep(800'000);
+    for (auto& sender : slow)
+        sender->send(std::string_view(upload).substr(sentBytes));
+    std::size_t expected = 0;
+    for (auto& sender : slow)
+        expected += sender->readAnswer().status == row.status ? 1 : 0;
+    // Those that wait for a slot until the deadline are refused.
+    cr_assert_eq(expected, row.status == 200 ? senders : 1, "%s: %zu got %u", row.name, expected, row.status);
+}
+
 struct QueuedRow {
     const char* name;
     const char* method;
