--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -108,6 +108,9 @@
             const AnswerWithError error { prefetched.error().kind, Outcome::NotRun };
             co_return co_await answer(work, writer, error);
         }
+        // Its sender may be slow and holds a slot meanwhile: no more of them than the share of long work.
+        if (!work.body.hasEnded())
+            work.workClass = *(work.route.workClass = WorkClass::Long);
     }
     while (true) {
         const auto result = co_await m_attempts.attempt(work, writer);
@@ -187,7 +190,9 @@
 {
     const auto* service = m_snapshot->routes.service(id);
     const Fraction share = service ? service->limits.retryShare : Fraction(0.1);
-    return m_retryBudgets.try_emplace(id, share, retryReserve).first->second;
+    RetryBudget& budget = m_retryBudgets.try_emplace(id, share, retryReserve).first->second;
+    budget.setShare(share);
+    return budget;
 }
 
 } // namespace dogwoodhall
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -33,6 +33,9 @@
 {
     if (ec == beast::error::timeout)
         kind = ErrorKind::DeadlineExceeded;
+    // Nothing closes a connection in use but the cancellation of its request.
+    if (ec == asio::error::operation_aborted)
+        kind = ErrorKind::Cancelled;
     return tl::unexpected(ExchangeError { kind, provenNotRun, ec.message() });
 }
 
@@ -46,14 +49,19 @@
 }
 
 // Apart from send(), so that the frame of a request without a body does not hold the buffer.
-ExchangeResult<void> sendBody(
-    beast::tcp_stream& stream, BodyRequest& message, RequestSerializer& serializer, const ReadBody& readBody)
+ExchangeResult<void> sendBody(beast::tcp_stream& stream, BodyRequest& message, RequestSerializer& serializer,
+    const ReadBody& readBody, std::chrono::steady_clock::time_point deadline)
 {
     std::array<char, relayBufferBytes> buf;
     while (!serializer.is_done()) {
         auto n = co_await readBody(asio::buffer(buf));
         if (!n)
             co_return tl::unexpected(n.error());
+        // The endpoint has taken all that was sent: the sender is late, not the endpoint.
+        if (std::chrono::steady_clock::now() >= deadline) {
+            ExchangeError error { ErrorKind::RequestTimeout, false, "body not sent by the deadline" };
+            co_return tl::unexpected(std::move(error));
+        }
         message.body().data = *n == 0 ? nullptr : buf.data();
         message.body().size = *n;
         message.body().more = *n != 0;
@@ -145,7 +153,7 @@
     connection.isHead = request.head.method == "HEAD";
     connection.exchangeId = newExchangeId();
     connection.resetParser();
-    if (auto sent = co_await send(connection, request); !sent)
+    if (auto sent = co_await send(connection, request, deadline); !sent)
         co_return tl::unexpected(sent.error());
     auto head = co_await readHead(connection);
     if (!head)
@@ -170,14 +178,15 @@
     connection->stream.expires_at(std::min(deadline, connectBy));
     auto [ec] = co_await connection->stream.async_connect(target, useTuple);
     if (ec)
-        co_return tl::unexpected(ExchangeError { ErrorKind::UpstreamFailed, true, ec.message() });
+        co_return failure(ErrorKind::UpstreamFailed, true, ec == beast::error::timeout ? asio::error::timed_out : ec);
     beast::error_code optionError;
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), optionError);
     m_connections.emplace(id, std::move(connection));
     co_return id;
 }
 
-ExchangeResult<void> UpstreamClient::send(Connection& connection, OutgoingRequest& request)
+ExchangeResult<void> UpstreamClient::send(
+    Connection& connection, OutgoingRequest& request, std::chrono::steady_clock::time_point deadline)
 {
     BodyRequest message;
     message.version(11);
@@ -201,7 +210,7 @@
         co_return failure(ErrorKind::UpstreamFailed, false, ec);
     if (!hasBody)
         co_return tl::expected<void, ExchangeError> {};
-    co_return co_await sendBody(connection.stream, message, serializer, request.readBody);
+    co_return co_await sendBody(connection.stream, message, serializer, request.readBody, deadline);
 }
 
 ExchangeResult<ResponseHead> UpstreamClient::readHead(Connection& connection)
@@ -246,7 +255,7 @@
         auto [ec, n] = co_await http::async_read_some(connection.stream, connection.buffer, parser, useTuple);
         if (ec && ec != http::error::need_buffer) {
             close(id);
-            co_return tl::unexpected(ExchangeError { ErrorKind::UpstreamTruncated, false, ec.message() });
+            co_return failure(ErrorKind::UpstreamTruncated, false, ec);
         }
         size = buf.size() - parser.get().body().size;
     }
--- a/packages/pool/include/dogwoodhall/pool/Pool.h
+++ b/packages/pool/include/dogwoodhall/pool/Pool.h
@@ -66,7 +66,8 @@
     // Replaces the endpoints. Requests at an endpoint that is gone keep running, and count again if it comes back.
     PoolActions reconfigure(const std::vector<PoolEndpoint>&, const PoolLimits&, DecisionContext);
     PoolActions setLeaving(const EndpointId&, DecisionContext);
-    void observeLoad(const EndpointId&, SlotCount reportedInUse);
+    // What the endpoint's health endpoint answered.
+    void observeLoad(const EndpointId&, SlotCount reportedInUse, TimePoint now);
     // From here to an endpoint of the pool and back, without service.
     void observeRoundTrip(Duration roundTrip) { m_allowance.observeRoundTrip(roundTrip); }
 
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -134,10 +134,13 @@
     return actions;
 }
 
-void Pool::observeLoad(const EndpointId& id, SlotCount reportedInUse)
+void Pool::observeLoad(const EndpointId& id, SlotCount reportedInUse, TimePoint now)
 {
-    if (Endpoint* endpoint = find(id))
-        endpoint->reportedInUse = reportedInUse;
+    Endpoint* endpoint = find(id);
+    if (!endpoint)
+        return;
+    endpoint->reportedInUse = reportedInUse;
+    endpoint->health.recordHealthAnswer(now);
 }
 
 Pool::Endpoint* Pool::find(const EndpointId& id)
@@ -203,6 +206,8 @@
         if (isShort && m_typicalTime.count() > 0 && held > m_limits.health.slowFactor * m_typicalTime)
             shouldEject = endpoint.health.recordFailure(m_limits.health);
         break;
+    case CompletionResult::CallerFailed:
+        break;
     }
     if (shouldEject)
         eject(endpoint, now);
--- a/tests/system/OutcomeTest.cpp
+++ b/tests/system/OutcomeTest.cpp
@@ -1,9 +1,10 @@
-#include "Cluster.h"
+#include "MemberStatus.h"
 #include "TableRows.h"
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <csignal>
+#include <memory>
 
 using namespace dogwoodhall;
 
@@ -157,6 +158,102 @@
     cr_assert(cluster.runs("only") <= (outcome == "not-run" ? 0 : 1), "%s", row.name);
 }
 
+struct LeavingCallerRow {
+    const char* name;
+    TestRequest request;
+    std::size_t sentBytes; // Of the request, before the caller leaves.
+    bool readsHead = false; // Of the answer, before the caller leaves.
+};
+
+const LeavingCallerRow leavingCallerRows[] = {
+    { "before the answer", { "GET", "/a?delay_ms=1000", {}, {}, "gone" }, 1000 },
+    { "within the answer", { "GET", "/a?bytes=200000&pause_ms=1000", {}, {}, "gone" }, 1000, true },
+    { "within the body", { "POST", "/a", {}, std::string(200'000, 'x'), "gone" }, 100'000 },
+};
+
+// Guards against endpoints that are ejected, and homes that are passed by, for callers that go away.
+ParameterizedTestParameters(Outcome, leavingCallersEjectNothing) { return rowIndices(leavingCallerRows); }
+
+ParameterizedTest(std::size_t* index, Outcome, leavingCallersEjectNothing, .timeout = 120)
+{
+    const auto& row = leavingCallerRows[*index];
+    constexpr std::size_t callers = 24; // Far more than the failures in a row that eject one of two endpoints.
+    auto cluster = Cluster::Builder().upstreams(2).daemons(2).start();
+    const auto received = [&] { return cluster.received(0) + cluster.received(1); };
+    for (std::size_t n = 0; n < callers; ++n) {
+        TestClient gone(cluster.daemon(n % 2).caller);
+        gone.send(row.request.text().substr(0, row.sentBytes));
+        cr_assert(eventually([&] { return received() == n + 1; }), "%s: %zu", row.name, received());
+        if (row.readsHead)
+            cr_assert_eq(gone.readAnswer(true).status, 200);
+        gone.cut();
+        cr_assert(eventually([&] { return cluster.inUse(0) + cluster.inUse(1) == 0; }), "%s", row.name);
+    }
+    const std::size_t before[] = { cluster.received(0), cluster.received(1) };
+    std::vector<std::unique_ptr<TestClient>> last;
+    for (std::size_t n = 0; n < 4; ++n) {
+        last.push_back(std::make_unique<TestClient>(cluster.caller()));
+        last.back()->send(TestRequest { "POST", "/a?delay_ms=500", {}, {}, {} }.text());
+    }
+    for (auto& client : last)
+        cr_assert_eq(client->readAnswer().status, 200, "%s", row.name);
+    for (std::size_t n = 0; n < 2; ++n) {
+        cr_assert_eq(cluster.received(n) - before[n], 2, "%s: upstream %zu is avoided", row.name, n);
+        const auto bypassed = counterOf(cluster.daemon(n), "dogwoodhall_bypassed_homes_total");
+        cr_assert_eq(bypassed, 0, "%s: daemon %zu passed its home by", row.name, n);
+    }
+}
+
+struct SlowSenderRow {
+    const char* name;
+    std::size_t daemons; // Two: the requests come to the pool with permits of its home.
+    const char* fields; // Of the uploads.
+    unsigned status;
+};
+
+const SlowSenderRow slowSenderRows[] = {
+    { "at the home", 1, "", 200 },
+    { "with permits", 2, "", 200 },
+    { "later than the deadline", 1, "Dogwoodhall-Deadline-Ms: 700\r\n", 408 },
+};
+
+// Guards against short requests that wait while slow senders of large bodies hold the slots, and against an endpoint
+// that is blamed for them.
+ParameterizedTestParameters(Outcome, slowSendersLeaveRoom) { return rowIndices(slowSenderRows); }
+
+ParameterizedTest(std::size_t* index, Outcome, slowSendersLeaveRoom, .timeout = 120)
+{
+    const auto& row = slowSenderRows[*index];
+    constexpr std::size_t senders = 6; // More than the slots of the endpoint and the allowance.
+    constexpr std::size_t sentBytes = 100'000;
+    auto cluster = Cluster::Builder().daemons(row.daemons).start();
+    const auto home = row.daemons == 1 ? std::string() : agreedHome({ &cluster.daemon(0), &cluster.daemon(1) });
+    const auto& entry = cluster.daemon(row.daemons == 2 && home == cluster.daemon(0).name ? 1 : 0);
+    const auto upload = TestRequest { "POST", "/a", row.fields, std::string(200'000, 'x'), {} }.text();
+    std::vector<std::unique_ptr<TestClient>> slow;
+    for (std::size_t n = 0; n < senders; ++n) {
+        slow.push_back(std::make_unique<TestClient>(entry.caller));
+        slow.back()->send(upload.substr(0, sentBytes));
+    }
+    cr_assert(eventually([&] { return cluster.inUse(0) > 0; }), "%s: no upload", row.name);
+    for (std::size_t n = 0; n < 10; ++n) {
+        const auto answer = call(entry.caller, { "POST", "/a", {}, "order", {} });
+        cr_assert_eq(answer.status, 200, "%s: short request got %u", row.name, answer.status);
+        // An upload, and the short request where the endpoint has not ended it yet.
+        const auto inUse = cluster.inUse(0);
+        cr_assert_leq(inUse, 2, "%s: %zu slots in use", row.name, inUse);
+    }
+    if (row.status != 200)
+        ::usleep(800'000);
+    for (auto& sender : slow)
+        sender->send(std::string_view(upload).substr(sentBytes));
+    std::size_t expected = 0;
+    for (auto& sender : slow)
+        expected += sender->readAnswer().status == row.status ? 1 : 0;
+    // Those that wait for a slot until the deadline are refused.
+    cr_assert_eq(expected, row.status == 200 ? senders : 1, "%s: %zu got %u", row.name, expected, row.status);
+}
+
 struct QueuedRow {
     const char* name;
     const char* method;
