Count every error once, and name ejected endpoints

An operator with a slow upstream could not find out which endpoint was at fault, sums of dogwoodhall_errors_total over the members counted a home's error twice, malformed, oversized and slow requests were not counted at all, and an absent trace collector showed in a counter only. The home logs an endpoint that it ejects and its return, and counts ejections; errors to members have a family of their own; a caller session reports the requests that it rejects; the span exporter logs that spans are not taken.

--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -13,13 +13,16 @@
     explicit DaemonMetrics(MetricsRegistry&);
 
     Counter& error(ErrorKind kind) { return *errors[static_cast<std::size_t>(kind)]; }
+    Counter& errorToMember(ErrorKind kind) { return *errorsToMembers[static_cast<std::size_t>(kind)]; }
     Counter& sent(MeasuringCategory category) { return *controlCalls[static_cast<std::size_t>(category)]; }
     Counter& denied(MeasuringCategory category) { return *measuringDenied[static_cast<std::size_t>(category)]; }
 
     Counter& requests;
     Counter& relayed; // Answered whole with the upstream's own answer.
     Counter& broken; // Cut off towards the caller after the answer had begun.
-    std::array<Counter*, errorKindCount> errors {};
+    std::array<Counter*, errorKindCount> errors {}; // Answered to callers.
+    std::array<Counter*, errorKindCount> errorsToMembers {}; // Answered to entry hosts, which answer their callers.
+    Counter& endpointEjections;
     Counter& retries;
     Counter& hedges; // Second attempts sent while the first had not been answered.
     Counter& forwarded; // Sent to a pool's home on another entry host.
--- a/packages/daemon/include/dogwoodhall/daemon/PoolShard.h
+++ b/packages/daemon/include/dogwoodhall/daemon/PoolShard.h
@@ -38,6 +38,8 @@
     void cancel(const PoolId&, RequestId);
     // Load of the pools that have been used here.
     std::vector<PoolLoadSummary> loads() const;
+    // Logs the endpoints that were ejected or came back since the last call; gives the number of the former.
+    std::size_t reportEjections();
     void observeHealth(const ProbeTarget&, const HealthReport&);
 
 private:
@@ -48,6 +50,7 @@
         asio::steady_timer timer;
         std::unordered_map<RequestId, Reply> waiting;
         std::map<EndpointId, NetworkAddress> addresses;
+        std::set<EndpointId> ejected; // As last reported.
     };
 
     Entry& entryFor(const PoolId&);
--- a/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
@@ -25,13 +25,18 @@
     LoadTable& loads() { return m_pools.loads(); }
 
 private:
+    enum class Sender : std::uint8_t {
+        Caller,
+        Member,
+    };
+
     asio::awaitable<void> runAttempts(RequestWork&, const ResponseWriter&);
     std::optional<Route> route(const RequestHead&) const;
     // Moves a request that its pool turned away to another pool; false where none is better.
     bool spill(RequestWork&);
     asio::awaitable<void> answer(RequestWork&, const ResponseWriter&, AnswerWithError);
     RetryBudget& retryBudget(const ServiceId&);
-    asio::awaitable<void> refuse(const ResponseWriter&, RequestTrace::Hop&, ErrorKind);
+    asio::awaitable<void> refuse(const ResponseWriter&, RequestTrace::Hop&, ErrorKind, Sender = Sender::Caller);
 
     TrafficServices& m_services;
     PoolDirectory m_pools;
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -344,6 +344,7 @@
     auto lease = co_await acquireSlot(work);
     if (!lease) {
         work.entryHop.fail(answerFor(lease.error()).name);
+        m_services.metrics.errorToMember(lease.error()).add();
         co_await writeError(writer, lease.error(), Outcome::NotRun);
         co_return;
     }
--- a/packages/daemon/src/DaemonMetrics.cpp
+++ b/packages/daemon/src/DaemonMetrics.cpp
@@ -15,6 +15,8 @@
     : requests(registry.counter("dogwoodhall_requests_total", "Requests received from callers."))
     , relayed(registry.counter("dogwoodhall_relayed_total", "Requests answered whole by an upstream."))
     , broken(registry.counter("dogwoodhall_broken_answers_total", "Answers cut off after they had begun."))
+    , endpointEjections(registry.counter("dogwoodhall_endpoint_ejections_total",
+          "Endpoints that got no work for a time, as they failed or were slow."))
     , retries(registry.counter("dogwoodhall_retries_total", "Attempts after the first of a request."))
     , hedges(registry.counter("dogwoodhall_hedges_total", "Second attempts sent beside a slow first one."))
     , forwarded(registry.counter("dogwoodhall_forwarded_total", "Requests sent to a pool's home on another host."))
@@ -46,6 +48,9 @@
         const auto& answer = answerFor(static_cast<ErrorKind>(n));
         errors[n] = &registry.counter("dogwoodhall_errors_total", "Answers that are not the upstream's own, by kind.",
             { { "kind", std::string(answer.name) } });
+        errorsToMembers[n] = &registry.counter("dogwoodhall_errors_to_members_total",
+            "Errors that a home gave to the entry host of the request, by kind.",
+            { { "kind", std::string(answer.name) } });
     }
     for (std::size_t n = 0; n < measuringCategoryCount; ++n) {
         controlCalls[n] = &registry.counter("dogwoodhall_control_calls_total", "Calls made for control and measuring.",
--- a/packages/daemon/src/PoolShard.cpp
+++ b/packages/daemon/src/PoolShard.cpp
@@ -1,5 +1,7 @@
 #include "dogwoodhall/daemon/PoolShard.h"
 
+#include "dogwoodhall/telemetry/Logging.h"
+
 #include <type_traits>
 #include <utility>
 
@@ -65,6 +67,27 @@
     return summaries;
 }
 
+std::size_t PoolShard::reportEjections()
+{
+    std::size_t added = 0;
+    const TimePoint now = monotonicNow();
+    for (auto& [id, entry] : m_pools) {
+        const auto before = std::exchange(entry.ejected, entry.pool.ejected(now));
+        for (const auto& endpoint : entry.ejected) {
+            if (before.contains(endpoint))
+                continue;
+            ++added;
+            DOGWOODHALL_LOG(request, warning) << "Ejected endpoint " << endpoint << " of " << toString(id)
+                                              << ", which failed or was slow repeatedly.";
+        }
+        for (const auto& endpoint : before) {
+            if (!entry.ejected.contains(endpoint))
+                DOGWOODHALL_LOG(request, info) << "Endpoint " << endpoint << " of " << toString(id) << " is back.";
+        }
+    }
+    return added;
+}
+
 void PoolShard::observeHealth(const ProbeTarget& target, const HealthReport& report)
 {
     Entry& entry = entryFor(target.pool);
--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -86,7 +86,7 @@
     RequestTrace trace(request.head.fields, Fraction(0), m_services.random, m_services.spans);
     RequestTrace::Hop hop(trace, "home", std::nullopt);
     if (!m_snapshot->isReady || !left)
-        co_return co_await refuse(writer, hop, left ? ErrorKind::NotReady : ErrorKind::BadRequest);
+        co_return co_await refuse(writer, hop, left ? ErrorKind::NotReady : ErrorKind::BadRequest, Sender::Member);
     removeInternalFields(request.head.fields);
     const auto workClass = m_classifier.classify(
         envelope.route.workClass, envelope.pool.service, envelope.route.rule, pathOf(request.head.target));
@@ -149,14 +149,17 @@
 {
     work.entryHop.fail(answerFor(error.kind).name);
     work.entryHop.note("outcome", std::string(toString(error.outcome)));
-    m_services.metrics.error(error.kind).add();
+    auto& metrics = m_services.metrics;
+    (work.isForwarded ? metrics.errorToMember(error.kind) : metrics.error(error.kind)).add();
     co_await writeError(writer, error.kind, error.outcome);
 }
 
-asio::awaitable<void> RequestRunner::refuse(const ResponseWriter& writer, RequestTrace::Hop& hop, ErrorKind kind)
+asio::awaitable<void> RequestRunner::refuse(
+    const ResponseWriter& writer, RequestTrace::Hop& hop, ErrorKind kind, Sender sender)
 {
     hop.fail(answerFor(kind).name);
-    m_services.metrics.error(kind).add();
+    auto& metrics = m_services.metrics;
+    (sender == Sender::Member ? metrics.errorToMember(kind) : metrics.error(kind)).add();
     co_await writeError(writer, kind, Outcome::NotRun);
 }
 
--- a/packages/daemon/src/SpanExporter.cpp
+++ b/packages/daemon/src/SpanExporter.cpp
@@ -1,6 +1,7 @@
 #include "dogwoodhall/daemon/SpanExporter.h"
 
 #include "dogwoodhall/exchange/WholeBody.h"
+#include "dogwoodhall/telemetry/Logging.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -58,6 +59,7 @@
             const std::size_t size = batch.size();
             if (!co_await send(std::move(batch))) {
                 m_dropped.add(size);
+                DOGWOODHALL_LOG(trace, warning) << "The trace collector takes no spans.";
                 break;
             }
         }
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -49,7 +49,7 @@
           [this](IncomingRequest request, ResponseWriter writer) {
               return handleCaller(std::move(request), std::move(writer));
           },
-          [this] { checkDrained(); })
+          [this] { checkDrained(); }, [this](ErrorKind kind) { m_metrics.error(kind).add(); })
     , m_peerServer(
           m_io.get_executor(), m_options.peerLimits,
           [this](IncomingRequest request, ResponseWriter writer) {
@@ -117,6 +117,7 @@
     while (true) {
         observePauses();
         m_requestsRunning.store(m_runner.running(), std::memory_order_relaxed);
+        m_metrics.endpointEjections.add(m_shard.reportEjections());
         m_options.shareLoads(m_shard.loads());
         timer.expires_after(heartbeatPeriod);
         co_await timer.async_wait(useTuple);
--- a/packages/http/include/dogwoodhall/http/CallerSession.h
+++ b/packages/http/include/dogwoodhall/http/CallerSession.h
@@ -18,11 +18,15 @@
     Duration idleTimeout = std::chrono::seconds(60); // Between requests of a connection.
 };
 
+// Called for each request that the session itself answers.
+using RequestRejected = std::function<void(ErrorKind)>;
+
 // One caller's HTTP/1.1 connection: reads requests one after another, hands each to the handler and writes the answers
 // in the same order. Malformed, oversized and slow requests are answered here and close the connection.
 class CallerSession {
 public:
-    CallerSession(asio::ip::tcp::socket, CallerLimits, RequestHandler);
+    // `rejected` may be empty.
+    CallerSession(asio::ip::tcp::socket, CallerLimits, RequestHandler, RequestRejected rejected = nullptr);
     ~CallerSession();
 
     // Serves requests until the connection ends.
--- a/packages/http/include/dogwoodhall/http/CallerSessions.h
+++ b/packages/http/include/dogwoodhall/http/CallerSessions.h
@@ -14,8 +14,9 @@
 // thread-safe; runs on the executor's thread.
 class CallerSessions {
 public:
-    // `sessionEnded` is called after each connection that has ended; may be empty.
-    CallerSessions(asio::any_io_executor, CallerLimits, RequestHandler, std::function<void()> sessionEnded = nullptr);
+    // `sessionEnded` is called after each connection that has ended; it and `rejected` may be empty.
+    CallerSessions(asio::any_io_executor, CallerLimits, RequestHandler, std::function<void()> sessionEnded = nullptr,
+        RequestRejected rejected = nullptr);
 
     void serve(asio::ip::tcp::socket);
     // Ends each connection after its request in progress, or at once where it is idle.
@@ -29,6 +30,7 @@
     CallerLimits m_limits;
     RequestHandler m_handler;
     std::function<void()> m_sessionEnded;
+    RequestRejected m_rejected;
     std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
     std::uint64_t m_nextConnection = 1;
 };
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -68,10 +68,11 @@
 
 class CallerSession::Impl {
 public:
-    Impl(asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler)
+    Impl(asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler, RequestRejected rejected)
         : m_stream(std::move(socket))
         , m_limits(limits)
         , m_handler(std::move(handler))
+        , m_rejected(std::move(rejected))
         , m_readTimer(m_stream.get_executor())
         , m_bodyRead(m_stream.get_executor(), asio::steady_timer::time_point::max())
     {
@@ -100,6 +101,7 @@
     beast::tcp_stream m_stream;
     CallerLimits m_limits;
     RequestHandler m_handler;
+    RequestRejected m_rejected;
     beast::flat_buffer m_buffer;
     std::optional<CurrentRequest> m_current;
     asio::steady_timer m_readTimer;
@@ -276,7 +278,10 @@
 asio::awaitable<void> CallerSession::Impl::answerParseError(beast::error_code ec)
 {
     m_current->keepAlive = false;
-    co_await writeError(writer(), errorKindFor(ec), Outcome::NotRun);
+    const auto kind = errorKindFor(ec);
+    if (m_rejected)
+        m_rejected(kind);
+    co_await writeError(writer(), kind, Outcome::NotRun);
 }
 
 ExchangeResult<std::size_t> CallerSession::Impl::readBody(asio::mutable_buffer buf)
@@ -368,8 +373,9 @@
     co_return tl::expected<void, ExchangeError> {};
 }
 
-CallerSession::CallerSession(asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler)
-    : m_impl(std::make_unique<Impl>(std::move(socket), limits, std::move(handler)))
+CallerSession::CallerSession(
+    asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler, RequestRejected rejected)
+    : m_impl(std::make_unique<Impl>(std::move(socket), limits, std::move(handler), std::move(rejected)))
 {
 }
 
--- a/packages/http/src/CallerSessions.cpp
+++ b/packages/http/src/CallerSessions.cpp
@@ -6,12 +6,13 @@
 
 namespace dogwoodhall {
 
-CallerSessions::CallerSessions(
-    asio::any_io_executor executor, CallerLimits limits, RequestHandler handler, std::function<void()> sessionEnded)
+CallerSessions::CallerSessions(asio::any_io_executor executor, CallerLimits limits, RequestHandler handler,
+    std::function<void()> sessionEnded, RequestRejected rejected)
     : m_executor(std::move(executor))
     , m_limits(limits)
     , m_handler(std::move(handler))
     , m_sessionEnded(std::move(sessionEnded))
+    , m_rejected(std::move(rejected))
 {
 }
 
@@ -20,7 +21,7 @@
     boost::system::error_code ec;
     socket.set_option(asio::ip::tcp::no_delay(true), ec);
     const ConnectionId id(m_nextConnection++);
-    m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), m_limits, m_handler));
+    m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), m_limits, m_handler, m_rejected));
     asio::co_spawn(m_executor, run(id), asio::detached);
 }
 
--- a/packages/pool/include/dogwoodhall/pool/Pool.h
+++ b/packages/pool/include/dogwoodhall/pool/Pool.h
@@ -8,6 +8,7 @@
 #include "dogwoodhall/pool/WaitQueue.h"
 
 #include <array>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -75,6 +76,9 @@
     // Slots of usable endpoints that no request of this pool holds.
     SlotCount freeSlots() const;
 
+    // Usable endpoints that failed or were slow repeatedly and get no work but trial requests.
+    std::set<EndpointId> ejected(TimePoint now) const;
+
     std::size_t queued() const { return m_queue.size(); }
     std::size_t dispatched() const { return m_dispatched.size(); }
 
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -256,4 +256,14 @@
     return free;
 }
 
+std::set<EndpointId> Pool::ejected(TimePoint now) const
+{
+    std::set<EndpointId> ids;
+    for (const auto& endpoint : m_endpoints) {
+        if (endpoint.isUsable() && endpoint.health.state(now) != EndpointHealth::State::Serving)
+            ids.insert(endpoint.declared.id);
+    }
+    return ids;
+}
+
 } // namespace dogwoodhall
--- a/tests/system/BadInputTest.cpp
+++ b/tests/system/BadInputTest.cpp
@@ -1,4 +1,4 @@
-#include "Cluster.h"
+#include "MemberStatus.h"
 #include "TableRows.h"
 
 #include <criterion/criterion.h>
@@ -113,6 +113,9 @@
     const auto error = answer.field("Dogwoodhall-Error");
     cr_assert_eq(error, row.error, "%s: error %s", row.name, error.c_str());
     cr_assert(answer.isWhole && answer.closesConnection, "%s", row.name);
+    const auto counted
+        = counterOf(cluster.daemon(), std::string("dogwoodhall_errors_total{kind=\"") + row.error + "\"}");
+    cr_assert_eq(counted, 1, "%s: counted %zu times", row.name, std::size_t(counted));
     cr_assert_eq(cluster.runs("bad"), 0, "%s", row.name);
     cr_assert_eq(call(cluster.caller(), { "GET", "/", {}, {}, "next" }).status, 200, "%s", row.name);
     cr_assert(client.isAtEnd(), "%s: the connection stays open", row.name);
--- a/tests/system/HomeTest.cpp
+++ b/tests/system/HomeTest.cpp
@@ -180,3 +180,27 @@
     }
     cr_assert_geq(counterOf(entry, "dogwoodhall_permits_total"), 5, "%s", row.name);
 }
+
+// Guards against an error that the home and the entry host both count as an answer to a caller, and against an ejected
+// endpoint that is counted nowhere.
+Test(Home, countsFaultsOnce, .timeout = 60)
+{
+    auto cluster = Cluster::Builder().daemons(2).upstreams(2).start();
+    auto* home = &cluster.daemon(0);
+    auto* entry = &cluster.daemon(1);
+    if (agreedHome({ home, entry }) != home->name)
+        std::swap(home, entry);
+    for (const auto upstream : { 0, 1 })
+        cluster.setMode(static_cast<std::size_t>(upstream), "fault=cut-before");
+    std::uint64_t failed = 0;
+    const auto isEjected = [&] {
+        failed += call(entry->caller, { "POST", "/a", {}, {}, {} }).status == 502;
+        return counterOf(*home, "dogwoodhall_endpoint_ejections_total") > 0;
+    };
+    cr_assert(eventually(isEjected));
+    const std::string kind = "{kind=\"upstream-failed\"}";
+    cr_assert_gt(failed, 0);
+    cr_assert_eq(counterOf(*entry, "dogwoodhall_errors_total" + kind), failed);
+    cr_assert_eq(counterOf(*home, "dogwoodhall_errors_to_members_total" + kind), failed);
+    cr_assert_eq(counterOf(*home, "dogwoodhall_errors_total" + kind), 0);
+}
