--- a/packages/daemon/src/GossipDriver.cpp
+++ b/packages/daemon/src/GossipDriver.cpp
@@ -1,21 +1,19 @@
 #include "dogwoodhall/daemon/GossipDriver.h"
 
 #include "dogwoodhall/daemon/PoolShard.h"
+#include "dogwoodhall/exchange/UseTuple.h"
 #include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/telemetry/Logging.h"
 #include "dogwoodhall/wire/GossipCodec.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace dogwoodhall {
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr Duration exchangeTimeout = std::chrono::milliseconds(1500);
 // For the rest of a reply after its head. Long, since a reply with records over a slow link must not make its sender
 // look silent.
--- a/packages/daemon/src/HedgedExchange.cpp
+++ b/packages/daemon/src/HedgedExchange.cpp
@@ -1,9 +1,9 @@
 #include "dogwoodhall/daemon/HedgedExchange.h"
 
-#include <boost/asio/as_tuple.hpp>
+#include "dogwoodhall/exchange/UseTuple.h"
+
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace dogwoodhall {
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 // A hedge takes only a slot that is free: waiting in the queue would cost more than it can gain.
 constexpr Duration hedgeQueueTime = std::chrono::milliseconds(1);
 
--- a/packages/daemon/src/SlotGateway.cpp
+++ b/packages/daemon/src/SlotGateway.cpp
@@ -1,15 +1,14 @@
 #include "dogwoodhall/daemon/SlotGateway.h"
 
-#include <boost/asio/as_tuple.hpp>
+#include "dogwoodhall/exchange/UseTuple.h"
+
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace dogwoodhall {
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 // The thread's index stands in the top 16 bits of a request id, so that ids of all threads differ at a pool.
 constexpr unsigned threadShift = 48;
 
--- a/packages/daemon/src/TicketService.cpp
+++ b/packages/daemon/src/TicketService.cpp
@@ -2,20 +2,18 @@
 
 #include "dogwoodhall/daemon/AnswerRelay.h"
 #include "dogwoodhall/daemon/CallOn.h"
+#include "dogwoodhall/exchange/UseTuple.h"
 #include "dogwoodhall/exchange/WholeBody.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 namespace dogwoodhall {
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 // The request is kept in memory so that it can go on when its caller has gone; so is the answer.
 constexpr ByteCount maxTicketRequest { 64 * 1024 };
 constexpr ByteCount maxTicketAnswer { 1024 * 1024 };
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -2,15 +2,14 @@
 
 #include "dogwoodhall/daemon/GossipDriver.h"
 #include "dogwoodhall/daemon/HeaderValues.h"
+#include "dogwoodhall/exchange/UseTuple.h"
 #include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/telemetry/Logging.h"
 #include "dogwoodhall/wire/GossipCodec.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
 #include <utility>
 
@@ -18,8 +17,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-
 // Also how old the load of a pool on another thread can be.
 constexpr auto heartbeatPeriod = std::chrono::milliseconds(100);
 // Callers' connections are still accepted for this long after readiness is off, so that the platform's balancer, which
--- a/packages/exchange/src/Acceptor.cpp
+++ b/packages/exchange/src/Acceptor.cpp
@@ -1,7 +1,7 @@
 #include "dogwoodhall/exchange/Acceptor.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include "dogwoodhall/exchange/UseTuple.h"
+
 #include <sys/socket.h>
 #include <utility>
 
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 // An error that lasts, such as EMFILE, fails each attempt at once; without a pause the loop would take a whole core.
 constexpr auto retryDelay = std::chrono::milliseconds(50);
 
--- a/packages/exchange/src/WholeBody.cpp
+++ b/packages/exchange/src/WholeBody.cpp
@@ -1,11 +1,11 @@
 #include "dogwoodhall/exchange/WholeBody.h"
 
+#include "dogwoodhall/exchange/UseTuple.h"
+
 #include <algorithm>
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <cstring>
 #include <utility>
 #include <variant>
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-
 tl::unexpected<ExchangeError> tooLate()
 {
     return tl::unexpected(ExchangeError { ErrorKind::DeadlineExceeded, false, "answer not whole in time" });
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -1,11 +1,12 @@
 #include "dogwoodhall/http/CallerSession.h"
 
+#include "dogwoodhall/exchange/UseTuple.h"
+
 #include "BeastHeads.h"
 #include "MessageRules.h"
 
 #include <algorithm>
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,7 +24,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t readBytes = 4096;
 // How long a connection that ends while its caller may still be sending is read from. To close it at once would reset
 // it, which discards the answer before the caller has read it.
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -1,12 +1,12 @@
 #include "dogwoodhall/http/UpstreamClient.h"
 
+#include "dogwoodhall/exchange/UseTuple.h"
+
 #include "BeastHeads.h"
 #include "MessageRules.h"
 
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t relayBufferBytes = 16 * 1024;
 constexpr std::uint32_t responseHeaderLimit = 64 * 1024;
 
--- a/tests/system/support/PeerRelay.cpp
+++ b/tests/system/support/PeerRelay.cpp
@@ -1,12 +1,12 @@
 #include "PeerRelay.h"
 
+#include "dogwoodhall/exchange/UseTuple.h"
+
 #include <array>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fcntl.h>
 #include <filesystem>
@@ -23,7 +23,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t bufferBytes = 16 * 1024;
 constexpr unsigned lookUps = 20;
 
