--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -2,15 +2,14 @@
 
 #include "dogwoodhall/daemon/GossipDriver.h"
 #include "dogwoodhall/daemon/HeaderValues.h"
+#include "dogwoodhall/exchange/UseTuple.h"
 #include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/telemetry/Logging.h"
 #include "dogwoodhall/wire/GossipCodec.h"
 
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
 #include <utility>
 
@@ -18,8 +17,6 @@
 
 namespace {
 
-constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-
 // Also how old the load of a pool on another thread can be.
 constexpr auto heartbeatPeriod = std::chrono::milliseconds(100);
 // Callers' connections are still accepted for this long after readiness is off, so that the platform's balancer, which
@@ -57,7 +54,7 @@
           [this](IncomingRequest request, ResponseWriter writer) {
               return handleCaller(std::move(request), std::move(writer));
           },
-          [this] { checkDrained(); })
+          [this] { checkDrained(); }, [this](ErrorKind kind) { m_metrics.error(kind).add(); })
     , m_peerServer(
           m_io.get_executor(), m_options.peerLimits,
           [this](IncomingRequest request, ResponseWriter writer) {
@@ -126,6 +123,7 @@
     while (true) {
         observePauses();
         m_requestsRunning.store(m_runner.running(), std::memory_order_relaxed);
+        m_metrics.endpointEjections.add(m_shard.reportEjections());
         m_options.shareLoads(m_shard.loads());
         m_upstreams.closeIdle();
         timer.expires_after(heartbeatPeriod);
