Share the tests' temporary folder, and one table for changes of services and topology

ProgramTest had a class of its own for temporary files, and ChangeReportTest two tables with the same test. All rows are kept.

--- a/packages/ctl/tests/ChangeReportTest.cpp
+++ b/packages/ctl/tests/ChangeReportTest.cpp
@@ -9,15 +9,24 @@
 
 namespace {
 
-std::vector<ServiceDeclaration> servicesOf(const std::string& text)
+struct Declared {
+    std::vector<ServiceDeclaration> services;
+    TopologyDeclaration topology;
+};
+
+Declared declaredIn(const std::string& text)
 {
     const auto file = readDeclarationFile(text, "");
     const auto problems = toString(file.problems);
     cr_assert(file.problems.empty(), "%s", problems.c_str());
-    std::vector<ServiceDeclaration> services;
-    for (const auto& record : file.records)
-        services.push_back(std::get<ServiceDeclaration>(record.declaration));
-    return services;
+    Declared declared;
+    for (const auto& record : file.records) {
+        if (const auto* service = std::get_if<ServiceDeclaration>(&record.declaration))
+            declared.services.push_back(*service);
+        else
+            declared.topology = std::get<TopologyDeclaration>(record.declaration);
+    }
+    return declared;
 }
 
 const std::string head = R"({"schemaVersion": 2, "service": "a", )";
@@ -75,27 +84,6 @@
         "matching service or are answered 404.\n"
         "The limits of service a change: queuePerSlot from 6 to 3. They apply to requests that arrive from then "
         "on.\n" },
-};
-
-// Guards against a change that the operator is not told of, or whose effect is misstated.
-ParameterizedTestParameters(ChangeReport, saysWhatChanges) { return rowIndices(rows); }
-
-ParameterizedTest(std::size_t* index, ChangeReport, saysWhatChanges)
-{
-    const ChangeRow& row = rows[*index];
-    std::string sentences;
-    for (const auto& change : describeChanges(servicesOf(row.before), servicesOf(row.after)))
-        sentences += change.sentence + "\n";
-    cr_assert_str_eq(sentences.c_str(), row.sentences.c_str());
-}
-
-struct TopologyRow {
-    const char* before;
-    const char* after;
-    const char* sentences;
-};
-
-const TopologyRow topologyRows[] = {
     { R"({"dataCentres": [{"id": "c1", "region": "c"}]})",
         R"({"schemaVersion": 2, "dataCentres": [{"id": "c1", "region": "c"}]})", "" },
     { R"({"dataCentres": [{"id": "c1", "region": "c"}, {"id": "c2", "region": "c"}]})",
@@ -109,17 +97,18 @@
         "another data centre follows the new values.\n" },
 };
 
-// Guards against a change of the topology that the operator is not told of.
-ParameterizedTestParameters(TopologyChangeReport, saysWhatChanges) { return rowIndices(topologyRows); }
+// Guards against a change that the operator is not told of, or whose effect is misstated.
+ParameterizedTestParameters(ChangeReport, saysWhatChanges) { return rowIndices(rows); }
 
-ParameterizedTest(std::size_t* index, TopologyChangeReport, saysWhatChanges)
+ParameterizedTest(std::size_t* index, ChangeReport, saysWhatChanges)
 {
-    const TopologyRow& row = topologyRows[*index];
-    const auto topologyOf = [](const char* text) {
-        return std::get<TopologyDeclaration>(readDeclarationFile(text, "").records.at(0).declaration);
-    };
+    const ChangeRow& row = rows[*index];
+    const auto before = declaredIn(row.before), after = declaredIn(row.after);
     std::string sentences;
-    for (const auto& change : describeChanges(topologyOf(row.before), topologyOf(row.after)))
-        sentences += change.sentence + "\n";
-    cr_assert_str_eq(sentences.c_str(), row.sentences);
+    for (const auto& changes :
+        { describeChanges(before.services, after.services), describeChanges(before.topology, after.topology) }) {
+        for (const auto& change : changes)
+            sentences += change.sentence + "\n";
+    }
+    cr_assert_str_eq(sentences.c_str(), row.sentences.c_str());
 }
--- a/packages/ctl/tests/ProgramTest.cpp
+++ b/packages/ctl/tests/ProgramTest.cpp
@@ -1,13 +1,11 @@
 #include "dogwoodhall/ctl/Command.h"
 
 #include "TableRows.h"
+#include "TemporaryFolder.h"
 
 #include <criterion/criterion.h>
-#include <cstdio>
-#include <filesystem>
 #include <fstream>
 #include <sstream>
-#include <unistd.h>
 
 using namespace dogwoodhall;
 
@@ -29,22 +27,6 @@
   "services/b": {"service": "b", "hostNames": ["h"], "endpoints": []},
   "services/c": {"service": "c", "hostNames": ["H"], "endpoints": []}}})";
 
-// A file that lives as long as the object. Named by the process, since rows run in parallel processes.
-class TemporaryFile {
-public:
-    TemporaryFile(const std::string& name, const std::string& text)
-        : m_path(std::filesystem::temp_directory_path() / ("ProgramTest." + std::to_string(getpid()) + "." + name))
-    {
-        std::ofstream(m_path) << text;
-    }
-    ~TemporaryFile() { std::remove(m_path.c_str()); }
-
-    const std::string& path() const { return m_path; }
-
-private:
-    std::string m_path;
-};
-
 // Splits at spaces and replaces the names of the files above by their paths.
 std::vector<std::string> toArguments(
     const std::string& line, const std::vector<std::pair<std::string, std::string>>& paths)
@@ -126,10 +108,13 @@
 ParameterizedTest(std::size_t* index, Program, answers)
 {
     const ProgramRow& row = rows[*index];
-    const TemporaryFile good("good", records), bad("bad", badRecords), overlap("overlap", overlapping);
+    const TemporaryFolder folder;
+    const std::string good = folder / "good", bad = folder / "bad", overlap = folder / "overlap";
+    std::ofstream(good) << records;
+    std::ofstream(bad) << badRecords;
+    std::ofstream(overlap) << overlapping;
     std::ostringstream out, err;
-    const auto arguments = toArguments(
-        row.arguments, { { "GOOD", good.path() }, { "BAD", bad.path() }, { "OVERLAPPING", overlap.path() } });
+    const auto arguments = toArguments(row.arguments, { { "GOOD", good }, { "BAD", bad }, { "OVERLAPPING", overlap } });
     const int status = runProgram(arguments, out, err);
     const std::string text = out.str() + err.str();
     cr_expect_eq(status, row.status, "row %zu: status %d", *index, status);
