Copy a span's attributes only where the request is traced

The reasons of placement are longer than a short string, so that each request allocated them even without a trace.

--- a/packages/daemon/include/dogwoodhall/daemon/RequestTrace.h
+++ b/packages/daemon/include/dogwoodhall/daemon/RequestTrace.h
@@ -4,6 +4,7 @@
 #include "dogwoodhall/telemetry/Span.h"
 
 #include <functional>
+#include <string_view>
 
 namespace dogwoodhall {
 
@@ -21,7 +22,8 @@
         Hop& operator=(const Hop&) = delete;
         ~Hop() { end(); }
 
-        void note(std::string name, std::string value);
+        // Copies only where the request is traced.
+        void note(std::string_view name, std::string_view value);
         void fail(std::string_view kind);
         void end();
         // The traceparent for a request sent within this hop.
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -116,7 +116,7 @@
 asio::awaitable<tl::expected<SlotLease, ErrorKind>> AttemptRunner::acquireSlot(const RequestWork& work)
 {
     RequestTrace::Hop hop(work.trace, "queue", work.entryHop.id());
-    hop.note("reason", std::string(reasonToPlaceHere(work)));
+    hop.note("reason", reasonToPlaceHere(work));
     const TimePoint queuedAt = monotonicNow();
     auto lease = co_await waitForSlot(work);
     m_services.metrics.queueWait.observe(monotonicNow() - queuedAt);
--- a/packages/daemon/src/RequestRunner.cpp
+++ b/packages/daemon/src/RequestRunner.cpp
@@ -148,7 +148,7 @@
 asio::awaitable<void> RequestRunner::answer(RequestWork& work, const ResponseWriter& writer, AnswerWithError error)
 {
     work.entryHop.fail(answerFor(error.kind).name);
-    work.entryHop.note("outcome", std::string(toString(error.outcome)));
+    work.entryHop.note("outcome", toString(error.outcome));
     auto& metrics = m_services.metrics;
     (work.isForwarded ? metrics.errorToMember(error.kind) : metrics.error(error.kind)).add();
     co_await writeError(writer, error.kind, error.outcome);
--- a/packages/daemon/src/RequestTrace.cpp
+++ b/packages/daemon/src/RequestTrace.cpp
@@ -26,16 +26,16 @@
     m_span.start = std::chrono::system_clock::now();
 }
 
-void RequestTrace::Hop::note(std::string name, std::string value)
+void RequestTrace::Hop::note(std::string_view name, std::string_view value)
 {
     if (m_trace.isSampled())
-        m_span.attributes.push_back({ std::move(name), std::move(value) });
+        m_span.attributes.push_back({ std::string(name), std::string(value) });
 }
 
 void RequestTrace::Hop::fail(std::string_view kind)
 {
     m_span.isError = true;
-    note("error", std::string(kind));
+    note("error", kind);
 }
 
 void RequestTrace::Hop::end()
