--- a/bench/HomePlacement.cpp
+++ b/bench/HomePlacement.cpp
@@ -211,7 +211,8 @@
     const TimePoint deadline = request.deadline - m_world.deployment().delay(dataCentre, dataCentreOf(index));
     m_placed[index] = { workClass, excluded };
     perform(dataCentre,
-        home.pool->admit({ RequestId(index), workClass, Priority::Normal, deadline, std::move(excluded), true }, context()));
+        home.pool->admit(
+            { RequestId(index), workClass, Priority::Normal, deadline, std::move(excluded), true }, context()));
 }
 
 void HomePlacement::perform(std::size_t dataCentre, const PoolActions& actions)
