Do not report a host that was never heard of as alive

Cause: a member takes a listed host for alive until it hears of it, and said so in /status and dogwoodhall_members_alive. SplitTest waits for members to hear one another by these and could split the fleet before two members of different regions had met; the host that was never heard of then stayed "alive" on the other side.

Change: /status calls it "unknown", and the counter leaves it out. It was no home before either, since it is not ready.

Measured: the new checks of PlatformTest daemonStartsWithoutIt fail on the code before in both rows and pass now; FleetTest, FleetRecoveryTest, GossipCodecTest and PlatformTest pass, release build.

--- a/packages/daemon/src/StatusReport.cpp
+++ b/packages/daemon/src/StatusReport.cpp
@@ -17,8 +17,10 @@
     static constexpr std::array<std::string_view, 4> stateNames { "alive", "leaving", "suspect", "gone" };
     json::array items;
     for (const auto* member : members) {
-        items.push_back(json::object { { "id", member->id.value() },
-            { "state", stateNames[static_cast<std::size_t>(member->state)] }, { "ready", member->isReady } });
+        const bool isHeardOf = member->incarnation != Incarnation();
+        const auto state = isHeardOf ? stateNames[static_cast<std::size_t>(member->state)] : "unknown";
+        items.push_back(
+            json::object { { "id", member->id.value() }, { "state", state }, { "ready", member->isReady } });
     }
     return items;
 }
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -97,6 +97,7 @@
     const Member* find(const MemberId&) const;
     // Known members, this one included.
     std::size_t size() const { return m_table.members().size() + 1; }
+    // Members in this state, this one included; without listed hosts that were never heard of.
     std::size_t countIn(MemberState) const;
 
     // How often this daemon may read the host list, so that all daemons together make at most 500 of the platform's
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -180,8 +180,8 @@
 std::size_t Fleet::countIn(MemberState state) const
 {
     const auto& members = m_table.members();
-    const auto others = std::count_if(
-        members.begin(), members.end(), [&](const auto& item) { return item.second.member.state == state; });
+    const auto others = std::count_if(members.begin(), members.end(),
+        [&](const auto& item) { return item.second.hasRun() && item.second.member.state == state; });
     return static_cast<std::size_t>(others) + (m_self.state == state ? 1 : 0);
 }
 
--- a/tests/system/PlatformTest.cpp
+++ b/tests/system/PlatformTest.cpp
@@ -1,4 +1,5 @@
 #include "Cluster.h"
+#include "MemberStatus.h"
 #include "TableRows.h"
 
 #include <criterion/criterion.h>
@@ -149,6 +150,8 @@
     cluster.restartPlatform(state);
     cluster.waitReady(daemon);
     cr_assert_eq(call(daemon.caller, { "POST", "/a", {}, "order", "ready" }).status, 200, "%s", row.name);
+    cr_assert_eq(statusOf(daemon).alivePeers, 0, "%s: a listed host that never answered counts as alive", row.name);
+    cr_assert_eq(counterOf(daemon, "dogwoodhall_members_alive"), 1, "%s", row.name);
 }
 
 struct RejectedRow {
