Take no listener for the owner of a relayed connection

Where a connection is gone, the kernel's look-up by addresses gives a listener on the port that the connection had, which may belong to another process. Found by reading, not seen.

--- a/tests/system/support/PeerRelay.cpp
+++ b/tests/system/support/PeerRelay.cpp
@@ -15,6 +15,7 @@
 #include <linux/netlink.h>
 #include <linux/sock_diag.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -74,7 +75,9 @@
     ::close(diagnostics);
     if (!isAnswered)
         throw std::runtime_error("the kernel does not answer questions about sockets");
-    if (reply.header.nlmsg_type != SOCK_DIAG_BY_FAMILY || reply.socket.idiag_inode == 0)
+    // Where the connection is gone, a listener on its port is found.
+    const bool isFound = reply.header.nlmsg_type == SOCK_DIAG_BY_FAMILY && reply.socket.idiag_state != TCP_LISTEN;
+    if (!isFound || reply.socket.idiag_inode == 0)
         return std::nullopt;
     return reply.socket.idiag_inode;
 }
