Do not take an empty host list for a fleet of one

Cause: a member that starts with a restored platform, whose host list names no entry host, was ready at once with the older records, since no peer was left to ask.

Change: a list without any entry host does not set the number of peers, so that the member waits for a list that names some, for at most the 10 s that it waits for silent peers.

Measured: the new row of ConfigurationTest ("new member, older, host list restored without hosts") fails on the code before and passes now, and joinsWithThePeersRevision passes in all 9 rows, release build.

--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -206,7 +206,10 @@
     const auto entryHosts = listedEntryHosts();
     const bool listsSelf = std::any_of(
         entryHosts.begin(), entryHosts.end(), [&](const ListedHost& host) { return host.id == m_settings.member; });
-    m_joinBarrier.setListedPeers(entryHosts.size() - (listsSelf ? 1 : 0));
+    // A list without any entry host, not even this one, is older than the fleet and does not say that there are no
+    // peers.
+    if (!entryHosts.empty())
+        m_joinBarrier.setListedPeers(entryHosts.size() - (listsSelf ? 1 : 0));
     m_gossip->perform(m_gossip->fleet().applyHostList(entryHosts, monotonicNow()));
     publish();
 }
--- a/tests/system/ConfigurationTest.cpp
+++ b/tests/system/ConfigurationTest.cpp
@@ -6,6 +6,7 @@
 #include <criterion/parameterized.h>
 
 #include <algorithm>
+#include <boost/json.hpp>
 #include <csignal>
 #include <memory>
 #include <string>
@@ -91,6 +92,14 @@
     }
 }
 
+// A platform's state with a host list that names nobody.
+std::string withoutHosts(const std::string& state)
+{
+    auto document = boost::json::parse(state);
+    document.at("hosts").at("hosts") = boost::json::array();
+    return boost::json::serialize(document);
+}
+
 void failPlatform(Cluster& cluster, const std::string& mode, const std::string& older)
 {
     if (mode == "killed")
@@ -98,7 +107,7 @@
     else if (mode.ends_with("down"))
         cluster.platformCall("PUT", "/control/mode?state=" + mode);
     else
-        cluster.restartPlatform(older);
+        cluster.restartPlatform(mode.ends_with("no hosts") ? withoutHosts(older) : older);
     if (mode == "stale" || mode == "records-late") // Stale: from now on the host list does not change either.
         cluster.platformCall("PUT", "/control/mode?state=" + mode);
 }
@@ -169,6 +178,7 @@
 const JoinRow joins[] = {
     { "new member, stale", "stale", 3, 0 },
     { "new member, older", "older", 3, 0 },
+    { "new member, older, host list restored without hosts", "older, no hosts", 3, 0 },
     { "one restarted, stale", "stale", 3, 1 },
     { "one restarted, older", "older", 3, 1 },
     { "new member, late answer with the older state", "records-late", 3, 0 },
