Report the homes in /status that the traffic threads use

Cause: with paced publications, /status named homes before the traffic threads had them. HomeTest, built with sanitizers on a busy machine, failed in both runs: 'frozen in the middle: not forwarded'.

--- a/packages/daemon/include/dogwoodhall/daemon/SnapshotBuilder.h
+++ b/packages/daemon/include/dogwoodhall/daemon/SnapshotBuilder.h
@@ -27,7 +27,9 @@
     // of.
     std::vector<const Member*> knownEntryHosts(const Fleet&) const;
     std::set<HostId> leavingUpstreamHosts() const;
-    // The pools of the services in force, by service and data centre.
+    // The pools of a snapshot and their homes, by service and data centre.
+    std::vector<PlacedPool> homesIn(const Snapshot&) const;
+    // The pools of the services in force, in the same order.
     std::vector<PlacedPool> placedPools(const Fleet&, const std::set<HostId>& leaving) const;
 
 private:
--- a/packages/daemon/include/dogwoodhall/daemon/StatusReport.h
+++ b/packages/daemon/include/dogwoodhall/daemon/StatusReport.h
@@ -29,7 +29,7 @@
     std::uint64_t hostListVersion = 0;
     std::size_t requestsRunning = 0;
     std::vector<const Member*> members; // Entry hosts of the host list that are known. Must outlive the report.
-    std::vector<PlacedPool> homes;
+    std::vector<PlacedPool> homes; // As last published to the traffic threads.
 };
 
 // The body of GET /status, a JSON object with a line end; docs/operations.md describes its fields.
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -307,7 +307,8 @@
     report.hostListVersion = m_hosts.version;
     report.requestsRunning = m_hooks.requestsRunning();
     report.members = m_builder.knownEntryHosts(m_gossip->fleet());
-    report.homes = m_builder.placedPools(m_gossip->fleet(), m_builder.leavingUpstreamHosts());
+    if (m_published)
+        report.homes = m_builder.homesIn(*m_published);
     return report;
 }
 
--- a/packages/daemon/src/SnapshotBuilder.cpp
+++ b/packages/daemon/src/SnapshotBuilder.cpp
@@ -76,6 +76,24 @@
     return leaving;
 }
 
+std::vector<PlacedPool> SnapshotBuilder::homesIn(const Snapshot& snapshot) const
+{
+    const std::set<PoolId> own(snapshot.ownPools.begin(), snapshot.ownPools.end());
+    std::vector<PlacedPool> placed;
+    for (const auto& [service, pools] : snapshot.poolsOf) {
+        for (const auto& [dataCentre, isReachable] : pools) {
+            PlacedPool pool { { service, dataCentre }, std::nullopt, isReachable };
+            const auto remote = snapshot.remoteHomes.find(pool.pool);
+            if (remote != snapshot.remoteHomes.end())
+                pool.home = remote->second.member;
+            else if (own.contains(pool.pool))
+                pool.home = m_settings.member;
+            placed.push_back(std::move(pool));
+        }
+    }
+    return placed;
+}
+
 std::vector<PlacedPool> SnapshotBuilder::placedPools(const Fleet& fleet, const std::set<HostId>& leaving) const
 {
     std::vector<PlacedPool> pools;
