Keep room for the member list in replies to members that start

Cause: after a restart of the fleet, claims filled gossip replies, so that a joining member learnt the list late.

Change: a reply to a member whose run was first heard of less than 60 s ago and whose list differs keeps 12 of its 16 places for the list.

FleetTest and FleetRecoveryTest pass; keepsRoomForTheList fails without the room (3 rows) and without the limit of time (1 row).

--- a/packages/fleet/bench/Propagation.cpp
+++ b/packages/fleet/bench/Propagation.cpp
@@ -72,9 +72,9 @@
 }
 
 // Seconds until a member that joins names the same homes as the others: of its own data centre's pools, and of all.
-void printJoin(std::size_t members, std::chrono::seconds warmUp)
+void printJoin(std::size_t members, std::chrono::seconds warmUp, std::uint64_t seed)
 {
-    VirtualFleet fleet(dataCentres, members / dataCentres, 1);
+    VirtualFleet fleet(dataCentres, members / dataCentres, seed);
     fleet.setRegions(regions());
     fleet.runFor(warmUp);
     const std::size_t joiner = fleet.add(0);
@@ -106,6 +106,34 @@
     std::printf("a member joins %zu others: homes differ after 300 s\n", members);
 }
 
+// Seconds until a sample of the members names the same homes in all data centres after all members have started at
+// once.
+void printStart(std::size_t members, std::uint64_t seed)
+{
+    VirtualFleet fleet(dataCentres, members / dataCentres, seed);
+    fleet.setRegions(regions());
+    const auto agree = [&] {
+        for (int pool = 0; pool < 100; ++pool) {
+            const PoolId id { ServiceId("service-" + std::to_string(pool)),
+                DataCentreId("dc" + std::to_string(static_cast<std::size_t>(pool) % dataCentres)) };
+            const auto home = fleet.fleet(0).homeOf(id);
+            for (std::size_t n = 0; n < fleet.size(); n += 1 + fleet.size() / 30) {
+                if (!home || fleet.fleet(n).homeOf(id) != home)
+                    return false;
+            }
+        }
+        return true;
+    };
+    for (double seconds = 0; seconds < 300; seconds += 0.5) {
+        if (agree()) {
+            std::printf("%zu members start at once: homes agree after %.1f s\n", members, seconds);
+            return;
+        }
+        fleet.runFor(500ms);
+    }
+    std::printf("%zu members start at once: homes differ after 300 s\n", members);
+}
+
 class ReducedFleet {
 public:
     ReducedFleet(std::size_t members, double loss, std::uint64_t seed)
@@ -182,24 +210,29 @@
 
 } // namespace
 
-// Arguments: the largest fleet of real aggregates, and the seconds that it runs before the change. All members start at
-// once, and it takes about a minute until no news of that circulates.
+// Arguments: the largest fleet of real aggregates, the seconds that it runs before the change, and the seed. All
+// members start at once, and it takes about a minute until no news of that circulates.
 int main(int argc, char** argv)
 {
     std::setvbuf(stdout, nullptr, _IOLBF, 0); // Long runs show each line as it is measured.
     const std::size_t largest = argc > 1 ? static_cast<std::size_t>(std::atoi(argv[1])) : 497;
     const std::chrono::seconds warmUp(argc > 2 ? std::atoi(argv[2]) : 20);
+    const std::uint64_t seed = argc > 3 ? static_cast<std::uint64_t>(std::atoi(argv[3])) : 1;
+    for (const std::size_t members : { 21, 105, 497, 994 }) {
+        if (members <= largest)
+            printJoin(members, warmUp, seed);
+    }
     for (const std::size_t members : { 21, 105, 497, 994 }) {
         if (members <= largest)
-            printJoin(members, warmUp);
+            printStart(members, seed);
     }
     for (const double loss : { 0.0, 0.05, 0.2 }) {
         for (const std::size_t members : { 21, 105, 497, 994 }) {
             if (members <= largest)
-                print("real", members, loss, runFleet(members, loss, warmUp, 1));
+                print("real", members, loss, runFleet(members, loss, warmUp, seed));
         }
         for (const std::size_t members : { 994, 3003, 6006, 12'005 })
-            print("reduced", members, loss, ReducedFleet(members, loss, 1).run());
+            print("reduced", members, loss, ReducedFleet(members, loss, seed).run());
     }
     return 0;
 }
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -31,6 +31,12 @@
     // With 8 messages sent a second (two exchanges a period, requests and replies), 16 updates of about 60 bytes stay
     // below 8 KB/s of the daemon's 14 KB/s.
     std::size_t maxMemberUpdates = 16;
+    // Of these, kept for the member list in a reply to a member that has started within joinTime and whose view of the
+    // list differs, so that claims that circulate after a restart of the fleet do not hold it up. The rest is for
+    // claims.
+    std::size_t rosterRoom = 12;
+    // About what the whole list of 3,000 members takes in parts of 12, at four replies a second.
+    Duration joinTime = std::chrono::seconds(60);
     std::size_t maxPoolLoads = 8;
     ByteCount maxRecordBytes { 8 * 1024 };
 };
@@ -110,6 +116,8 @@
         std::size_t unconfirmed = 0;
     };
 
+    enum class RosterNeed { None, OwnDataCentre, All };
+
     // What is known of one data centre.
     struct Zone {
         std::vector<const TrackedMember*>* reachable = nullptr; // Of the lists in Views, the one for its distance.
@@ -145,10 +153,12 @@
     void startExchange(const TrackedMember*, TimePoint now, std::vector<FleetAction>&);
     const TrackedMember* nextOwn(RandomEngine&);
     const TrackedMember* secondPeer(DecisionContext);
-    GossipMessage makeMessage(GossipMessage::Kind, const MemberId& peer);
-    void addPendingClaims(GossipMessage&, const MemberId& peer);
+    GossipMessage replyTo(const GossipMessage& request, TimePoint now);
+    GossipMessage makeMessage(GossipMessage::Kind, const MemberId& peer, std::size_t claims);
+    void addPendingClaims(GossipMessage&, const MemberId& peer, std::size_t most);
     void noteRoster(const GossipMessage& reply);
-    void addRoster(GossipMessage&, const GossipMessage& request);
+    RosterNeed rosterNeed(const GossipMessage& request) const;
+    void addRoster(GossipMessage&, const GossipMessage& request, RosterNeed);
     std::uint64_t hashOf(const Roster&) const;
     void noteChange();
     void reportChange(std::vector<FleetAction>&);
--- a/packages/fleet/include/dogwoodhall/fleet/MemberTable.h
+++ b/packages/fleet/include/dogwoodhall/fleet/MemberTable.h
@@ -14,6 +14,7 @@
     Member member;
     TimePoint lastHeard; // Last direct message, or word by gossip that the member raised its version.
     TimePoint stateSince;
+    TimePoint runSince; // First word of the member's present run.
     bool isListed = false; // In the host list.
     bool isListedLeaving = false;
     bool isConfirmed = false; // Heard of since this process started or last woke from a pause.
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -105,11 +105,10 @@
     if (message.kind == GossipMessage::Kind::Request) {
         if (message.configuration.highest < mine.highest)
             m_behind[message.sender.id] = message.configuration.highest;
-        handled.reply = makeMessage(GossipMessage::Kind::Reply, message.sender.id);
+        handled.reply = replyTo(message, now);
         const auto& theirs = message.configuration;
         if (theirs.highest == mine.highest && theirs.hash != mine.hash)
             handled.reply->records = m_hooks.recordsUnderRejections(m_limits.maxRecordBytes);
-        addRoster(*handled.reply, message);
         return;
     }
     noteRoster(message);
--- a/packages/fleet/src/FleetGossip.cpp
+++ b/packages/fleet/src/FleetGossip.cpp
@@ -119,10 +119,24 @@
 
 GossipMessage Fleet::messageFor(const MemberId& peer, TimePoint)
 {
-    return makeMessage(GossipMessage::Kind::Request, peer);
+    return makeMessage(GossipMessage::Kind::Request, peer, m_limits.maxMemberUpdates);
 }
 
-GossipMessage Fleet::makeMessage(GossipMessage::Kind kind, const MemberId& peer)
+// Room is kept only for a requester that has started lately: the rosters of others differ because of claims that
+// circulate, and refutations of suspicions among those are urgent.
+GossipMessage Fleet::replyTo(const GossipMessage& request, TimePoint now)
+{
+    const RosterNeed need = rosterNeed(request);
+    const auto* requester = m_table.find(request.sender.id);
+    const bool isNew = requester && now - requester->runSince < m_limits.joinTime;
+    const std::size_t room = need != RosterNeed::None && isNew ? m_limits.rosterRoom : 0;
+    auto reply = makeMessage(GossipMessage::Kind::Reply, request.sender.id, m_limits.maxMemberUpdates - room);
+    if (need != RosterNeed::None)
+        addRoster(reply, request, need);
+    return reply;
+}
+
+GossipMessage Fleet::makeMessage(GossipMessage::Kind kind, const MemberId& peer, std::size_t claims)
 {
     GossipMessage message;
     message.kind = kind;
@@ -138,11 +152,11 @@
         message.records = m_hooks.recordsSince(behind->second, m_limits.maxRecordBytes);
         m_behind.erase(behind);
     }
-    addPendingClaims(message, peer);
+    addPendingClaims(message, peer, claims);
     return message;
 }
 
-void Fleet::addPendingClaims(GossipMessage& message, const MemberId& peer)
+void Fleet::addPendingClaims(GossipMessage& message, const MemberId& peer, std::size_t most)
 {
     // The peer learns first what is held against it, so that it can refute it.
     const auto* tracked = m_table.find(peer);
@@ -153,7 +167,7 @@
         if (id != peer)
             pending.emplace_back(sent, id);
     }
-    const std::size_t room = m_limits.maxMemberUpdates - message.members.size();
+    const std::size_t room = most - message.members.size();
     if (pending.size() > room) {
         std::nth_element(pending.begin(), pending.begin() + static_cast<std::ptrdiff_t>(room), pending.end());
         pending.resize(room);
@@ -176,16 +190,20 @@
         m_rosterReceived = reply.members.back().id;
 }
 
-// Adds the next part of the confirmed candidates where the requester's view of them differs: first of the data centre
-// that both share, then of all.
-void Fleet::addRoster(GossipMessage& message, const GossipMessage& request)
+// What the requester's view of the candidates lacks: first of the data centre that both share, then of all.
+Fleet::RosterNeed Fleet::rosterNeed(const GossipMessage& request) const
 {
     const auto& current = views();
     const bool isNeighbour = request.sender.dataCentre == m_self.dataCentre;
-    const bool ownDiffers = isNeighbour && request.dataCentreRoster != current.ownRoster.sum;
-    if (!ownDiffers && request.fleetRoster == current.fleetRoster.sum)
-        return;
-    const auto& roster = current.roster;
+    if (isNeighbour && request.dataCentreRoster != current.ownRoster.sum)
+        return RosterNeed::OwnDataCentre;
+    return request.fleetRoster == current.fleetRoster.sum ? RosterNeed::None : RosterNeed::All;
+}
+
+// Adds the next part of the confirmed candidates that the requester needs.
+void Fleet::addRoster(GossipMessage& message, const GossipMessage& request, RosterNeed need)
+{
+    const auto& roster = views().roster;
     const auto& after = request.rosterAfter == MemberId() ? m_rosterSent : request.rosterAfter;
     auto it = std::upper_bound(roster.begin(), roster.end(), after,
         [](const MemberId& id, const TrackedMember* tracked) { return id < tracked->member.id; });
@@ -194,7 +212,7 @@
             it = roster.begin();
         const auto& member = (*it)->member;
         m_rosterSent = member.id;
-        const bool isWanted = !ownDiffers || member.dataCentre == m_self.dataCentre;
+        const bool isWanted = need == RosterNeed::All || member.dataCentre == m_self.dataCentre;
         if (isWanted && (*it)->isConfirmed && member.id != request.sender.id)
             message.members.push_back(member);
     }
--- a/packages/fleet/src/MemberTable.cpp
+++ b/packages/fleet/src/MemberTable.cpp
@@ -8,7 +8,8 @@
     if (!known) {
         if (claim.state == MemberState::Gone || claim.incarnation == Incarnation())
             return false;
-        m_members.emplace(claim.id, TrackedMember { .member = claim, .lastHeard = now, .stateSince = now });
+        m_members.emplace(
+            claim.id, TrackedMember { .member = claim, .lastHeard = now, .stateSince = now, .runSince = now });
         return true;
     }
     if (!supersedes(claim, known->member))
@@ -20,6 +21,8 @@
     }
     if (claim.state != known->member.state)
         known->stateSince = now;
+    if (claim.incarnation != known->member.incarnation)
+        known->runSince = now;
     known->member = claim;
     return true;
 }
--- a/packages/fleet/tests/FleetTest.cpp
+++ b/packages/fleet/tests/FleetTest.cpp
@@ -193,6 +193,50 @@
     cr_assert_leq(fleet.messageFor(first, TimePoint(1500ms)).members.size(), FleetLimits().maxMemberUpdates);
 }
 
+struct RoomRow {
+    bool knowsOwn; // The requester's view of its own data centre equals the replying member's.
+    bool knowsAll;
+    std::chrono::seconds age; // Of the requester's run.
+    bool isListed; // The list takes its room in the reply.
+};
+
+const RoomRow rooms[] = {
+    { false, false, 0s, true },
+    { true, false, 59s, true },
+    { true, true, 0s, false },
+    { false, false, 60s, false },
+};
+
+// Guards against a member that joins while claims about all others circulate and learns none of the list from replies,
+// and against claims held up by a list that nobody waits for.
+ParameterizedTestParameters(Fleet, keepsRoomForTheList) { return rowIndices(rooms); }
+
+ParameterizedTest(std::size_t* index, Fleet, keepsRoomForTheList)
+{
+    const RoomRow& row = rooms[*index];
+    auto fleet = makeFleet();
+    const auto idOf = [](int n) { return "entry-" + std::to_string(1000 + n); };
+    for (int n = 0; n < 300; ++n)
+        fleet.handle(requestFrom(makeMember(idOf(n).c_str(), n % 7 ? "dc1" : "dc0", 1, 0)), TimePoint(1s));
+    for (auto age = 0s; age <= row.age; ++age)
+        fleet.checkPause(TimePoint(1s + age));
+    const auto known = fleet.messageFor(MemberId("nobody"), TimePoint(1s));
+    cr_assert_neq(known.fleetRoster, 0);
+    auto request = requestFrom(makeMember(idOf(0).c_str(), "dc0", 1, 0));
+    request.dataCentreRoster = row.knowsOwn ? known.dataCentreRoster : 0;
+    request.fleetRoster = row.knowsAll ? known.fleetRoster : 0;
+    request.rosterAfter = MemberId(idOf(140));
+    const auto members = fleet.handle(request, TimePoint(1s + row.age)).reply->members;
+    const std::size_t room = FleetLimits().rosterRoom;
+    cr_assert_eq(members.size(), FleetLimits().maxMemberUpdates);
+    std::size_t listed = 0; // Members of the list from entry-1140 on.
+    for (std::size_t n = 0; n < room; ++n) {
+        const int number = row.knowsOwn ? 141 + static_cast<int>(n) : 147 + 7 * static_cast<int>(n);
+        listed += members[members.size() - room + n].id == MemberId(idOf(number)) ? 1 : 0;
+    }
+    cr_assert_eq(listed == room, row.isListed);
+}
+
 struct ShareRow {
     int members;
     int keys;
