Say what a member shows where ConfigurationTest finds it not in force

Cause: on a machine with a load of 25 to 30, a row failed with 'start: e1 does not stay at it' in a full run, and the message did not say which check failed.

Change: the message names readiness, revision or answer. The checks are the same.

The cause of the first failure is not known.

--- a/tests/system/ConfigurationTest.cpp
+++ b/tests/system/ConfigurationTest.cpp
@@ -46,27 +46,36 @@
     return cluster.publishRecord(service, cluster.recordOf(service, upstream, schemaVersion));
 }
 
-bool isInForce(const DaemonProcess& member, const Expected& expected)
+// What the member shows instead of what is expected; empty where it shows that.
+std::string mismatch(const DaemonProcess& member, const Expected& expected)
 {
     const auto status = statusOf(member);
-    return status.isReady && status.revision == expected.revision
-        && servedBy(member, "jingles", expected.jingles) == expected.jingles
-        && (expected.second.empty() || servedBy(member, "second", expected.second) == expected.second);
+    if (!status.isReady)
+        return "is not ready";
+    if (status.revision != expected.revision)
+        return "is at revision " + std::to_string(status.revision) + ", not " + std::to_string(expected.revision);
+    const auto jingles = servedBy(member, "jingles", expected.jingles);
+    if (jingles != expected.jingles)
+        return "answers " + jingles + " in place of " + expected.jingles;
+    const auto second = expected.second.empty() ? std::string() : servedBy(member, "second", expected.second);
+    return second == expected.second ? std::string() : "answers " + second + " in place of " + expected.second;
 }
 
+bool isInForce(const DaemonProcess& member, const Expected& expected) { return mismatch(member, expected).empty(); }
+
 void expectInForce(Cluster& cluster, Clock::time_point from, const Expected& expected, const char* row)
 {
     for (const auto& member : cluster.daemons()) {
-        while (!isInForce(member, expected)) {
-            cr_assert_lt(Clock::now(), from + inForceWithin, "%s: %s is at revision %zu, not at %zu, or answers %s",
-                row, member.name.c_str(), statusOf(member).revision, expected.revision,
-                servedBy(member, "jingles", expected.jingles).c_str());
+        for (auto seen = mismatch(member, expected); !seen.empty(); seen = mismatch(member, expected)) {
+            cr_assert_lt(Clock::now(), from + inForceWithin, "%s: %s %s", row, member.name.c_str(), seen.c_str());
             ::usleep(20'000);
         }
     }
     for (const auto end = Clock::now() + watchedFor; Clock::now() < end; ::usleep(50'000)) {
-        for (const auto& member : cluster.daemons())
-            cr_assert(isInForce(member, expected), "%s: %s does not stay at it", row, member.name.c_str());
+        for (const auto& member : cluster.daemons()) {
+            const auto seen = mismatch(member, expected);
+            cr_assert(seen.empty(), "%s: %s does not stay at it: %s", row, member.name.c_str(), seen.c_str());
+        }
     }
 }
 
