Add the decision about a silent peer

Cause: a member notices a frozen home only by the PING of its peer connection, after 2 s. Change: SilenceDetector judges one connection from waits, bytes and ticks with explicit times, and asks for a PING, a suspicion or its end. Only time in which a stream waits counts, and no pause of this process.

--- /dev/null
+++ b/packages/fleet/src/SilenceDetector.cpp
@@ -0,0 +1,69 @@
+#include "dogwoodhall/fleet/SilenceDetector.h"
+
+#include <utility>
+
+namespace dogwoodhall {
+
+void SilenceDetector::waitStarted(TimePoint now)
+{
+    // Time without a waiting stream is no silence. The quiet time before it stays: callers whose deadlines are shorter
+    // than the time until a suspicion would otherwise never raise one.
+    if (m_waiting++ == 0)
+        m_lastEvent = now;
+}
+
+void SilenceDetector::waitEnded(TimePoint now)
+{
+    advance(now);
+    --m_waiting;
+}
+
+std::optional<SilenceAction> SilenceDetector::bytesArrived(TimePoint now)
+{
+    m_lastEvent = now;
+    restart();
+    if (std::exchange(m_isSuspected, false))
+        return TrustPeer {};
+    return std::nullopt;
+}
+
+std::optional<SilenceAction> SilenceDetector::tick(TimePoint now)
+{
+    if (m_waiting == 0)
+        return std::nullopt;
+    advance(now);
+    if (m_isSuspected)
+        return std::nullopt;
+    if (!m_hasPinged && m_quiet >= m_limits.pingAfter)
+        return SendSilencePing { std::exchange(m_hasAsked, true) };
+    if (!m_hasPinged || m_quiet < m_limits.suspectAfter)
+        return std::nullopt;
+    m_isSuspected = true;
+    return SuspectPeer {};
+}
+
+void SilenceDetector::pingSent(TimePoint now)
+{
+    m_lastEvent = now;
+    m_hasPinged = true;
+    m_quiet = {};
+}
+
+// What arrived during a pause of this process may not be read yet.
+void SilenceDetector::advance(TimePoint now)
+{
+    const Duration gap = now - std::exchange(m_lastEvent, now);
+    if (gap > m_limits.pingAfter)
+        restart();
+    else
+        m_quiet += gap;
+}
+
+void SilenceDetector::restart()
+{
+    m_quiet = {};
+    m_hasAsked = false;
+    m_hasPinged = false;
+}
+
+} // namespace dogwoodhall
