Give PINGs of traffic threads a fixed share of the measuring budget

Cause: MeasuringBudget belongs to the control thread; traffic threads are to send PINGs without asking it. Change: shareMeasuring() divides the limits of the settings once: up to a fifth of the calls for PINGs, in equal parts for the traffic threads, the rest for the control thread. PingBudget holds one thread's part.

--- /dev/null
+++ b/packages/budget/src/PingBudget.cpp
@@ -0,0 +1,36 @@
+#include "dogwoodhall/budget/PingBudget.h"
+
+#include <algorithm>
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr std::uint64_t shareDivisor = 5;
+// A bucket that holds one token must refill with another rate than zero.
+constexpr std::uint64_t leastPings = 2;
+
+CallCount burstOf(CallCount perSecond) { return CallCount((perSecond.count() + 1) / 2); }
+
+} // namespace
+
+MeasuringShares shareMeasuring(MeasuringLimits limits, std::uint32_t trafficThreads)
+{
+    const std::uint64_t divisor = shareDivisor * trafficThreads;
+    const std::uint64_t byBytes = limits.bytesPerSecond.count() / PingBudget::pingBytes.count() / divisor;
+    const std::uint64_t affordable = std::min(limits.callsPerSecond.count() / divisor, byBytes);
+    const std::uint64_t pings = affordable < leastPings ? 0 : affordable;
+    const std::uint64_t all = pings * trafficThreads;
+    return { { limits.callsPerSecond - CallCount(all),
+                 limits.bytesPerSecond - ByteCount(all * PingBudget::pingBytes.count()) },
+        CallCount(pings) };
+}
+
+PingBudget::PingBudget(CallCount perSecond)
+    : m_pings(perSecond - burstOf(perSecond), burstOf(perSecond))
+{
+}
+
+bool PingBudget::trySpend(TimePoint now) { return m_pings.tryTake(CallCount(1), now); }
+
+} // namespace dogwoodhall
--- a/packages/daemon/src/ControlThread.cpp
+++ b/packages/daemon/src/ControlThread.cpp
@@ -1,5 +1,6 @@
 #include "dogwoodhall/daemon/ControlThread.h"
 
+#include "dogwoodhall/budget/PingBudget.h"
 #include "dogwoodhall/daemon/PoolShard.h"
 #include "dogwoodhall/declarations/RecordParser.h"
 #include "dogwoodhall/telemetry/Logging.h"
@@ -31,7 +32,9 @@
     , m_hooks(std::move(hooks))
     , m_configuration(parseRecord)
     , m_joinBarrier(monotonicNow())
-    , m_budget({ settings.measuringCallsPerSecond, settings.measuringBytesPerSecond })
+    , m_budget(shareMeasuring(
+          { settings.measuringCallsPerSecond, settings.measuringBytesPerSecond }, settings.trafficThreads)
+                   .control)
     , m_recordBytes(recordBytesPerSecond, recordBurst)
     , m_platform(m_io, settings.platformAddress,
           { [this] { return m_gossip->fleet().isWatcher(); }, [this] { return m_configuration.highestRevision(); },
