--- a/tests/system/MemoryTest.cpp
+++ b/tests/system/MemoryTest.cpp
@@ -1,9 +1,9 @@
 #include "Cluster.h"
 #include "TableRows.h"
 
+#include <chrono>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
-#include <chrono>
 #include <csignal>
 #include <thread>
 
