Suspect a silent peer on its connection, and keep the connection

Cause: a frozen peer holds up every exchange for 2 s, until its connection is closed. Change: PeerClient ticks the SilenceDetector of each connection by one timer of 5 ms, which stops while no exchange waits. PINGs are paid for by a hook, the oldest first. An exchange with a LeaveSuspected hook may give up its stream, which is reset; the connection is closed by the present timeout only, also where no stream is left on it. Without detectSilence() nothing changes.

--- a/packages/peer/include/dogwoodhall/peer/PeerClient.h
+++ b/packages/peer/include/dogwoodhall/peer/PeerClient.h
@@ -3,6 +3,7 @@
 #include "dogwoodhall/core/NetworkAddress.h"
 #include "dogwoodhall/exchange/Exchange.h"
 #include "dogwoodhall/peer/PeerLimits.h"
+#include "dogwoodhall/peer/PeerSilence.h"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <chrono>
@@ -28,6 +29,13 @@
     // REFUSED_STREAM, or its id is above the last stream id of a GOAWAY.
     ExchangeResult<IncomingResponse> exchange(
         const NetworkAddress& peer, OutgoingRequest, std::chrono::steady_clock::time_point deadline);
+    // The same, but gives up the stream with PeerFailed where the peer is suspected and the hook allows it.
+    ExchangeResult<IncomingResponse> exchange(
+        const NetworkAddress& peer, OutgoingRequest, std::chrono::steady_clock::time_point deadline, LeaveSuspected);
+
+    // Watches the connections with streams that wait for an answer from now on. Without it no peer is suspected.
+    void detectSilence(SilenceHooks);
+    bool isSuspected(const NetworkAddress& peer) const;
 
     // Receives one sentence for each malformed, oversized or silent peer.
     void setLog(PeerLog);
--- a/packages/peer/src/PeerClient.cpp
+++ b/packages/peer/src/PeerClient.cpp
@@ -4,16 +4,23 @@
 
 #include "dogwoodhall/core/Ids.h"
 
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace dogwoodhall {
 
 namespace {
 
+constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
+
 // The use of one stream by an exchange: resets the stream at the end unless it has ended.
 class StreamLease {
 public:
@@ -36,6 +43,23 @@
     StreamId m_id;
 };
 
+// The time in which an exchange waits for its answer.
+class WaitingScope {
+public:
+    explicit WaitingScope(std::shared_ptr<PeerSession> session)
+        : m_session(std::move(session))
+    {
+        m_session->waitStarted();
+    }
+    ~WaitingScope() { m_session->waitEnded(); }
+
+    WaitingScope(const WaitingScope&) = delete;
+    WaitingScope& operator=(const WaitingScope&) = delete;
+
+private:
+    std::shared_ptr<PeerSession> m_session;
+};
+
 ExchangeResult<std::size_t> readLeased(std::shared_ptr<StreamLease> lease, asio::mutable_buffer buf)
 {
     auto n = co_await lease->session().readBody(lease->id(), buf);
@@ -68,11 +92,19 @@
     std::shared_ptr<PeerSession> sessionFor(const NetworkAddress&);
     void closeAll();
 
+    void detectSilence(SilenceHooks);
+    bool isSuspected(const NetworkAddress&) const;
+    // Starts the ticks where they have stopped, since nothing waited.
+    void wakeWatch();
+
     PeerDiagnostics& diagnostics() { return *m_diagnostics; }
     std::size_t openConnections() const { return m_sessions.size(); }
     ByteCount bufferedBytes() const;
 
 private:
+    static asio::awaitable<void> watchWaits(std::shared_ptr<Impl>);
+    void tick();
+    bool anyWaits() const;
     static asio::awaitable<void> runSession(
         std::shared_ptr<Impl>, std::shared_ptr<PeerSession>, ConnectionId, asio::ip::tcp::endpoint);
 
@@ -82,6 +114,10 @@
     std::unordered_map<ConnectionId, std::shared_ptr<PeerSession>> m_sessions;
     std::map<NetworkAddress, ConnectionId> m_current; // The connection for new requests.
     std::uint64_t m_nextConnection = 1;
+    SilenceHooks m_silenceHooks;
+    std::optional<asio::steady_timer> m_ticks;
+    bool m_watchIsIdle = false;
+    bool m_isClosed = false;
 };
 
 std::shared_ptr<PeerSession> PeerClient::Impl::sessionFor(const NetworkAddress& peer)
@@ -100,6 +136,10 @@
         asio::ip::tcp::socket(m_executor), PeerSession::Role::Client, m_limits, m_diagnostics, toString(peer), nullptr);
     m_sessions[id] = session;
     m_current[peer] = id;
+    session->setSilenceChanged([this, peer](SilenceChange change) {
+        if (m_silenceHooks.changed)
+            m_silenceHooks.changed(peer, change);
+    });
     ++m_diagnostics->counters.connectionsOpened;
     asio::co_spawn(m_executor, runSession(shared_from_this(), session, id, target), asio::detached);
     return session;
@@ -116,8 +156,72 @@
     self->m_sessions.erase(id);
 }
 
+void PeerClient::Impl::detectSilence(SilenceHooks hooks)
+{
+    m_silenceHooks = std::move(hooks);
+    m_ticks.emplace(m_executor);
+    asio::co_spawn(m_executor, watchWaits(shared_from_this()), asio::detached);
+}
+
+bool PeerClient::Impl::isSuspected(const NetworkAddress& peer) const
+{
+    auto it = m_current.find(peer);
+    if (it == m_current.end())
+        return false;
+    auto session = m_sessions.find(it->second);
+    return session != m_sessions.end() && session->second->silence().isSuspected();
+}
+
+void PeerClient::Impl::wakeWatch()
+{
+    if (m_ticks && m_watchIsIdle)
+        m_ticks->cancel();
+}
+
+bool PeerClient::Impl::anyWaits() const
+{
+    return std::any_of(
+        m_sessions.begin(), m_sessions.end(), [](const auto& item) { return item.second->silence().isWaiting(); });
+}
+
+// One timer for all connections, which does not run while nothing waits.
+asio::awaitable<void> PeerClient::Impl::watchWaits(std::shared_ptr<Impl> self)
+{
+    const auto period = std::chrono::duration_cast<std::chrono::steady_clock::duration>(SilenceLimits {}.tickPeriod);
+    while (!self->m_isClosed) {
+        self->m_watchIsIdle = !self->anyWaits();
+        if (self->m_watchIsIdle)
+            self->m_ticks->expires_at(asio::steady_timer::time_point::max());
+        else
+            self->m_ticks->expires_after(period);
+        auto [ec] = co_await self->m_ticks->async_wait(useTuple);
+        if (!ec)
+            self->tick();
+    }
+}
+
+// Where the budget is short, the connection with the oldest PING is the first to be paid for.
+void PeerClient::Impl::tick()
+{
+    std::vector<std::pair<PeerSession*, bool>> due;
+    for (const auto& [id, session] : m_sessions) {
+        if (const auto ping = session->checkWaits())
+            due.emplace_back(session.get(), ping->isRepeated);
+    }
+    std::sort(due.begin(), due.end(),
+        [](const auto& a, const auto& b) { return a.first->lastSilencePing() < b.first->lastSilencePing(); });
+    for (const auto& [session, isRepeated] : due) {
+        if (m_silenceHooks.payForPing(isRepeated))
+            session->sendSilencePing();
+    }
+}
+
 void PeerClient::Impl::closeAll()
 {
+    m_isClosed = true;
+    m_silenceHooks.changed = nullptr;
+    if (m_ticks)
+        m_ticks->cancel();
     for (auto& [id, session] : m_sessions)
         session->close("the client was closed");
 }
@@ -139,6 +243,12 @@
 
 ExchangeResult<IncomingResponse> PeerClient::exchange(
     const NetworkAddress& peer, OutgoingRequest request, std::chrono::steady_clock::time_point deadline)
+{
+    return exchange(peer, std::move(request), deadline, nullptr);
+}
+
+ExchangeResult<IncomingResponse> PeerClient::exchange(const NetworkAddress& peer, OutgoingRequest request,
+    std::chrono::steady_clock::time_point deadline, LeaveSuspected leave)
 {
     auto session = m_impl->sessionFor(peer);
     if (!session)
@@ -147,17 +257,23 @@
     if (!id)
         co_return tl::unexpected(id.error());
     auto lease = std::make_shared<StreamLease>(session, *id);
+    const WaitingScope waiting(session);
+    m_impl->wakeWatch();
     if (request.head.bodyLength.kind != BodyLength::Kind::None) {
         auto sent = co_await session->sendRequestBody(*id, std::move(request.readBody));
         if (!sent)
             co_return tl::unexpected(sent.error());
     }
-    auto head = co_await session->readHead(*id, deadline);
+    auto head = co_await session->readHead(*id, deadline, leave);
     if (!head)
         co_return tl::unexpected(head.error());
     co_return makeResponse(std::move(*head), std::move(lease));
 }
 
+void PeerClient::detectSilence(SilenceHooks hooks) { m_impl->detectSilence(std::move(hooks)); }
+
+bool PeerClient::isSuspected(const NetworkAddress& peer) const { return m_impl->isSuspected(peer); }
+
 void PeerClient::setLog(PeerLog log) { m_impl->diagnostics().log = std::move(log); }
 
 const PeerCounters& PeerClient::counters() const { return m_impl->diagnostics().counters; }
--- a/packages/peer/src/PeerSession.cpp
+++ b/packages/peer/src/PeerSession.cpp
@@ -30,6 +30,8 @@
 
 using NotSentLowWater = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_NOTSENT_LOWAT>;
 
+TimePoint toTimePoint(PeerSession::Clock::time_point t) { return TimePoint(t.time_since_epoch()); }
+
 auto toClock(Duration d) { return std::chrono::duration_cast<PeerSession::Clock::duration>(d); }
 
 } // namespace
@@ -102,6 +104,8 @@
     m_socket.close(ec);
     m_outputWanted.cancel();
     m_watch.cancel();
+    if (m_silence.isSuspected())
+        reportSilence(SilenceChange::Closed);
     failStreams(m_closeReason);
 }
 
@@ -152,6 +156,8 @@
         return;
     }
     m_lastReceived = Clock::now();
+    if (m_silence.bytesArrived(toTimePoint(m_lastReceived)))
+        reportSilence(SilenceChange::Trusted);
     const auto taken = nghttp2_session_mem_recv(m_session.get(), input.data(), n);
     if (taken < 0) {
         ++m_diagnostics->counters.protocolErrors;
@@ -205,7 +211,8 @@
 asio::awaitable<void> PeerSession::watchLoop()
 {
     while (!m_closed) {
-        m_watchIsIdle = m_streams.empty();
+        // A suspicion without streams ends by an answer or by the timeout, too.
+        m_watchIsIdle = m_streams.empty() && !m_silence.isSuspected();
         m_watchArmed = Clock::now();
         if (m_watchIsIdle) {
             m_pingSent.reset();
@@ -246,6 +253,39 @@
     return true;
 }
 
+void PeerSession::waitStarted() { m_silence.waitStarted(toTimePoint(Clock::now())); }
+
+void PeerSession::waitEnded() { m_silence.waitEnded(toTimePoint(Clock::now())); }
+
+std::optional<SendSilencePing> PeerSession::checkWaits()
+{
+    const auto action = m_silence.tick(toTimePoint(Clock::now()));
+    if (!action)
+        return std::nullopt;
+    if (const auto* ping = std::get_if<SendSilencePing>(&*action))
+        return *ping;
+    reportSilence(SilenceChange::Suspected);
+    // Each exchange that waits decides whether it leaves.
+    for (auto& [id, stream] : m_streams)
+        stream->changed.cancel();
+    wake();
+    return std::nullopt;
+}
+
+void PeerSession::sendSilencePing()
+{
+    m_lastSilencePing = toTimePoint(Clock::now());
+    m_silence.pingSent(m_lastSilencePing);
+    nghttp2_submit_ping(m_session.get(), NGHTTP2_FLAG_NONE, nullptr);
+    wake();
+}
+
+void PeerSession::reportSilence(SilenceChange change)
+{
+    if (m_silenceChanged)
+        m_silenceChanged(change);
+}
+
 asio::awaitable<void> PeerSession::lingerUntilEof()
 {
     boost::system::error_code ec;
@@ -266,7 +306,7 @@
 void PeerSession::wake()
 {
     m_outputWanted.cancel();
-    if (m_watchIsIdle && !m_streams.empty())
+    if (m_watchIsIdle && (!m_streams.empty() || m_silence.isSuspected()))
         m_watch.cancel();
 }
 
--- a/packages/peer/src/PeerSession.h
+++ b/packages/peer/src/PeerSession.h
@@ -2,7 +2,9 @@
 
 #include "PeerStream.h"
 
+#include "dogwoodhall/fleet/SilenceDetector.h"
 #include "dogwoodhall/peer/PeerLimits.h"
+#include "dogwoodhall/peer/PeerSilence.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
@@ -58,7 +60,19 @@
     // Client. Queues a request head; `deadline` ends the wait for the response head.
     tl::expected<StreamId, ExchangeError> submitRequest(const RequestHead&, Clock::time_point deadline);
     ExchangeResult<void> sendRequestBody(StreamId, ReadBody);
-    ExchangeResult<ResponseHead> readHead(StreamId, Clock::time_point deadline);
+    // `leave` is asked where the peer is suspected, and must outlive the call; null: the stream is kept.
+    ExchangeResult<ResponseHead> readHead(StreamId, Clock::time_point deadline, const LeaveSuspected& leave);
+
+    // Client. Between these two calls an exchange waits for its answer.
+    void waitStarted();
+    void waitEnded();
+    // Client, while an exchange waits. True where a PING is due, to be sent by sendSilencePing() once it is paid for.
+    std::optional<SendSilencePing> checkWaits();
+    void sendSilencePing();
+    // Client. `changed` is called for each change, never from within nghttp2.
+    void setSilenceChanged(std::function<void(SilenceChange)> changed) { m_silenceChanged = std::move(changed); }
+    const SilenceDetector& silence() const { return m_silence; }
+    TimePoint lastSilencePing() const { return m_lastSilencePing; }
 
     // Server.
     PeerStream* find(StreamId);
@@ -91,6 +105,7 @@
     void collectOutput();
     bool isFinished() const;
     bool checkSilence();
+    void reportSilence(SilenceChange);
     void wake();
     PeerStream& addStream(StreamId);
     void resetStream(StreamId, std::uint32_t code);
@@ -117,6 +132,9 @@
     Clock::time_point m_lastReceived;
     Clock::time_point m_watchArmed;
     std::optional<Clock::time_point> m_pingSent;
+    SilenceDetector m_silence;
+    TimePoint m_lastSilencePing;
+    std::function<void(SilenceChange)> m_silenceChanged;
     bool m_closed = false;
     bool m_goawayReceived = false;
     std::optional<std::int32_t> m_lastAccepted; // Server: streams above this are refused after GOAWAY was queued.
--- a/packages/peer/src/SessionStreams.cpp
+++ b/packages/peer/src/SessionStreams.cpp
@@ -19,6 +19,7 @@
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t relayBufferBytes = 16 * 1024;
 constexpr unsigned firstErrorStatus = 400;
+const std::string suspected = "the peer is suspected";
 
 } // namespace
 
@@ -163,9 +164,10 @@
     }
 }
 
-ExchangeResult<ResponseHead> PeerSession::readHead(StreamId id, Clock::time_point deadline)
+ExchangeResult<ResponseHead> PeerSession::readHead(StreamId id, Clock::time_point deadline, const LeaveSuspected& leave)
 {
     auto self = shared_from_this();
+    bool wasAsked = false;
     while (true) {
         PeerStream* stream = find(id);
         if (!stream)
@@ -180,6 +182,8 @@
             const bool notRun = !stream->handedOver;
             co_return tl::unexpected(ExchangeError { ErrorKind::DeadlineExceeded, notRun, "no response head" });
         }
+        if (m_silence.isSuspected() && leave && !std::exchange(wasAsked, true) && leave(stream->handedOver))
+            co_return tl::unexpected(ExchangeError { ErrorKind::PeerFailed, !stream->handedOver, suspected });
         co_await stream->changed.async_wait(useTuple);
     }
 }
