Pass a home by while it is silent

Cause: a frozen home holds up the requests of other members for 2 s, longer than many deadlines. Change: traffic threads watch their connections to homes. New requests and permits bypass a suspected home; a permit that waits there, a request that was not handed over and, within its lifecycle and retry budget, an idempotent one are placed by this process's own counts. Others keep waiting. The end of a suspected connection bypasses the home for 1 s, as any failure of it.

--- a/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/AttemptRunner.h
@@ -3,6 +3,7 @@
 #include "dogwoodhall/daemon/AnswerRelay.h"
 #include "dogwoodhall/daemon/ForwardEnvelope.h"
 #include "dogwoodhall/daemon/HedgedExchange.h"
+#include "dogwoodhall/daemon/HomeBypass.h"
 #include "dogwoodhall/daemon/PoolDirectory.h"
 #include "dogwoodhall/daemon/RequestWork.h"
 #include "dogwoodhall/daemon/Snapshot.h"
@@ -11,7 +12,6 @@
 #include "dogwoodhall/routing/LongWorkClassifier.h"
 
 #include <functional>
-#include <map>
 #include <variant>
 
 namespace dogwoodhall {
@@ -37,6 +37,9 @@
 
     asio::awaitable<AttemptResult> attempt(RequestWork&, const ResponseWriter&);
 
+    // The connection to a suspected home has ended: it is passed by for a while, as after any failure.
+    void homeLost(const NetworkAddress& peer);
+
     // Holds a slot for a request of another member, until its stream is reset: the answer names the endpoint.
     asio::awaitable<void> grantPermit(const RequestWork&, const ResponseWriter&);
 
@@ -56,6 +59,9 @@
     asio::awaitable<RelayResult> relay(RequestWork&, const ResponseWriter&, IncomingResponse&);
     OutgoingRequest outgoing(RequestWork&, const RequestTrace::Hop&, bool withBody) const;
     OutgoingRequest requestToHome(RequestWork&, const RequestTrace::Hop&, ForwardEnvelope::Purpose) const;
+    // Whether a request that waits at a suspected home goes elsewhere; pays for that where it may have run.
+    bool leaveHome(RequestWork&, bool mayHaveRun);
+    AttemptResult homeSuspected(RequestWork&, bool provenNotRun);
     AttemptResult homeFailed(RequestWork&, const PoolHome&, ErrorKind, bool provenNotRun);
 
     TrafficServices& m_services;
@@ -64,7 +70,7 @@
     TakeRetry m_takeRetry;
     HedgePolicy m_hedges;
     SnapshotPointer m_snapshot;
-    std::map<MemberId, TimePoint> m_bypassUntil; // Homes that did not answer lately.
+    HomeBypass m_bypass;
 };
 
 } // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -24,6 +24,7 @@
     Counter& hedges; // Second attempts sent while the first had not been answered.
     Counter& forwarded; // Sent to a pool's home on another entry host.
     Counter& bypassedHomes; // Placed here because the pool's home did not answer.
+    Counter& suspectedHomes; // Times that a connection to another entry host fell silent.
     Counter& permits; // Long requests sent to their endpoint with a permit from the pool's home.
     Counter& spilled; // Sent to a pool of another data centre.
     Counter& ticketsIssued;
--- a/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/RequestRunner.h
@@ -22,6 +22,7 @@
     asio::awaitable<void> runForwarded(IncomingRequest, const ForwardEnvelope&, const ResponseWriter&);
 
     std::size_t running() const { return m_running; }
+    void homeLost(const NetworkAddress& peer) { m_attempts.homeLost(peer); }
     LoadTable& loads() { return m_pools.loads(); }
 
 private:
--- a/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/TrafficThread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dogwoodhall/budget/PingBudget.h"
 #include "dogwoodhall/daemon/RequestRunner.h"
 #include "dogwoodhall/daemon/TicketService.h"
 #include "dogwoodhall/daemon/TrafficServices.h"
@@ -40,6 +41,7 @@
         // Tells the control thread and the other traffic threads the load of this thread's pools.
         std::function<void(std::vector<PoolLoadSummary>)> shareLoads;
         std::uint32_t trafficThreads = 1;
+        CallCount pingsPerSecond; // This thread's share of the measuring budget.
     };
 
     TrafficThread(Options, DaemonMetrics&);
@@ -77,6 +79,8 @@
     asio::awaitable<void> handlePeer(IncomingRequest, ResponseWriter);
     asio::awaitable<void> handleGossip(IncomingRequest, ResponseWriter);
     void observePauses();
+    bool payForPing(bool isRepeated);
+    void peerChanged(const NetworkAddress&, SilenceChange);
     void checkDrained();
 
     Options m_options;
@@ -89,6 +93,7 @@
     SlotGateway m_slots;
     UpstreamClient m_upstreams;
     PeerClient m_peers;
+    PingBudget m_pings;
     TrafficServices m_services;
     RequestRunner m_runner;
     TicketService m_tickets;
--- a/packages/daemon/src/AttemptRunner.cpp
+++ b/packages/daemon/src/AttemptRunner.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-// A home that failed is tried again after this time; the fleet's gossip removes it for longer where it is gone.
-constexpr Duration homeBypassTime = std::chrono::seconds(1);
 constexpr std::string_view permitEndpointField = "Dogwoodhall-Endpoint";
 constexpr std::string_view permitAddressField = "Dogwoodhall-Endpoint-Address";
 constexpr std::string_view upstreamTimeField = "Dogwoodhall-Upstream-Time-Us";
@@ -71,13 +69,14 @@
     , m_classifier(classifier)
     , m_takeRetry(std::move(takeRetry))
     , m_snapshot(std::make_shared<Snapshot>())
+    , m_bypass(services)
 {
 }
 
 void AttemptRunner::apply(SnapshotPointer snapshot)
 {
     m_snapshot = std::move(snapshot);
-    std::erase_if(m_bypassUntil, [now = monotonicNow()](const auto& item) { return item.second <= now; });
+    m_bypass.removeExpired();
 }
 
 asio::awaitable<AttemptResult> AttemptRunner::attempt(RequestWork& work, const ResponseWriter& writer)
@@ -95,12 +94,8 @@
     if (!work.mayUseHome)
         return nullptr;
     auto it = m_snapshot->remoteHomes.find(work.pool);
-    if (it == m_snapshot->remoteHomes.end())
-        return nullptr;
-    auto bypass = m_bypassUntil.find(it->second.member);
-    if (bypass != m_bypassUntil.end() && bypass->second > monotonicNow())
-        return nullptr;
-    return &it->second;
+    const bool hasHome = it != m_snapshot->remoteHomes.end() && !m_bypass.contains(it->second);
+    return hasHome ? &it->second : nullptr;
 }
 
 asio::awaitable<tl::expected<SlotLease, ErrorKind>> AttemptRunner::acquireSlot(const RequestWork& work)
@@ -248,10 +243,14 @@
     m_services.metrics.forwarded.add();
     auto request = requestToHome(work, hop, ForwardEnvelope::Purpose::Forward);
     work.lifecycle.attemptStarted();
+    bool hasLeft = false;
+    const LeaveSuspected leave = [&](bool mayHaveRun) { return hasLeft = leaveHome(work, mayHaveRun); };
     auto response
-        = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
+        = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline), leave);
     if (!response) {
         hop.fail(answerFor(response.error().kind).name);
+        if (hasLeft)
+            co_return homeSuspected(work, response.error().provenNotRun);
         co_return homeFailed(work, home, response.error().kind, response.error().provenNotRun);
     }
     const auto kind = errorKindFromName(response->head.fields.find(fields::error).value_or(""));
@@ -288,12 +287,16 @@
     RequestTrace::Hop hop(work.trace, "permit", work.entryHop.id());
     hop.note("home", home.member.value());
     auto request = requestToHome(work, hop, ForwardEnvelope::Purpose::Permit);
+    bool hasLeft = false;
+    const LeaveSuspected leave = [&](bool) { return hasLeft = true; };
     auto permit
-        = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline));
+        = co_await m_services.peers.exchange(home.peerAddress, std::move(request), toSteadyClock(work.deadline), leave);
     if (!permit) {
         hop.fail(answerFor(permit.error().kind).name);
         // A permit runs nothing, so its loss is no loss of the request.
         work.lifecycle.attemptStarted();
+        if (hasLeft)
+            co_return homeSuspected(work, true);
         co_return homeFailed(work, home, permit.error().kind, true);
     }
     // The slot is held by the open stream, and returned when it is reset.
@@ -355,13 +358,34 @@
     return request;
 }
 
+bool AttemptRunner::leaveHome(RequestWork& work, bool mayHaveRun)
+{
+    const AttemptFailure failure { ErrorKind::PeerFailed, !mayHaveRun, work.body.canRewind(), mayHaveRun };
+    return work.lifecycle.mayRepeatAfter(failure) && (!mayHaveRun || m_takeRetry(work.route.service));
+}
+
+// The suspicion itself keeps further requests away, and ends with the first byte; leaveHome() has paid for the repeat.
+AttemptResult AttemptRunner::homeSuspected(RequestWork& work, bool provenNotRun)
+{
+    work.mayUseHome = false;
+    m_services.metrics.bypassedHomes.add();
+    return AttemptFailure { ErrorKind::PeerFailed, provenNotRun, true, false };
+}
+
+void AttemptRunner::homeLost(const NetworkAddress& peer)
+{
+    for (const auto& [id, member] : m_snapshot->members) {
+        if (member.peerAddress == peer)
+            m_bypass.add(id);
+    }
+}
+
 AttemptResult AttemptRunner::homeFailed(RequestWork& work, const PoolHome& home, ErrorKind kind, bool provenNotRun)
 {
     work.mayUseHome = false;
     if (kind != ErrorKind::DeadlineExceeded) {
         m_services.metrics.bypassedHomes.add();
-        m_bypassUntil[home.member] = monotonicNow() + homeBypassTime;
-        m_services.reportSilentMember(home.member);
+        m_bypass.add(home.member);
     }
     const auto reported = kind == ErrorKind::UpstreamFailed ? ErrorKind::PeerFailed : kind;
     return AttemptFailure { reported, provenNotRun, true, !provenNotRun };
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,5 +1,6 @@
 #include "dogwoodhall/daemon/Daemon.h"
 
+#include "dogwoodhall/budget/PingBudget.h"
 #include "dogwoodhall/daemon/CallOn.h"
 #include "dogwoodhall/telemetry/Logging.h"
 
@@ -83,6 +84,9 @@
     };
     options.reportPause = [this] { asio::post(m_control.io(), [this] { m_control.reportPause(); }); };
     options.trafficThreads = m_settings.trafficThreads;
+    options.pingsPerSecond = shareMeasuring(
+        { m_settings.measuringCallsPerSecond, m_settings.measuringBytesPerSecond }, m_settings.trafficThreads)
+                                 .pingsPerSecond;
     options.shareLoads = [this](std::vector<PoolLoadSummary> loads) { shareLoads(std::move(loads)); };
     options.answerGossip = [this](std::string request) {
         using Answer = tl::expected<std::string, std::string>;
--- /dev/null
+++ b/packages/daemon/src/HomeBypass.cpp
@@ -0,0 +1,30 @@
+#include "dogwoodhall/daemon/HomeBypass.h"
+
+namespace dogwoodhall {
+
+namespace {
+
+// A home that failed is tried again after this time; the fleet's gossip removes it for longer where it is gone.
+constexpr Duration homeBypassTime = std::chrono::seconds(1);
+
+} // namespace
+
+bool HomeBypass::contains(const PoolHome& home) const
+{
+    auto it = m_until.find(home.member);
+    const bool hasFailed = it != m_until.end() && it->second > monotonicNow();
+    return hasFailed || m_services.peers.isSuspected(home.peerAddress);
+}
+
+void HomeBypass::add(const MemberId& member)
+{
+    m_until[member] = monotonicNow() + homeBypassTime;
+    m_services.reportSilentMember(member);
+}
+
+void HomeBypass::removeExpired()
+{
+    std::erase_if(m_until, [now = monotonicNow()](const auto& item) { return item.second <= now; });
+}
+
+} // namespace dogwoodhall
--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -39,6 +39,7 @@
     , m_slots(m_io, m_options.index, m_options.postToShard)
     , m_upstreams(m_io.get_executor(), m_options.upstreamLimits)
     , m_peers(m_io.get_executor(), m_options.peerLimits)
+    , m_pings(m_options.pingsPerSecond)
     , m_services { m_io, m_slots, m_upstreams, m_peers, metrics, m_random, m_options.spans, m_options.member,
         m_options.dataCentre, m_options.traceSampling, m_options.reportSilentMember }
     , m_runner(m_services, m_options.trafficThreads)
@@ -57,6 +58,8 @@
           },
           [this](const asio::ip::address& address) { return m_snapshot->memberIps.contains(address.to_string()); })
 {
+    m_peers.detectSilence({ [this](bool isRepeated) { return payForPing(isRepeated); },
+        [this](const NetworkAddress& peer, SilenceChange change) { peerChanged(peer, change); } });
     m_tickets.setRunEnded([this] { checkDrained(); });
     m_peerServer.setLog([this](std::string_view text) {
         m_metrics.peerProtocolErrors.add();
@@ -137,6 +140,35 @@
     m_options.reportPause();
 }
 
+bool TrafficThread::payForPing(bool isRepeated)
+{
+    if (m_pings.trySpend(monotonicNow())) {
+        m_metrics.sent(MeasuringCategory::Health).add();
+        m_metrics.controlBytes.add(PingBudget::pingBytes.count());
+        return true;
+    }
+    // Each tick asks again; one PING counts once.
+    if (!isRepeated)
+        m_metrics.denied(MeasuringCategory::Health).add();
+    return false;
+}
+
+void TrafficThread::peerChanged(const NetworkAddress& peer, SilenceChange change)
+{
+    switch (change) {
+    case SilenceChange::Suspected:
+        m_metrics.suspectedHomes.add();
+        DOGWOODHALL_LOG(peer, warning) << "No answer to a PING from " << toString(peer) << "; it is passed by.";
+        break;
+    case SilenceChange::Trusted:
+        DOGWOODHALL_LOG(peer, info) << toString(peer) << " answers again.";
+        break;
+    case SilenceChange::Closed:
+        m_runner.homeLost(peer);
+        break;
+    }
+}
+
 asio::awaitable<void> TrafficThread::handleCaller(IncomingRequest request, ResponseWriter writer)
 {
     observePauses();
--- a/packages/request/include/dogwoodhall/request/RequestLifecycle.h
+++ b/packages/request/include/dogwoodhall/request/RequestLifecycle.h
@@ -36,6 +36,8 @@
     RequestLifecycle(bool isIdempotent, unsigned maxAttempts);
 
     void attemptStarted();
+    // Whether another attempt may follow where the one under way ends like this, its cost apart.
+    bool mayRepeatAfter(const AttemptFailure&) const;
     AfterFailure attemptFailed(const AttemptFailure&, RetryBudget&);
     // The attempt was turned away before it reached an upstream, with proof; it does not count against maxAttempts.
     void attemptTurnedAway();
--- a/packages/request/src/RequestLifecycle.cpp
+++ b/packages/request/src/RequestLifecycle.cpp
@@ -10,12 +10,17 @@
 
 void RequestLifecycle::attemptStarted() { ++m_attempts; }
 
+bool RequestLifecycle::mayRepeatAfter(const AttemptFailure& failure) const
+{
+    const bool isNotRun = m_provenNotRun + (failure.provenNotRun ? 1 : 0) == m_attempts;
+    return (m_isIdempotent || isNotRun) && failure.bodyCanBeReplayed && m_attempts < m_maxAttempts;
+}
+
 AfterFailure RequestLifecycle::attemptFailed(const AttemptFailure& failure, RetryBudget& budget)
 {
+    const bool mayRepeat = mayRepeatAfter(failure);
     if (failure.provenNotRun)
         ++m_provenNotRun;
-    const bool safeToRepeat = m_isIdempotent || outcome() == Outcome::NotRun;
-    const bool mayRepeat = safeToRepeat && failure.bodyCanBeReplayed && m_attempts < m_maxAttempts;
     if (mayRepeat && (!failure.reachedUpstream || budget.tryTake()))
         return RetryRequest {};
     return endWithoutAttempt(failure.kind);
--- a/tests/system/HomeTest.cpp
+++ b/tests/system/HomeTest.cpp
@@ -2,6 +2,7 @@
 #include "SentRequests.h"
 #include "TableRows.h"
 
+#include <algorithm>
 #include <csignal>
 
 using namespace dogwoodhall;
@@ -14,6 +15,10 @@
 constexpr std::size_t requestsOfRound = 2; // Through each member, one of them not idempotent.
 // Longer than the time after which members bypass a home that is silent (2 s) and suspect it (about 4 s).
 constexpr useconds_t pauseMicroseconds = 4'000'000;
+// While the home is suspected, and before its connection is closed after 2 s.
+constexpr int frozenRounds = 3;
+// The reserve of the one traffic thread, and a tenth of the at most 90 idempotent requests that succeed.
+constexpr std::size_t mostRetries = 10 + 9;
 
 void freeze(Cluster&, DaemonProcess& home) { home.process.signal(SIGSTOP); }
 
@@ -153,6 +158,66 @@
 
 ParameterizedTest(std::size_t* index, Home, failsWithoutHarm, .timeout = 120) { HomeCase(rows[*index]).run(); }
 
+struct SilenceRow {
+    const char* name;
+    const char* target;
+    unsigned delayMs; // Of each upstream's answers.
+    bool strikesInFlight;
+    std::size_t crowd; // Requests sent to the frozen home at once, half of them idempotent; 0: one.
+};
+
+const SilenceRow silenceRows[] = {
+    { "frozen", "/a", 0, false, 0 },
+    { "frozen in the middle", "/a", 300, true, 0 },
+    { "frozen while upstreams are slow", "/a", 200, false, 0 },
+    { "frozen, long work", "/download", 0, false, 0 },
+    { "frozen, more wait than the retry budget repeats", "/a", 0, false, 160 },
+};
+
+// Guards against a frozen home that holds up requests with shorter deadlines than the timeout of its connection,
+// against a second run of those that are not idempotent, and against a home that is not used again.
+ParameterizedTestParameters(Home, isPassedByWhileFrozen) { return rowIndices(silenceRows); }
+
+ParameterizedTest(std::size_t* index, Home, isPassedByWhileFrozen, .timeout = 120)
+{
+    const auto& row = silenceRows[*index];
+    // One traffic thread has one connection to the home, which is suspected once.
+    auto cluster = Cluster::Builder().daemons(2).upstreams(2).slots(slotCount).setting("trafficThreads", 1).start();
+    const auto home = agreedHome({ &cluster.daemon(0), &cluster.daemon(1) });
+    auto& frozen = cluster.daemon(cluster.daemon(0).name == home ? 0 : 1);
+    const auto& entry = cluster.daemon(cluster.daemon(0).name == home ? 1 : 0);
+    const auto used = [&] {
+        return counterOf(entry, "dogwoodhall_forwarded_total") + counterOf(entry, "dogwoodhall_permits_total");
+    };
+    for (std::size_t n = 0; n < cluster.upstreamCount(); ++n)
+        cluster.setMode(n, "delay_ms=" + std::to_string(row.delayMs));
+    SentRequests requests(row.name, "Dogwoodhall-Deadline-Ms: 1000\r\n");
+    requests.send(entry, row.target, requestsOfRound, false, row.strikesInFlight);
+    if (row.strikesInFlight)
+        cr_assert(eventually([&] { return cluster.received(0) + cluster.received(1) >= requestsOfRound; }));
+    else
+        requests.readAll();
+    frozen.process.signal(SIGSTOP);
+    // The first request after this is idempotent and waits at the home; those after it need not.
+    requests.send(entry, row.target, std::max<std::size_t>(row.crowd, 1), row.crowd > 0, true);
+    requests.readAll();
+    for (int round = 0; round < frozenRounds; ++round) {
+        requests.send(entry, row.target, requestsOfRound);
+        requests.readAll();
+    }
+    const auto retries = counterOf(entry, "dogwoodhall_retries_total");
+    cr_assert(retries > 0 && retries <= mostRetries, "%s: %zu retries", row.name, std::size_t(retries));
+    frozen.process.signal(SIGCONT);
+    const auto before = used();
+    cr_assert(eventually([&] {
+        requests.send(entry, row.target, requestsOfRound, false, true);
+        requests.readAll();
+        return used() > before;
+    }),
+        "%s: the home is not used again", row.name);
+    requests.check(cluster);
+}
+
 struct PermitRow {
     const char* name;
     const char* method;
--- a/tests/system/support/SentRequests.cpp
+++ b/tests/system/support/SentRequests.cpp
@@ -16,7 +16,7 @@
         const auto id = std::to_string(m_sent.size()) + "-" + daemon.name + "-" + method;
         m_sent.push_back({ id, method, " received " + std::to_string(body.size()) + " bytes\n",
             isPost ? mayFailPost : mayFailGet, std::make_unique<TestClient>(daemon.caller), {} });
-        m_sent.back().client->send(TestRequest { method, target, {}, body, id }.text());
+        m_sent.back().client->send(TestRequest { method, target, m_fields, body, id }.text());
     }
 }
 
--- a/tests/system/support/SentRequests.h
+++ b/tests/system/support/SentRequests.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dogwoodhall {
@@ -12,8 +13,10 @@
 // whole answer of its own, an outcome with every failure, no run after `not-run`, at most one run unless idempotent.
 class SentRequests {
 public:
-    explicit SentRequests(const char* row) // Named in failures.
+    // The row is named in failures; the fields are those of each request, in whole lines.
+    explicit SentRequests(const char* row, std::string fields = {})
         : m_row(row)
+        , m_fields(std::move(fields))
     {
     }
 
@@ -39,6 +42,7 @@
     void checkOne(const Cluster&, const Sent&) const;
 
     const char* m_row;
+    std::string m_fields;
     std::vector<Sent> m_sent;
 };
 
--- a/tools/include/LoadRun.h
+++ b/tools/include/LoadRun.h
@@ -17,6 +17,7 @@
     // then, so that a slow answer delays no other measurement. 0: closed-loop, the next follows the answer.
     double rate = 0;
     std::string target = "/";
+    unsigned deadlineMs = 0; // Of each request; 0: the service's own. An answer in time that is an error is a failure.
 };
 
 struct LoadResult {
--- a/tools/src/LoadRun.cpp
+++ b/tools/src/LoadRun.cpp
@@ -31,7 +31,11 @@
     return { asio::ip::make_address(address.ip), address.port };
 }
 
-std::string requestText(const std::string& target) { return "GET " + target + " HTTP/1.1\r\nHost: load\r\n\r\n"; }
+std::string requestText(const std::string& target, unsigned deadlineMs = 0)
+{
+    const auto deadline = deadlineMs ? "Dogwoodhall-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n" : "";
+    return "GET " + target + " HTTP/1.1\r\nHost: load\r\n" + deadline + "\r\n";
+}
 
 // One connection's share of a load.
 class Loader {
@@ -80,7 +84,7 @@
             co_return false;
         m_socket.set_option(asio::ip::tcp::no_delay(true), ec);
     }
-    const auto text = requestText(m_plan.target);
+    const auto text = requestText(m_plan.target, m_plan.deadlineMs);
     std::size_t n = 0;
     std::tie(ec, n) = co_await asio::async_write(m_socket, asio::buffer(text), useTuple);
     http::response_parser<http::string_body> parser;
--- a/tools/src/LoadTool.cpp
+++ b/tools/src/LoadTool.cpp
@@ -111,6 +111,7 @@
     description.add_options()("seconds", options::value<double>()->default_value(10), "of load in all");
     description.add_options()("rate", options::value<double>()->default_value(0), "requests/s; 0: as fast as answered");
     description.add_options()("target", options::value<std::string>()->default_value("/"), "request target");
+    description.add_options()("deadline-ms", options::value<unsigned>()->default_value(0), "0: the service's own");
     description.add_options()("pid", options::value<int>()->default_value(0), "measure memory of this process");
     options::variables_map arguments;
     try {
@@ -123,6 +124,7 @@
         load.plan.address = dogwoodhall::parseNetworkAddress(load.through).value();
         load.plan.connections = arguments["connections"].as<std::size_t>();
         load.plan.duration = std::chrono::duration<double>(arguments["seconds"].as<double>());
+        load.plan.deadlineMs = arguments["deadline-ms"].as<unsigned>();
         load.plan.rate = arguments["rate"].as<double>();
         load.plan.target = arguments["target"].as<std::string>();
         return dogwoodhall::run(load);
