Let HedgeTest look for full slots as long as they are held

The last check of each row polled 40 times for all slots in use at once. With a daemon under the thread sanitizer and test programs of the release build the polls ended before the daemon had dispatched all requests, and most rows failed with "slots are lost". It now polls for the 300 ms for which each request holds its slot; all slots must still be in use at once.

--- a/tests/system/HedgeTest.cpp
+++ b/tests/system/HedgeTest.cpp
@@ -28,6 +28,7 @@
 const char* const usualMode = "delay_ms=50";
 // Less than eight times as long, so that it ejects no endpoint.
 const char* const fillMode = "delay_ms=300";
+constexpr std::chrono::milliseconds fillTime { 300 }; // For which each request holds its slot.
 // Longer than any wait of the test: a request that waits for such an answer is not answered.
 const char* const hungMode = "delay_ms=120000";
 
@@ -156,7 +157,8 @@
         std::size_t most = 0;
         {
             auto clients = start(allSlots, "POST", "");
-            for (std::size_t n = 0; n < 40 && most < allSlots; ++n)
+            const auto end = std::chrono::steady_clock::now() + fillTime;
+            while (most < allSlots && std::chrono::steady_clock::now() < end)
                 most = std::max(most, inUse());
             for (auto& client : clients)
                 client->readAnswer();
