--- a/packages/daemon/src/TrafficThread.cpp
+++ b/packages/daemon/src/TrafficThread.cpp
@@ -169,7 +169,7 @@
         DOGWOODHALL_LOG(peer, warning) << "No answer to a PING from " << toString(peer) << "; it is passed by.";
         break;
     case SilenceChange::Trusted:
-        DOGWOODHALL_LOG(peer, info) << toString(peer) << " answers again.";
+        DOGWOODHALL_LOG(peer, info) << "Member at " << toString(peer) << " answers again.";
         break;
     case SilenceChange::Closed:
         m_runner.homeLost(peer);
