--- a/packages/core/include/dogwoodhall/core/ErrorKind.h
+++ b/packages/core/include/dogwoodhall/core/ErrorKind.h
@@ -54,6 +54,9 @@
 // The answer for a kind. Total: every kind has a row.
 const ErrorAnswer& answerFor(ErrorKind);
 
+// The caller broke off its request's body, or sent it too slowly or too long.
+bool isCallersFault(ErrorKind);
+
 // The kind whose name is `name`, as carried between daemons.
 std::optional<ErrorKind> errorKindFromName(std::string_view name);
 
--- a/packages/core/src/ErrorKind.cpp
+++ b/packages/core/src/ErrorKind.cpp
@@ -51,6 +51,12 @@
 
 const ErrorAnswer& answerFor(ErrorKind kind) { return answers[static_cast<std::size_t>(kind)]; }
 
+bool isCallersFault(ErrorKind kind)
+{
+    return kind == ErrorKind::BadRequest || kind == ErrorKind::RequestTimeout || kind == ErrorKind::BodyTooLarge
+        || kind == ErrorKind::Cancelled;
+}
+
 std::optional<ErrorKind> errorKindFromName(std::string_view name)
 {
     auto it = std::find_if(answers.begin(), answers.end(), [&](const ErrorAnswer& row) { return row.name == name; });
