Measure the memory of connections between daemons

Cause: the capacity page left out the connections that each traffic thread keeps to the homes of its data centre.

--- /dev/null
+++ b/packages/peer/bench/PeerSlopes.cpp
@@ -0,0 +1,91 @@
+// Prints what connections between daemons cost: memory of an idle one, client's and server's end together, without the
+// kernel's buffers.
+#include "SlopeFit.h"
+#include "dogwoodhall/exchange/WholeBody.h"
+#include "dogwoodhall/peer/PeerClient.h"
+#include "dogwoodhall/peer/PeerServer.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <memory>
+#include <vector>
+
+using namespace dogwoodhall;
+
+namespace {
+
+constexpr std::chrono::seconds exchangeTimeout { 30 };
+
+asio::awaitable<void> answer(ResponseWriter writer)
+{
+    ResponseHead head;
+    head.status = 200;
+    co_await writeWhole(writer, head, "done");
+}
+
+// One client and as many servers as connections, all on one event loop.
+class Connections {
+public:
+    explicit Connections(std::size_t count)
+        : m_client(m_io.get_executor(), PeerLimits {})
+    {
+        for (std::size_t n = 0; n < count; ++n) {
+            m_servers.push_back(std::make_unique<PeerServer>(
+                m_io.get_executor(), PeerLimits {},
+                [](IncomingRequest, ResponseWriter writer) { return answer(std::move(writer)); },
+                [](const asio::ip::address&) { return true; }));
+            m_addresses.push_back(m_servers.back()->listen({ "127.0.0.1", 0 }).value());
+        }
+    }
+
+    // One exchange on each connection, so that buffers have the size that use gives them.
+    void use()
+    {
+        m_ended = 0;
+        for (const auto& address : m_addresses)
+            asio::co_spawn(m_io, exchange(address), asio::detached);
+        while (m_ended < m_addresses.size())
+            m_io.run_one();
+    }
+
+private:
+    asio::awaitable<void> exchange(const NetworkAddress& address)
+    {
+        OutgoingRequest request;
+        request.head.method = "GET";
+        request.head.target = "/";
+        request.readBody = emptyBody();
+        const auto deadline = std::chrono::steady_clock::now() + exchangeTimeout;
+        auto response = co_await m_client.exchange(address, std::move(request), deadline);
+        if (response)
+            co_await readWhole(*response, ByteCount(100), deadline);
+        ++m_ended;
+    }
+
+    asio::io_context m_io { 1 };
+    PeerClient m_client;
+    std::vector<std::unique_ptr<PeerServer>> m_servers;
+    std::vector<NetworkAddress> m_addresses;
+    std::size_t m_ended = 0;
+};
+
+} // namespace
+
+int main()
+{
+    SlopeFit memory("memory of idle connections, both ends", "bytes", "connections");
+    for (const std::size_t count : { 50, 100, 200, 400 }) {
+        Connections connections(count);
+        const double before = allocatedBytes();
+        connections.use();
+        connections.use();
+        memory.add(static_cast<double>(count), allocatedBytes() - before);
+    }
+    memory.print();
+    std::fflush(stdout);
+    // The coroutines that still wait refer to objects that would be destroyed before their event loop.
+    std::quick_exit(0);
+}
