Default maxConnections to the slots where these are more, and scale durations in one place

Cause: a record that states 300 slots and no maxConnections was accepted with 200 connections, which is enforced now. scaled() stood twice, and twice more in other words. Result: the row of RecordMeaningTest with 300 slots, PoolTest, PublicationPacerTest, ConfigurationPageTest and ProgramTest pass. The row was not run against the code before.

--- a/packages/budget/src/PublicationPacer.cpp
+++ b/packages/budget/src/PublicationPacer.cpp
@@ -13,9 +13,7 @@
 
 std::optional<PublicationAction> PublicationPacer::published(Duration cost, TimePoint now)
 {
-    const std::chrono::duration<double, Duration::period> pause(
-        static_cast<double>(cost.count()) / m_limits.processorShare.value());
-    const TimePoint paidAt = std::max(m_paidAt, now) + std::chrono::duration_cast<Duration>(pause);
+    const TimePoint paidAt = std::max(m_paidAt, now) + scaled(cost, 1 / m_limits.processorShare.value());
     m_paidAt = std::min(paidAt, now + m_limits.mostDebt);
     if (!m_deadline)
         return std::nullopt;
--- a/packages/core/include/dogwoodhall/core/Units.h
+++ b/packages/core/include/dogwoodhall/core/Units.h
@@ -33,6 +33,11 @@
 
 constexpr double toMilliseconds(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
 
+constexpr Duration scaled(Duration d, double factor)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(d) * factor);
+}
+
 // A count with its own type, so that bytes, slots and calls cannot be added to one another.
 template <typename Tag> class Quantity {
 public:
--- a/packages/declarations/src/ServiceSchema.cpp
+++ b/packages/declarations/src/ServiceSchema.cpp
@@ -1,6 +1,8 @@
 #include "Schemas.h"
 #include "TextRules.h"
 
+#include <algorithm>
+
 namespace dogwoodhall {
 
 namespace {
@@ -45,6 +47,8 @@
         endpoint.address = *parseNetworkAddress(*address);
     if (auto slots = reader.integer("slots", Presence::Required, slotsRange))
         endpoint.slots = SlotCount(static_cast<std::uint64_t>(*slots));
+    // Holds where maxConnections is left out: each slot needs a connection.
+    endpoint.maxConnections = std::max(endpoint.maxConnections, static_cast<std::uint32_t>(endpoint.slots.count()));
     unique.ids.add(reader.node("id"), reader.pointerTo("id"));
     unique.addresses.add(reader.node("address"), reader.pointerTo("address"));
     return endpoint;
--- a/packages/declarations/tests/RecordMeaningTest.cpp
+++ b/packages/declarations/tests/RecordMeaningTest.cpp
@@ -78,6 +78,18 @@
     return service;
 }
 
+const char* const manySlots = R"({ "service": "claims", "endpoints": [{ "id": "c1", "host": "h1",
+    "dataCentre": "cairo-1", "address": "10.0.0.1:8000", "slots": 300 }] })";
+
+ServiceDeclaration claimsWithManySlots()
+{
+    ServiceDeclaration service;
+    service.id = ServiceId("claims");
+    service.endpoints
+        = { { EndpointId("c1"), HostId("h1"), DataCentreId("cairo-1"), { "10.0.0.1", 8000 }, SlotCount(300), 300 } };
+    return service;
+}
+
 TopologyDeclaration topology(Duration within, Duration between, std::uint64_t bytes)
 {
     return { { { DataCentreId("pampa-1"), RegionId("pampa") } }, within, between, ByteCount(bytes) };
@@ -95,6 +107,7 @@
     { "services/claims", claimsVersion1, [] { return Declaration(claims()); } },
     { "services/claims", claimsVersion2, [] { return Declaration(claims()); } },
     { "services/claims", limitsOnly, [] { return Declaration(claimsWithLimits()); } },
+    { "services/claims", manySlots, [] { return Declaration(claimsWithManySlots()); } },
     { "topology", R"({"dataCentres": [{"id": "pampa-1", "region": "pampa"}]})",
         [] { return Declaration(topology(1ms, 12ms, 20'000'000)); } },
     { "topology",
--- a/packages/pool/src/DispatchAllowance.cpp
+++ b/packages/pool/src/DispatchAllowance.cpp
@@ -10,11 +10,6 @@
 // Weight of the newest answer in the mean service time: about the last 32 count.
 constexpr double newestShare = 1.0 / 32;
 
-Duration scaled(Duration duration, double factor)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(duration) * factor);
-}
-
 } // namespace
 
 void DispatchAllowance::observeRoundTrip(Duration roundTrip)
--- a/packages/pool/src/Pool.cpp
+++ b/packages/pool/src/Pool.cpp
@@ -181,7 +181,7 @@
     case CompletionResult::Answered: {
         Duration& mean = m_meanHeld[static_cast<std::size_t>(dispatched.workClass)];
         const double share = mean.count() == 0 ? 1 : newestShare;
-        mean += std::chrono::duration_cast<Duration>((held - mean) * share);
+        mean += scaled(held - mean, share);
         if (!isShort)
             break;
         m_allowance.observeAnswer(held, endpoint.declared.slots, endpoint.inUse + SlotCount(1));
--- a/packages/pool/src/PoolPlacement.cpp
+++ b/packages/pool/src/PoolPlacement.cpp
@@ -13,11 +13,6 @@
 // Requests looked at in one lane per decision: those that exclude the free endpoints are passed over.
 constexpr unsigned mostPassedOver = 32;
 
-Duration scaled(Duration duration, double factor)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::nano>(duration) * factor);
-}
-
 } // namespace
 
 double Pool::coldShare(const Endpoint& endpoint, TimePoint now) const
