--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -19,7 +19,7 @@
 # src/main.cpp, and one CTest entry for each tests/*Test.cpp.
 function(dogwoodhall_package name)
   cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS src/*.cpp src/*.cc)
+  file(GLOB_RECURSE sources CONFIGURE_DEPENDS src/*.cpp src/*.cc)
   list(FILTER sources EXCLUDE REGEX "/main\\.cpp$")
   set(target dogwoodhall_${name})
   if(sources)
@@ -40,6 +40,11 @@
 
 # dogwoodhall_test(name source libraries...): a Criterion program registered with CTest.
 function(dogwoodhall_test name source)
+  if(NOT DOGWOODHALL_TESTS)
+    # Named, since packages set properties of it, but not built.
+    add_executable(${name} EXCLUDE_FROM_ALL ${source})
+    return()
+  endif()
   add_executable(${name} ${source})
   target_include_directories(${name} PRIVATE ${CMAKE_SOURCE_DIR}/tests/support)
   target_link_libraries(${name} PRIVATE ${ARGN} dogwoodhall_options PkgConfig::CRITERION)
@@ -51,6 +56,11 @@
 
 # dogwoodhall_bench(name source libraries...): a program that prints measurements; built, never run by CTest.
 function(dogwoodhall_bench name source)
+  if(NOT DOGWOODHALL_TESTS)
+    # Named, since packages set properties of it, but not built.
+    add_executable(${name} EXCLUDE_FROM_ALL ${source})
+    return()
+  endif()
   add_executable(${name} ${source})
   target_link_libraries(${name} PRIVATE ${ARGN} dogwoodhall_options)
 endfunction()
--- /dev/null
+++ b/packages/budget/src/RetryAllowance.cpp
@@ -0,0 +1,55 @@
+#include "dogwoodhall/budget/RetryAllowance.h"
+
+#include <algorithm>
+
+namespace dogwoodhall {
+
+RetryAllowance::RetryAllowance(RetryLimits limits)
+    : m_limits(limits)
+{
+}
+
+std::int64_t RetryAllowance::numberAt(TimePoint now) const
+{
+    const auto length = std::max<Duration>(m_limits.window / slices, Duration(1));
+    return now.sinceOrigin() / length;
+}
+
+RetryAllowance::Slice& RetryAllowance::sliceAt(TimePoint now)
+{
+    const auto number = numberAt(now);
+    auto& slice = m_slices[static_cast<std::size_t>(number) % slices];
+    if (slice.number != number)
+        slice = Slice { number };
+    return slice;
+}
+
+void RetryAllowance::requestArrived(TimePoint now) { ++sliceAt(now).requests; }
+
+bool RetryAllowance::tryTake(TimePoint now)
+{
+    if (available(now) < 1)
+        return false;
+    ++sliceAt(now).taken;
+    return true;
+}
+
+double RetryAllowance::available(TimePoint now)
+{
+    const auto newest = numberAt(now);
+    double requests = 0;
+    double taken = 0;
+    for (const auto& slice : m_slices) {
+        if (slice.number < 0 || slice.number <= newest - static_cast<std::int64_t>(slices))
+            continue;
+        requests += slice.requests;
+        taken += slice.taken;
+    }
+    if (!m_startedAt)
+        m_startedAt = now;
+    const double age = std::min(toSeconds(now - *m_startedAt) / toSeconds(m_limits.window), 1.0);
+    const double slack = age * m_limits.slack * slackUsed / static_cast<double>(std::max<std::size_t>(m_members, 1));
+    return requests * m_limits.ratio.value() * ratioUsed + slack - taken;
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/budget/tests/RetryAllowanceTest.cpp
@@ -0,0 +1,80 @@
+#include "TableRows.h"
+
+#include "dogwoodhall/budget/RetryAllowance.h"
+
+#include <deque>
+#include <random>
+
+using namespace dogwoodhall;
+using namespace std::chrono_literals;
+
+struct FleetRow {
+    const char* name;
+    std::size_t members;
+    double requestsPerSecond; // Of each member.
+    double slack;
+    bool restarts; // Every member starts anew each 4 s.
+};
+
+const FleetRow rows[] = {
+    { "fourteen members, ten requests a second", 14, 10, 56, false },
+    { "the same with restarts", 14, 10, 56, true },
+    { "hardly any request", 14, 0.1, 56, false },
+    { "hardly any request, with restarts", 14, 0.1, 56, true },
+    { "no slack", 5, 20, 0, false },
+    { "many members, little slack", 120, 2, 20, false },
+};
+
+// Guards against members that together repeat more than is allowed, each trying to repeat every request twice.
+ParameterizedTestParameters(RetryAllowance, keepsTheBoundOfAllMembers) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, RetryAllowance, keepsTheBoundOfAllMembers)
+{
+    const auto& row = rows[*index];
+    const RetryLimits limits { Fraction(0.2), 10s, row.slack };
+    std::vector<RetryAllowance> members(row.members, RetryAllowance(limits));
+    for (auto& member : members)
+        member.setMembers(row.members);
+    std::mt19937 random(7);
+    std::poisson_distribution<int> arrivals(row.requestsPerSecond * 0.1);
+    std::deque<std::pair<double, double>> window; // Requests and retries of each tenth of a second.
+    for (int tick = 0; tick < 600; ++tick) {
+        const TimePoint now(100s + tick * 100ms);
+        std::pair<double, double> counts;
+        for (auto& member : members) {
+            if (row.restarts && tick % 40 == 39) {
+                member = RetryAllowance(limits);
+                member.setMembers(row.members);
+            }
+            for (int n = arrivals(random); n > 0; --n) {
+                member.requestArrived(now);
+                ++counts.first;
+                counts.second += member.tryTake(now) + member.tryTake(now);
+            }
+            counts.second += member.tryTake(now);
+        }
+        window.push_back(counts);
+        if (window.size() > 100)
+            window.pop_front();
+        double requests = 0, retries = 0;
+        for (const auto& [r, t] : window) {
+            requests += r;
+            retries += t;
+        }
+        cr_assert(retries <= 0.2 * requests + row.slack, "%s: %f retries of %f requests at %d", row.name, retries,
+            requests, tick);
+    }
+}
+
+// Guards against an allowance that is never given: a fifth of the requests can be repeated, less the reserve.
+Test(RetryAllowance, allowsMostOfTheRatio)
+{
+    RetryAllowance allowance({ Fraction(0.2), 10s, 0 });
+    double taken = 0;
+    for (int n = 0; n < 1000; ++n) {
+        const TimePoint now(100s + n * 20ms);
+        allowance.requestArrived(now);
+        taken += allowance.tryTake(now);
+    }
+    cr_expect(taken >= 1000 * 0.2 * 0.7, "%f", taken);
+}
--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
@@ -52,6 +52,10 @@
     // Costs the parsing of the record and a logarithmic number of comparisons.
     OfferOutcome offer(const Record&);
 
+    // The known keys that a whole read lacks, as deletions at its revision. Keys with a higher revision were written
+    // after the read.
+    std::vector<Record> deletionsIn(const RecordBatch&) const;
+
     // Highest revision seen, accepted or rejected: a rejected record is not asked for again.
     Revision highestRevision() const { return m_digest.highest; }
     ConfigurationDigest digest() const { return m_digest; }
@@ -70,6 +74,11 @@
     // The same services without copying them; immutable, and shared with the snapshots of other threads.
     std::vector<std::shared_ptr<const ServiceDeclaration>> sharedServices() const;
     TopologyDeclaration topology() const;
+    // The routing document in force; null where there is none.
+    std::shared_ptr<const RoutingDeclaration> routing() const;
+    std::vector<std::shared_ptr<const EndpointRegistration>> registrations() const;
+    // The registration in force under this key; null where there is none.
+    std::shared_ptr<const EndpointRegistration> registration(const RecordKey&) const;
 
     std::vector<RejectedRecord> rejected() const;
     // Keys known, deleted ones included. Deletions are kept for as long as the process runs, because an older record
@@ -94,6 +103,7 @@
         bool operator()(const Record* a, const Record* b) const;
     };
 
+    template <typename Kind> std::vector<std::shared_ptr<const Kind>> sharedDeclarations() const;
     static Revision highestOf(const Entry&);
     void putInForce(Entry&, InForce);
     void reject(Entry&, Rejection);
--- a/packages/configuration/include/dogwoodhall/configuration/JoinBarrier.h
+++ b/packages/configuration/include/dogwoodhall/configuration/JoinBarrier.h
@@ -4,12 +4,19 @@
 #include "dogwoodhall/core/Units.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
 
 namespace dogwoodhall {
 
+// What an answer of the platform proves.
+enum class PlatformTrust : std::uint8_t {
+    MayBeStale,
+    Linearizable, // It holds all that any member has read before.
+};
+
 // Decides when a member that has just started may serve. The platform may be stale, so the member first asks peers for
 // their highest revision and catches up with the highest that it was told.
 //
@@ -18,6 +25,7 @@
 // would keep a whole data centre from starting after a power failure. The member still never goes below what it has
 // itself held, and takes the higher revision from the first peer that it hears. A member that served before a pause
 // serves again what it held where nobody answers for 10 s, as one that was not paused does while the platform is down.
+// Where the platform is linearizable, its answer alone suffices, and while it is silent that of any peer.
 class JoinBarrier {
 public:
     // Answers that are asked for. Peers hold the highest revision within seconds of one another, so that a few stand
@@ -26,8 +34,9 @@
     static constexpr std::size_t requiredAnswers = 3;
     static constexpr Duration silenceLimit = std::chrono::seconds(10);
 
-    explicit JoinBarrier(TimePoint startedAt)
+    explicit JoinBarrier(TimePoint startedAt, PlatformTrust trust = PlatformTrust::MayBeStale)
         : m_startedAt(startedAt)
+        , m_trust(trust)
     {
     }
 
@@ -46,6 +55,7 @@
 
 private:
     TimePoint m_startedAt;
+    PlatformTrust m_trust;
     std::optional<std::size_t> m_listedPeers; // Empty until a host list was read.
     std::map<MemberId, bool> m_answers; // Whether the peer was ready when it last answered.
     bool m_hasPlatform = false;
--- /dev/null
+++ b/packages/configuration/include/dogwoodhall/configuration/RoutingDeclaration.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "dogwoodhall/core/Ids.h"
+#include "dogwoodhall/core/Units.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+// A service that takes part of a route's requests.
+struct RoutePart {
+    ServiceId service;
+    std::uint32_t weight = 1; // Relative to the other parts of the route.
+
+    friend bool operator==(const RoutePart&, const RoutePart&) = default;
+};
+
+// Requests with this host name and path prefix, and how they are treated.
+struct RouteDeclaration {
+    RouteId id;
+    std::string hostName;
+    std::string pathPrefix; // Begins and ends with a slash.
+    bool isIdempotent = false;
+    bool isDownload = false; // Large answers; idempotent.
+    Duration timeout {}; // From the arrival of the request to the end of its answer.
+    Duration latencyGoal {}; // An answer after it is worth little, counted from the caller's first attempt.
+    unsigned maxAttempts = 1; // Endpoints that may run one request.
+    unsigned rank = 0; // 0 is the most urgent.
+    std::vector<RoutePart> parts; // At least one.
+
+    friend bool operator==(const RouteDeclaration&, const RouteDeclaration&) = default;
+};
+
+// A service whose endpoints register themselves.
+struct UpstreamDeclaration {
+    ServiceId id;
+    std::string healthPath;
+    std::uint32_t maxConnections = 1; // That each endpoint accepts from all entry hosts together.
+
+    friend bool operator==(const UpstreamDeclaration&, const UpstreamDeclaration&) = default;
+};
+
+// What callers may send, and for how long their connections may be idle.
+struct CallerBounds {
+    ByteCount headerBytes { 16 * 1024 };
+    ByteCount bodyBytes { 64ULL * 1024 * 1024 };
+    Duration headerTimeout = std::chrono::seconds(10);
+    Duration idleTimeout = std::chrono::seconds(60);
+
+    friend bool operator==(const CallerBounds&, const CallerBounds&) = default;
+};
+
+// All routes and services in one versioned document, for platforms that publish them so.
+struct RoutingDeclaration {
+    std::uint64_t version = 0; // Increases with each change; a lower one is never in force after a higher one.
+    std::vector<RouteDeclaration> routes;
+    std::vector<UpstreamDeclaration> upstreams;
+    CallerBounds callers;
+
+    friend bool operator==(const RoutingDeclaration&, const RoutingDeclaration&) = default;
+};
+
+} // namespace dogwoodhall
--- a/packages/configuration/src/ConfigurationInForce.cpp
+++ b/packages/configuration/src/ConfigurationInForce.cpp
@@ -12,6 +12,14 @@
 // The configuration service holds values of up to 1 MB, and messages between members carry no larger ones.
 constexpr std::size_t largestValue = 1024 * 1024;
 
+// A routing document with a lower version than the one in force would take routes back to an older state.
+bool isOlderRouting(const Declaration& declaration, const Declaration* inForce)
+{
+    const auto* routing = std::get_if<RoutingDeclaration>(&declaration);
+    const auto* former = inForce ? std::get_if<RoutingDeclaration>(inForce) : nullptr;
+    return routing && former && routing->version < former->version;
+}
+
 } // namespace
 
 ConfigurationInForce::ConfigurationInForce(ParseRecord parse)
@@ -38,10 +46,14 @@
     std::string reason;
     if (!record.deleted) {
         auto parsed = m_parse(record);
-        if (parsed)
-            declaration = std::make_shared<const Declaration>(std::move(*parsed));
-        else
+        const bool hasFormer = known != m_entries.end() && known->second.inForce;
+        const auto* former = hasFormer ? known->second.inForce->declaration.get() : nullptr;
+        if (!parsed)
             reason = std::move(parsed.error());
+        else if (isOlderRouting(*parsed, former))
+            reason = record.key.value() + ": its version is below the one in force";
+        else
+            declaration = std::make_shared<const Declaration>(std::move(*parsed));
     }
     auto& entry = known != m_entries.end() ? known->second : m_entries[record.key];
     const Revision before = highestOf(entry);
@@ -156,16 +168,55 @@
     return services;
 }
 
-std::vector<std::shared_ptr<const ServiceDeclaration>> ConfigurationInForce::sharedServices() const
+std::vector<Record> ConfigurationInForce::deletionsIn(const RecordBatch& batch) const
 {
-    std::vector<std::shared_ptr<const ServiceDeclaration>> services;
-    services.reserve(m_entries.size());
+    std::set<RecordKey> present;
+    for (const auto& record : batch.records)
+        present.insert(record.key);
+    std::vector<Record> deletions;
+    for (const auto& [key, entry] : m_entries) {
+        const bool isDeleted = entry.inForce && entry.inForce->record.deleted;
+        if (!isDeleted && !present.contains(key) && highestOf(entry) < batch.highest)
+            deletions.push_back({ key, batch.highest, true, {} });
+    }
+    return deletions;
+}
+
+template <typename Kind> std::vector<std::shared_ptr<const Kind>> ConfigurationInForce::sharedDeclarations() const
+{
+    std::vector<std::shared_ptr<const Kind>> declarations;
     for (const auto& [key, entry] : m_entries) {
         const auto* declaration = entry.inForce ? entry.inForce->declaration.get() : nullptr;
-        if (const auto* service = std::get_if<ServiceDeclaration>(declaration))
-            services.emplace_back(entry.inForce->declaration, service);
+        if (const auto* wanted = std::get_if<Kind>(declaration))
+            declarations.emplace_back(entry.inForce->declaration, wanted);
     }
-    return services;
+    return declarations;
+}
+
+std::vector<std::shared_ptr<const ServiceDeclaration>> ConfigurationInForce::sharedServices() const
+{
+    return sharedDeclarations<ServiceDeclaration>();
+}
+
+std::vector<std::shared_ptr<const EndpointRegistration>> ConfigurationInForce::registrations() const
+{
+    return sharedDeclarations<EndpointRegistration>();
+}
+
+std::shared_ptr<const EndpointRegistration> ConfigurationInForce::registration(const RecordKey& key) const
+{
+    const auto it = m_entries.find(key);
+    if (it == m_entries.end() || !it->second.inForce)
+        return nullptr;
+    const auto& declaration = it->second.inForce->declaration;
+    const auto* registration = std::get_if<EndpointRegistration>(declaration.get());
+    return registration ? std::shared_ptr<const EndpointRegistration>(declaration, registration) : nullptr;
+}
+
+std::shared_ptr<const RoutingDeclaration> ConfigurationInForce::routing() const
+{
+    const auto documents = sharedDeclarations<RoutingDeclaration>();
+    return documents.empty() ? nullptr : documents.front();
 }
 
 TopologyDeclaration ConfigurationInForce::topology() const
--- a/packages/core/include/dogwoodhall/core/Ids.h
+++ b/packages/core/include/dogwoodhall/core/Ids.h
@@ -17,6 +17,7 @@
 using ServiceId = StrongId<struct ServiceTag, std::string>;
 using EndpointId = StrongId<struct EndpointTag, std::string>;
 using RuleId = StrongId<struct RuleTag, std::string>;
+using RouteId = StrongId<struct RouteTag, std::string>;
 using RecordKey = StrongId<struct RecordKeyTag, std::string>;
 
 // One running dogwoodhalld. Equal to the id of its host, since a host runs one daemon.
@@ -30,6 +31,8 @@
 
 // A request inside one process.
 using RequestId = StrongId<struct RequestTag, std::uint64_t>;
+// One attempt of a caller, as the caller names it. Logs of several hosts are joined by it.
+using CallId = StrongId<struct CallTag, std::string>;
 using ConnectionId = StrongId<struct ConnectionTag, std::uint64_t>;
 
 // One service in one data centre: the unit that has a home, a queue and a set of endpoints.
--- a/packages/daemon/bench/PoolSlopes.cpp
+++ b/packages/daemon/bench/PoolSlopes.cpp
@@ -2,8 +2,8 @@
 // time of a request at its pool and of a new snapshot.
 #include "GeneratedConfiguration.h"
 #include "SlopeFit.h"
-#include "dogwoodhall/daemon/PoolShard.h"
-#include "dogwoodhall/daemon/SlotGateway.h"
+#include "dogwoodhall/daemon/homes/PoolShard.h"
+#include "dogwoodhall/daemon/homes/SlotGateway.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/daemon/bench/SnapshotSlopes.cpp
+++ b/packages/daemon/bench/SnapshotSlopes.cpp
@@ -3,7 +3,7 @@
 #include "GeneratedConfiguration.h"
 #include "SettledFleet.h"
 #include "SlopeFit.h"
-#include "dogwoodhall/daemon/SnapshotBuilder.h"
+#include "dogwoodhall/daemon/control/SnapshotBuilder.h"
 
 #include <optional>
 
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -8,7 +8,7 @@
 
 namespace dogwoodhall {
 
-// Every metric of the daemon. Names, units and meanings are listed in docs/operations.md.
+// Every metric of the daemon. Names, units and meanings are listed in docs/OPERATIONS.md.
 struct DaemonMetrics {
     explicit DaemonMetrics(MetricsRegistry&);
 
@@ -49,6 +49,11 @@
     Counter& wakeUps; // Pauses of the process that were detected.
     Counter& spansDropped;
     Counter& peerProtocolErrors;
+    Counter& loadAsks; // Health calls to endpoints before requests are placed.
+    Counter& loadAsksUnanswered;
+    Counter& upstreamConnections; // Opened for requests and health calls where endpoints register themselves.
+    Counter& retriesLeft; // Retries and copies that this member may make now, over all services.
+    Counter& logLinesDropped;
     Histogram& addedLatency; // Time to the start of the answer, without the upstream's share.
     Histogram& queueWait;
 };
--- a/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
+++ b/packages/daemon/include/dogwoodhall/daemon/Snapshot.h
@@ -3,6 +3,7 @@
 #include "dogwoodhall/configuration/TopologyDeclaration.h"
 #include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/NetworkAddress.h"
+#include "dogwoodhall/dispatch/Directory.h"
 #include "dogwoodhall/routing/RouteTable.h"
 
 #include <cstdint>
@@ -39,6 +40,11 @@
     std::map<ServiceId, std::vector<ServicePool>> poolsOf;
     std::map<MemberId, PoolHome> members; // Other members that are heard of, by id.
     std::set<std::string> memberIps; // Addresses from which peers may connect.
+    // Where upstreams register themselves: routes, services and endpoints; null otherwise, and before the first routing
+    // document.
+    std::shared_ptr<const Directory> directory;
+    std::size_t membersToCount = 1; // That may be alive, this one included.
+    bool acceptsAnyPeer = false; // Members are not listed anywhere: peers may connect from any address.
     bool isReady = false;
     bool isDraining = false;
 };
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -5,15 +5,17 @@
 #include "dogwoodhall/budget/TokenBucket.h"
 #include "dogwoodhall/configuration/ConfigurationInForce.h"
 #include "dogwoodhall/configuration/JoinBarrier.h"
+#include "dogwoodhall/configuration/LapsedEndpoints.h"
 #include "dogwoodhall/daemon/DaemonMetrics.h"
-#include "dogwoodhall/daemon/GossipDriver.h"
-#include "dogwoodhall/daemon/HealthProber.h"
-#include "dogwoodhall/daemon/OperatorServer.h"
-#include "dogwoodhall/daemon/PlatformWatcher.h"
+#include "dogwoodhall/daemon/PlatformAdapter.h"
 #include "dogwoodhall/daemon/Snapshot.h"
-#include "dogwoodhall/daemon/SnapshotBuilder.h"
-#include "dogwoodhall/daemon/SpanExporter.h"
-#include "dogwoodhall/daemon/StatusReport.h"
+#include "dogwoodhall/daemon/control/GossipDriver.h"
+#include "dogwoodhall/daemon/control/HealthProber.h"
+#include "dogwoodhall/daemon/control/OperatorServer.h"
+#include "dogwoodhall/daemon/control/PlatformWatcher.h"
+#include "dogwoodhall/daemon/control/SnapshotBuilder.h"
+#include "dogwoodhall/daemon/control/SpanExporter.h"
+#include "dogwoodhall/daemon/control/StatusReport.h"
 #include "dogwoodhall/declarations/Settings.h"
 
 #include <boost/asio/io_context.hpp>
@@ -40,7 +42,7 @@
         std::function<void(const std::vector<PoolLoadSummary>&)> observeLoads; // To all traffic threads.
     };
 
-    ControlThread(const Settings&, Incarnation, DaemonMetrics&, Hooks);
+    ControlThread(const Settings&, Incarnation, const PlatformAdapter&, DaemonMetrics&, Hooks);
     ~ControlThread();
 
     // Binds the operators' port.
@@ -62,7 +64,11 @@
     tl::expected<std::optional<std::string>, std::string> answerGossip(std::string_view request);
 
 private:
+    void acceptBatch(RecordBatch);
     void acceptRecords(const std::vector<Record>&);
+    void keepLapsed(const std::vector<Record>&);
+    void armLapseTimer();
+    void applySeeds();
     void acceptHosts(const HostList&);
     bool updateReadiness();
     Duration drawFirstReadDelay();
@@ -89,7 +95,10 @@
     asio::steady_timer m_publicationTimer { m_io };
     SnapshotPointer m_published; // Null until the first publication.
     RandomEngine m_random { std::random_device {}() };
+    RecordSource m_source;
     JoinBarrier m_joinBarrier;
+    LapsedEndpoints m_lapsed;
+    asio::steady_timer m_lapseTimer { m_io };
     MeasuringBudget m_budget;
     TokenBucket<ByteCount> m_recordBytes; // For records sent to peers.
     struct OwnLoad {
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformClient.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformClient.h
@@ -1,34 +1,10 @@
 #pragma once
 
-#include "dogwoodhall/configuration/Record.h"
-#include "dogwoodhall/core/NetworkAddress.h"
-#include "dogwoodhall/exchange/Exchange.h"
+#include "dogwoodhall/daemon/control/RecordSource.h"
 #include "dogwoodhall/http/UpstreamClient.h"
 
-#include <vector>
-
 namespace dogwoodhall {
 
-// A read of the configuration service: records with a revision above the one asked for.
-struct RecordBatch {
-    Revision highest;
-    std::vector<Record> records;
-};
-
-struct PlatformHost {
-    HostId id;
-    DataCentreId dataCentre;
-    bool isEntry = false; // An entry host; otherwise an upstream host.
-    NetworkAddress address; // Of an entry host: its peer port.
-    bool isLeaving = false;
-};
-
-// The host list at one moment. It lags.
-struct HostList {
-    std::uint64_t version = 0;
-    std::vector<PlatformHost> hosts;
-};
-
 // Reads the configuration service and the host list. Writes nothing.
 class PlatformClient {
 public:
@@ -45,4 +21,7 @@
     NetworkAddress m_address;
 };
 
+// The product's own configuration service as a source of records.
+RecordSource platformRecordSource(asio::any_io_executor, const NetworkAddress&);
+
 } // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dogwoodhall/daemon/DaemonMetrics.h"
-#include "dogwoodhall/daemon/PlatformClient.h"
+#include "dogwoodhall/daemon/control/RecordSource.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,8 +9,9 @@
 
 namespace dogwoodhall {
 
-// Reads the configuration service and the host list on the control thread. Only watchers keep a watch open; the other
-// members read the records once after a pause and at their start, there after a delay that the first host list decides.
+// Reads the records and, where there is one, the host list on the control thread. Only watchers keep a watch open; the
+// other members read the records once after a pause and at their start, there after a delay that the first host list
+// decides.
 class PlatformWatcher {
 public:
     struct Hooks {
@@ -20,9 +21,10 @@
         std::function<Duration()> firstReadDelay; // Drawn anew at each call.
         std::function<void(const RecordBatch&)> recordsRead;
         std::function<void(const HostList&)> hostsRead;
+        std::function<void()> recordsLost; // The records could be read, and now cannot.
     };
 
-    PlatformWatcher(asio::io_context&, const NetworkAddress& platform, Hooks, DaemonMetrics&);
+    PlatformWatcher(asio::io_context&, RecordSource, Hooks, DaemonMetrics&);
 
     // Read until the event loop ends.
     asio::awaitable<void> watchRecords();
@@ -39,8 +41,8 @@
     asio::io_context& m_io;
     Hooks m_hooks;
     DaemonMetrics& m_metrics;
-    PlatformClient m_records;
-    PlatformClient m_hosts;
+    RecordSource m_source;
+    bool m_isReachable = true; // The last read succeeded.
     asio::steady_timer m_hostsAsked; // Ends with the first read of the host list.
     asio::steady_timer m_interrupt; // Cancelled to end a read.
     bool m_mustReadAtOnce = true; // At the start, so that a starting member learns what is in force.
--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "dogwoodhall/configuration/Record.h"
+#include "dogwoodhall/core/NetworkAddress.h"
+#include "dogwoodhall/exchange/Exchange.h"
+
+#include <functional>
+#include <vector>
+
+namespace dogwoodhall {
+
+struct PlatformHost {
+    HostId id;
+    DataCentreId dataCentre;
+    bool isEntry = false; // An entry host; otherwise an upstream host.
+    NetworkAddress address; // Of an entry host: its peer port.
+    bool isLeaving = false;
+};
+
+// The host list at one moment. It lags.
+struct HostList {
+    std::uint64_t version = 0;
+    std::vector<PlatformHost> hosts;
+};
+
+// Where records come from: the product's own configuration service or a platform's registry. Reads only.
+struct RecordSource {
+    // Waits for up to `wait` where nothing is newer than `since`.
+    std::function<ExchangeResult<RecordBatch>(Revision since, Duration wait)> readRecords;
+    // Empty where the platform has no host list.
+    std::function<ExchangeResult<HostList>()> readHosts;
+    Duration watchWait = std::chrono::seconds(20);
+    Duration retryDelay = std::chrono::milliseconds(500); // After a failure.
+    Duration pauseAfterNews {}; // So that changes in quick succession are read together.
+    // An answer is never older than an earlier one, whoever got that: no peer has to confirm it.
+    bool isLinearizable = false;
+    bool isReadByAll = false; // Every member watches; otherwise the watchers that the fleet chooses.
+};
+
+} // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/control/SnapshotBuilder.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/SnapshotBuilder.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "dogwoodhall/configuration/ConfigurationInForce.h"
-#include "dogwoodhall/daemon/PlatformClient.h"
+#include "dogwoodhall/configuration/LapsedEndpoints.h"
 #include "dogwoodhall/daemon/Snapshot.h"
-#include "dogwoodhall/daemon/StatusReport.h"
+#include "dogwoodhall/daemon/control/RecordSource.h"
+#include "dogwoodhall/daemon/control/StatusReport.h"
 #include "dogwoodhall/declarations/Settings.h"
 #include "dogwoodhall/fleet/Fleet.h"
 
@@ -20,6 +21,8 @@
 
     // Without readiness and draining, which are the caller's.
     Snapshot build(const Fleet&) const;
+    // Where upstreams register themselves: routes, services and endpoints, and the members that share in budgets.
+    void addDirectory(Snapshot&, const Fleet&, const LapsedEndpoints&, TimePoint now) const;
 
     // Entry hosts of the host list, this one included.
     std::vector<ListedHost> listedEntryHosts() const;
--- a/packages/daemon/include/dogwoodhall/daemon/control/StatusReport.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/StatusReport.h
@@ -37,7 +37,7 @@
     std::vector<PlacedPool> homes; // As last published to the traffic threads.
 };
 
-// The body of GET /status, a JSON object with a line end; docs/operations.md describes its fields.
+// The body of GET /status, a JSON object with a line end; docs/OPERATIONS.md describes its fields.
 std::string toJson(const StatusReport&);
 
 } // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/homes/AttemptRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/AttemptRunner.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "dogwoodhall/daemon/AnswerRelay.h"
-#include "dogwoodhall/daemon/ForwardEnvelope.h"
-#include "dogwoodhall/daemon/HedgedExchange.h"
-#include "dogwoodhall/daemon/HomeBypass.h"
-#include "dogwoodhall/daemon/PoolDirectory.h"
-#include "dogwoodhall/daemon/RequestWork.h"
 #include "dogwoodhall/daemon/Snapshot.h"
-#include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/daemon/homes/ForwardEnvelope.h"
+#include "dogwoodhall/daemon/homes/HedgedExchange.h"
+#include "dogwoodhall/daemon/homes/HomeBypass.h"
+#include "dogwoodhall/daemon/homes/PoolDirectory.h"
+#include "dogwoodhall/daemon/homes/RequestWork.h"
+#include "dogwoodhall/daemon/homes/TrafficServices.h"
+#include "dogwoodhall/daemon/traffic/AnswerRelay.h"
 #include "dogwoodhall/request/HedgePolicy.h"
 #include "dogwoodhall/routing/LongWorkClassifier.h"
 
--- a/packages/daemon/include/dogwoodhall/daemon/homes/HedgedExchange.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/HedgedExchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "dogwoodhall/daemon/SlotGateway.h"
-#include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/daemon/homes/SlotGateway.h"
+#include "dogwoodhall/daemon/homes/TrafficServices.h"
 #include "dogwoodhall/exchange/Exchange.h"
 
 #include <functional>
--- a/packages/daemon/include/dogwoodhall/daemon/homes/HomeBypass.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/HomeBypass.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dogwoodhall/daemon/Snapshot.h"
-#include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/daemon/homes/TrafficServices.h"
 
 #include <map>
 
--- a/packages/daemon/include/dogwoodhall/daemon/homes/PoolDirectory.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/PoolDirectory.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "dogwoodhall/budget/LinkBudget.h"
-#include "dogwoodhall/daemon/LoadTable.h"
 #include "dogwoodhall/daemon/Snapshot.h"
-#include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/daemon/homes/LoadTable.h"
+#include "dogwoodhall/daemon/homes/TrafficServices.h"
 #include "dogwoodhall/routing/PoolChooser.h"
 
 #include <optional>
--- a/packages/daemon/include/dogwoodhall/daemon/homes/PoolShard.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/PoolShard.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "dogwoodhall/core/RandomEngine.h"
-#include "dogwoodhall/daemon/HealthProber.h"
+#include "dogwoodhall/daemon/Clock.h"
 #include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/daemon/control/HealthProber.h"
 #include "dogwoodhall/fleet/GossipMessage.h"
 #include "dogwoodhall/pool/Pool.h"
 
@@ -65,8 +66,4 @@
     std::unordered_map<PoolId, Entry> m_pools;
 };
 
-// The monotonic clock as decisions see it.
-TimePoint monotonicNow();
-std::chrono::steady_clock::time_point toSteadyClock(TimePoint);
-
 } // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/homes/RequestRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/RequestRunner.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "dogwoodhall/budget/RetryBudget.h"
-#include "dogwoodhall/daemon/AttemptRunner.h"
+#include "dogwoodhall/daemon/homes/AttemptRunner.h"
 
 #include <map>
 
--- a/packages/daemon/include/dogwoodhall/daemon/homes/RequestWork.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/RequestWork.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dogwoodhall/daemon/RequestTrace.h"
+#include "dogwoodhall/daemon/traffic/RequestTrace.h"
 #include "dogwoodhall/exchange/ReplayableBody.h"
 #include "dogwoodhall/request/RequestLifecycle.h"
 #include "dogwoodhall/routing/PoolChooser.h"
--- a/packages/daemon/include/dogwoodhall/daemon/homes/SlotGateway.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/SlotGateway.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "dogwoodhall/daemon/PoolShard.h"
+#include "dogwoodhall/daemon/homes/PoolShard.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
--- a/packages/daemon/include/dogwoodhall/daemon/homes/TicketService.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/TicketService.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "dogwoodhall/daemon/BufferedAnswer.h"
-#include "dogwoodhall/daemon/RequestRunner.h"
+#include "dogwoodhall/daemon/homes/BufferedAnswer.h"
+#include "dogwoodhall/daemon/homes/RequestRunner.h"
 #include "dogwoodhall/request/TicketLedger.h"
 
 #include <memory>
--- a/packages/daemon/include/dogwoodhall/daemon/homes/TrafficServices.h
+++ b/packages/daemon/include/dogwoodhall/daemon/homes/TrafficServices.h
@@ -2,10 +2,10 @@
 
 #include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/RandomEngine.h"
-#include "dogwoodhall/daemon/ConnectionQuotas.h"
 #include "dogwoodhall/daemon/DaemonMetrics.h"
-#include "dogwoodhall/daemon/RequestTrace.h"
-#include "dogwoodhall/daemon/SlotGateway.h"
+#include "dogwoodhall/daemon/homes/SlotGateway.h"
+#include "dogwoodhall/daemon/traffic/ConnectionQuotas.h"
+#include "dogwoodhall/daemon/traffic/RequestTrace.h"
 #include "dogwoodhall/http/UpstreamClient.h"
 #include "dogwoodhall/peer/PeerClient.h"
 
--- /dev/null
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/RequestPath.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/exchange/Exchange.h"
+
+#include <cstddef>
+#include <functional>
+
+namespace dogwoodhall {
+
+// How a traffic thread serves callers' requests; chosen when the process starts.
+struct RequestPath {
+    std::function<asio::awaitable<void>(IncomingRequest, const ResponseWriter&)> run;
+    std::function<void(const SnapshotPointer&)> apply;
+    std::function<std::size_t()> running; // Requests in progress.
+    std::function<void()> tick; // Called several times a second.
+};
+
+} // namespace dogwoodhall
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include "dogwoodhall/budget/PingBudget.h"
-#include "dogwoodhall/daemon/RequestRunner.h"
-#include "dogwoodhall/daemon/TicketService.h"
-#include "dogwoodhall/daemon/TrafficServices.h"
+#include "dogwoodhall/daemon/homes/RequestRunner.h"
+#include "dogwoodhall/daemon/homes/TicketService.h"
+#include "dogwoodhall/daemon/homes/TrafficServices.h"
+#include "dogwoodhall/daemon/traffic/DispatchRunner.h"
+#include "dogwoodhall/daemon/traffic/RequestPath.h"
 #include "dogwoodhall/exchange/Acceptor.h"
 #include "dogwoodhall/fleet/PauseDetector.h"
 #include "dogwoodhall/http/CallerSessions.h"
@@ -43,9 +45,13 @@
         std::function<void(std::vector<PoolLoadSummary>)> shareLoads;
         std::uint32_t trafficThreads = 1;
         CallCount pingsPerSecond; // This thread's share of the measuring budget.
+        // Present where endpoints register themselves: requests are placed by fresh load reports, without homes.
+        std::optional<DispatchRunner::Options> dispatch;
+        Duration drainGrace = std::chrono::milliseconds(1000); // Until the caller port closes; see drain().
     };
 
-    TrafficThread(Options, DaemonMetrics&);
+    // The metrics and the log must outlive the object.
+    TrafficThread(Options, DaemonMetrics&, EventLog&);
     ~TrafficThread();
 
     struct Bound {
@@ -66,7 +72,9 @@
     void apply(SnapshotPointer);
     void observeLoads(const std::vector<PoolLoadSummary>&);
 
-    // Stops accepting, ends idle connections, and calls `done` when the last request has been answered.
+    // Ends callers' connections with their next answers. After the grace, in which the platform's balancer notices that
+    // readiness is off, stops accepting, ends idle connections, and calls `done` when the last request has been
+    // answered.
     void drain(std::function<void()> done);
     // Cuts off what is in flight.
     void stop();
@@ -79,6 +87,7 @@
     asio::awaitable<void> handleCaller(IncomingRequest, ResponseWriter);
     asio::awaitable<void> handlePeer(IncomingRequest, ResponseWriter);
     asio::awaitable<void> handleGossip(IncomingRequest, ResponseWriter);
+    RequestPath pathByHomes();
     void observePauses();
     bool payForPing(bool isRepeated);
     void peerChanged(const NetworkAddress&, SilenceChange);
@@ -98,6 +107,8 @@
     PingBudget m_pings;
     TrafficServices m_services;
     RequestRunner m_runner;
+    std::optional<DispatchRunner> m_dispatch;
+    RequestPath m_path;
     TicketService m_tickets;
     SnapshotPointer m_snapshot;
     PauseDetector m_pauses;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -1,20 +1,33 @@
 #include "dogwoodhall/daemon/Daemon.h"
 
 #include "dogwoodhall/budget/PingBudget.h"
+#include "dogwoodhall/commandline/CommandLine.h"
 #include "dogwoodhall/daemon/CallOn.h"
+#include "dogwoodhall/daemon/Clock.h"
+#include "dogwoodhall/declarations/SettingsParser.h"
+#include "dogwoodhall/exchange/UseTuple.h"
 #include "dogwoodhall/telemetry/Logging.h"
 
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <csignal>
 #include <iostream>
 #include <random>
+#include <unistd.h>
+#include <utility>
 
 namespace dogwoodhall {
 
 namespace {
 
 constexpr int forcedStopStatus = 3;
+// Lines wait for at most this long. Each round costs a system call.
+constexpr auto eventWritePeriod = std::chrono::milliseconds(100);
+// Before the platform kills a process that has not ended.
+constexpr Duration forcedEndMargin = std::chrono::milliseconds(200);
 
 // Wall-clock milliseconds at the start: a later run of the daemon on the same host has a higher incarnation. The clock
 // may be set back between two runs; the new run then stays suspect until it refutes that, which costs seconds.
@@ -26,11 +39,14 @@
 
 } // namespace
 
-Daemon::Daemon(const Settings& settings)
+Daemon::Daemon(const Settings& settings, PlatformAdapter adapter, std::string settingsPath)
     : m_settings(settings)
+    , m_settingsAtStart(settings)
+    , m_adapter(std::move(adapter))
+    , m_settingsPath(std::move(settingsPath))
     , m_incarnation(newIncarnation())
     , m_metrics(m_registry)
-    , m_control(settings, m_incarnation, m_metrics,
+    , m_control(settings, m_incarnation, m_adapter, m_metrics,
           { [this](SnapshotPointer snapshot) {
                for (auto& thread : m_traffic)
                    thread->post([snapshot](TrafficThread& target) { target.apply(snapshot); });
@@ -40,6 +56,8 @@
               [this](const ProbeTarget& target, const HealthReport& report) { reportHealth(target, report); },
               [this](const std::vector<PoolLoadSummary>& loads) { observeLoads(loads); } })
     , m_signals(m_control.io(), SIGTERM, SIGINT)
+    , m_reloads(m_control.io(), SIGHUP)
+    , m_forcedEnd(m_control.io())
 {
     m_metrics.measuringBytesBudget.set(settings.measuringBytesPerSecond.count());
     m_metrics.measuringCallsBudget.set(settings.measuringCallsPerSecond.count());
@@ -52,8 +70,16 @@
     m_control.start(m_settings.advertisedPeerAddress.value_or(m_settings.peerAddress));
     std::cout << "listening caller=" << toString(m_settings.callerAddress)
               << " peer=" << toString(m_settings.peerAddress) << " admin=" << toString(admin) << std::endl;
+    EventLine line(EventKind::Lifecycle, "started");
+    line.add("member", m_settings.member.value()).add("dataCentre", m_settings.dataCentre.value());
+    line.add("incarnation", m_incarnation.value()).add("registry", m_settings.registry.has_value());
+    logLifecycle(std::move(line));
     waitForSignal();
+    waitForReload();
+    asio::co_spawn(m_control.io(), writeEvents(), asio::detached);
     m_control.run();
+    logLifecycle(EventLine(EventKind::Lifecycle, "stopped"));
+    m_events.flush(STDOUT_FILENO);
     for (auto& thread : m_traffic)
         thread->stop();
     for (auto& thread : m_traffic)
@@ -90,6 +116,13 @@
         { m_settings.measuringCallsPerSecond, m_settings.measuringBytesPerSecond }, m_settings.trafficThreads)
                                  .pingsPerSecond;
     options.shareLoads = [this](std::vector<PoolLoadSummary> loads) { shareLoads(std::move(loads)); };
+    if (m_settings.registry) {
+        DispatchLimits limits;
+        limits.retries = m_settings.registry->retries;
+        limits.asksPerSecond = CallCount(m_settings.registry->healthCallsPerSecond.count() / m_settings.trafficThreads);
+        options.dispatch = DispatchRunner::Options { limits, *m_adapter.codec };
+        options.drainGrace = m_settings.registry->drainGrace;
+    }
     options.answerGossip = [this](std::string request) {
         using Answer = tl::expected<std::optional<std::string>, std::string>;
         return callOn<Answer>(
@@ -101,7 +134,7 @@
 void Daemon::startTraffic()
 {
     for (std::uint32_t n = 0; n < m_settings.trafficThreads; ++n) {
-        m_traffic.push_back(std::make_unique<TrafficThread>(trafficOptions(n), m_metrics));
+        m_traffic.push_back(std::make_unique<TrafficThread>(trafficOptions(n), m_metrics, m_events));
         const auto bound = m_traffic.back()->listen();
         m_settings.callerAddress = bound.caller;
         m_settings.peerAddress = bound.peer;
@@ -128,10 +161,68 @@
     });
 }
 
+void Daemon::waitForReload()
+{
+    m_reloads.async_wait([this](boost::system::error_code ec, int) {
+        if (ec)
+            return;
+        reload();
+        waitForReload();
+    });
+}
+
+// Settings take effect at the next start, except the log's level. A file with problems changes nothing.
+void Daemon::reload()
+{
+    EventLine line(EventKind::Lifecycle, "reloaded");
+    const auto text = readFile(m_settingsPath);
+    const auto settings = text ? parseSettings(*text, m_settingsPath) : tl::unexpected(Problems {});
+    if (!settings) {
+        const auto reason = text ? toString(settings.error()) : text.error();
+        DOGWOODHALL_LOG(daemon, error) << "Settings not reloaded: " << reason << ".";
+        line.add("accepted", false).add("reason", reason);
+    } else {
+        startLogging(std::clog, settings->log);
+        m_settings.log = settings->log;
+        line.add("accepted", true).add("needsRestart", !(*settings == m_settingsAtStart));
+    }
+    logLifecycle(std::move(line));
+}
+
+asio::awaitable<void> Daemon::writeEvents()
+{
+    asio::steady_timer timer(m_control.io());
+    while (true) {
+        m_events.flush(STDOUT_FILENO);
+        m_metrics.logLinesDropped.set(m_events.dropped());
+        timer.expires_after(eventWritePeriod);
+        co_await timer.async_wait(useTuple);
+    }
+}
+
+void Daemon::logLifecycle(EventLine line) { m_events.add(std::move(line), monotonicNow()); }
+
+// The platform kills the process after the grace: requests that cannot end by then are better answered than cut off.
+void Daemon::armForcedEnd()
+{
+    if (!m_settings.registry)
+        return;
+    const Duration grace = std::max<Duration>(m_settings.registry->stopGrace - forcedEndMargin, Duration::zero());
+    m_forcedEnd.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(grace));
+    m_forcedEnd.async_wait([this](boost::system::error_code ec) {
+        if (!ec)
+            stopNow();
+    });
+}
+
 void Daemon::beginDrain()
 {
     if (std::exchange(m_isDraining, true))
         return;
+    EventLine line(EventKind::Lifecycle, "draining");
+    line.add("requests", std::uint64_t(requestsRunning()));
+    logLifecycle(std::move(line));
+    armForcedEnd();
     DOGWOODHALL_LOG(daemon, info) << "Draining; " << requestsRunning() << " requests in flight.";
     m_control.setDraining();
     for (auto& thread : m_traffic) {
--- a/packages/daemon/src/DaemonMetrics.cpp
+++ b/packages/daemon/src/DaemonMetrics.cpp
@@ -44,6 +44,13 @@
     , wakeUps(registry.counter("dogwoodhall_wake_ups_total", "Pauses of the process that expired its state."))
     , spansDropped(registry.counter("dogwoodhall_spans_dropped_total", "Spans dropped before export."))
     , peerProtocolErrors(registry.counter("dogwoodhall_peer_protocol_errors_total", "Malformed peer messages."))
+    , loadAsks(registry.counter("dogwoodhall_load_asks_total", "Health calls made before requests were placed."))
+    , loadAsksUnanswered(
+          registry.counter("dogwoodhall_load_asks_unanswered_total", "Of these, those without an answer."))
+    , upstreamConnections(
+          registry.gauge("dogwoodhall_upstream_connections", "Connections opened to registered endpoints."))
+    , retriesLeft(registry.gauge("dogwoodhall_retries_left", "Retries and copies this member may make now."))
+    , logLinesDropped(registry.gauge("dogwoodhall_log_lines_dropped", "Log lines dropped for rate or a slow reader."))
     , addedLatency(registry.histogram(
           "dogwoodhall_added_latency_seconds", "Time to the start of the answer without the upstream's share."))
     , queueWait(registry.histogram("dogwoodhall_queue_wait_seconds", "Time a request waited for a slot."))
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -1,8 +1,7 @@
-#include "dogwoodhall/daemon/ControlThread.h"
+#include "dogwoodhall/daemon/control/ControlThread.h"
 
 #include "dogwoodhall/budget/PingBudget.h"
-#include "dogwoodhall/daemon/PoolShard.h"
-#include "dogwoodhall/declarations/RecordParser.h"
+#include "dogwoodhall/daemon/Clock.h"
 #include "dogwoodhall/fleet/FirstReadDelay.h"
 #include "dogwoodhall/telemetry/Logging.h"
 
@@ -22,6 +21,9 @@
 constexpr ByteCount recordBurst { 2 * 1024 * 1024 };
 // Loads of a pool whose home has moved away are no longer passed on.
 constexpr Duration ownLoadLifetime = std::chrono::seconds(1);
+// A leaving endpoint must be out of use within two seconds, of which the read of the registry and gossip take most.
+constexpr PublicationLimits registryPublications { .mostUpstreamsDelay = std::chrono::milliseconds(200),
+    .mostDelay = std::chrono::milliseconds(200) };
 // A pool's load in a gossip message, with ids of 15 characters.
 constexpr std::uint64_t loadBytes = 64;
 
@@ -34,26 +36,27 @@
 
 } // namespace
 
-ControlThread::ControlThread(const Settings& settings, Incarnation incarnation, DaemonMetrics& metrics, Hooks hooks)
+ControlThread::ControlThread(const Settings& settings, Incarnation incarnation, const PlatformAdapter& adapter,
+    DaemonMetrics& metrics, Hooks hooks)
     : m_settings(settings)
     , m_incarnation(incarnation)
     , m_metrics(metrics)
     , m_hooks(std::move(hooks))
-    , m_configuration(parseRecord)
+    , m_configuration(adapter.parseRecord)
     , m_builder(m_settings, m_configuration, m_hosts)
-    , m_joinBarrier(monotonicNow())
+    , m_pacer(settings.registry ? registryPublications : PublicationLimits {})
+    , m_source(adapter.makeRecordSource(m_io.get_executor()))
+    , m_joinBarrier(monotonicNow(), m_source.isLinearizable ? PlatformTrust::Linearizable : PlatformTrust::MayBeStale)
+    , m_lapsed(settings.registry ? settings.registry->lapseGrace : Duration::zero())
     , m_budget(shareMeasuring(
           { settings.measuringCallsPerSecond, settings.measuringBytesPerSecond }, settings.trafficThreads)
                    .control)
     , m_recordBytes(recordBytesPerSecond, recordBurst)
-    , m_platform(m_io, settings.platformAddress,
+    , m_platform(m_io, m_source,
           { [this] { return m_gossip->fleet().isWatcher(); }, [this] { return m_configuration.highestRevision(); },
               [this] { return m_gossip->fleet().hostListPeriod(); }, [this] { return drawFirstReadDelay(); },
-              [this](const RecordBatch& batch) {
-                  m_joinBarrier.platformAnswered(batch.highest);
-                  acceptRecords(batch.records);
-              },
-              [this](const HostList& hosts) { acceptHosts(hosts); } },
+              [this](const RecordBatch& batch) { acceptBatch(batch); },
+              [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { m_lapsed.registryLost(); } },
           metrics)
     , m_operators(m_io,
           { [this] { return m_isReady && !m_isDraining; }, [this] { return m_hooks.metricsText(); },
@@ -99,6 +102,8 @@
         },
         [this] { updateReadiness(); } };
     m_gossip = std::make_unique<GossipDriver>(m_io, self, std::move(sources), std::move(hooks), m_metrics);
+    if (m_settings.registry)
+        applySeeds();
     asio::co_spawn(m_io, m_gossip->run(), asio::detached);
     asio::co_spawn(m_io, m_platform.watchRecords(), asio::detached);
     asio::co_spawn(m_io, m_platform.watchHosts(), asio::detached);
@@ -190,6 +195,61 @@
     return m_gossip->answer(request);
 }
 
+void ControlThread::acceptBatch(RecordBatch batch)
+{
+    m_lapsed.registryReturned(monotonicNow());
+    if (batch.isWhole) {
+        const auto deletions = m_configuration.deletionsIn(batch);
+        batch.records.insert(batch.records.end(), deletions.begin(), deletions.end());
+    }
+    keepLapsed(batch.records);
+    // A registry counts changes that are no records, so that its own revision is not reached by any record.
+    if (m_source.isLinearizable)
+        m_joinBarrier.platformAnswered(Revision());
+    else
+        m_joinBarrier.platformAnswered(batch.highest);
+    acceptRecords(batch.records);
+}
+
+void ControlThread::keepLapsed(const std::vector<Record>& records)
+{
+    const TimePoint now = monotonicNow();
+    for (const auto& record : records) {
+        const auto known = m_configuration.registration(record.key);
+        if (!known)
+            continue;
+        if (!record.deleted)
+            m_lapsed.registered(known->id);
+        else if (m_lapsed.removed(known, now))
+            DOGWOODHALL_LOG(config, info) << "Endpoint " << known->id << " lapsed while the registry was away.";
+    }
+    armLapseTimer();
+}
+
+void ControlThread::armLapseTimer()
+{
+    const auto next = m_lapsed.nextChange();
+    if (!next)
+        return;
+    m_lapseTimer.expires_at(toSteadyClock(*next));
+    m_lapseTimer.async_wait([this](const boost::system::error_code& ec) {
+        if (ec)
+            return;
+        m_lapsed.removeExpired(monotonicNow());
+        noteChange(PublicationReason::Upstreams);
+        armLapseTimer();
+    });
+}
+
+void ControlThread::applySeeds()
+{
+    std::vector<NetworkAddress> seeds;
+    for (const auto& seed : m_settings.registry->seeds)
+        seeds.push_back({ seed.ip, m_settings.peerAddress.port });
+    m_gossip->fleet().setRegions(m_settings.registry->regions);
+    m_gossip->perform(m_gossip->fleet().applySeeds(seeds, monotonicNow()));
+}
+
 void ControlThread::acceptRecords(const std::vector<Record>& records)
 {
     bool hasChanged = false;
@@ -206,7 +266,8 @@
         std::map<DataCentreId, RegionId> regions;
         for (const auto& dataCentre : m_configuration.topology().dataCentres)
             regions.emplace(dataCentre.id, dataCentre.region);
-        m_gossip->fleet().setRegions(std::move(regions));
+        if (!m_settings.registry)
+            m_gossip->fleet().setRegions(std::move(regions));
     }
     m_metrics.configurationRevision.set(m_configuration.highestRevision().value());
     const bool isPublished = updateReadiness();
@@ -239,7 +300,7 @@
 bool ControlThread::updateReadiness()
 {
     const Revision held = m_configuration.highestRevision();
-    const bool hasServices = !m_configuration.sharedServices().empty();
+    const bool hasServices = !m_configuration.sharedServices().empty() || m_configuration.routing();
     const bool isReady = hasServices && m_joinBarrier.isReady(held, monotonicNow());
     if (isReady == m_isReady)
         return false;
@@ -283,6 +344,8 @@
         return; // Waking has published all of it.
     const Duration start = threadProcessorTime();
     auto snapshot = std::make_shared<Snapshot>(m_builder.build(m_gossip->fleet()));
+    if (m_settings.registry)
+        m_builder.addDirectory(*snapshot, m_gossip->fleet(), m_lapsed, monotonicNow());
     snapshot->isReady = m_isReady;
     snapshot->isDraining = m_isDraining;
     m_published = std::move(snapshot);
--- a/packages/daemon/src/control/GossipDriver.cpp
+++ b/packages/daemon/src/control/GossipDriver.cpp
@@ -1,6 +1,6 @@
-#include "dogwoodhall/daemon/GossipDriver.h"
+#include "dogwoodhall/daemon/control/GossipDriver.h"
 
-#include "dogwoodhall/daemon/PoolShard.h"
+#include "dogwoodhall/daemon/Clock.h"
 #include "dogwoodhall/exchange/UseTuple.h"
 #include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/telemetry/Logging.h"
--- a/packages/daemon/src/control/HealthProber.cpp
+++ b/packages/daemon/src/control/HealthProber.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/HealthProber.h"
+#include "dogwoodhall/daemon/control/HealthProber.h"
 
 #include "dogwoodhall/exchange/WholeBody.h"
 
--- a/packages/daemon/src/control/OperatorServer.cpp
+++ b/packages/daemon/src/control/OperatorServer.cpp
@@ -1,6 +1,6 @@
-#include "dogwoodhall/daemon/OperatorServer.h"
+#include "dogwoodhall/daemon/control/OperatorServer.h"
 
-#include "dogwoodhall/daemon/BufferedAnswer.h"
+#include "dogwoodhall/daemon/homes/BufferedAnswer.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/daemon/src/control/PlatformClient.cpp
+++ b/packages/daemon/src/control/PlatformClient.cpp
@@ -1,8 +1,9 @@
-#include "dogwoodhall/daemon/PlatformClient.h"
+#include "dogwoodhall/daemon/control/PlatformClient.h"
 
 #include "dogwoodhall/exchange/WholeBody.h"
 
 #include <boost/json.hpp>
+#include <memory>
 #include <utility>
 
 namespace dogwoodhall {
@@ -103,4 +104,15 @@
     co_return body;
 }
 
+RecordSource platformRecordSource(asio::any_io_executor executor, const NetworkAddress& address)
+{
+    // A connection of its own for each kind of read, since a watch holds one.
+    auto records = std::make_shared<PlatformClient>(executor, address);
+    auto hosts = std::make_shared<PlatformClient>(executor, address);
+    RecordSource source;
+    source.readRecords = [records](Revision since, Duration wait) { return records->readRecords(since, wait); };
+    source.readHosts = [hosts] { return hosts->readHosts(); };
+    return source;
+}
+
 } // namespace dogwoodhall
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/PlatformWatcher.h"
+#include "dogwoodhall/daemon/control/PlatformWatcher.h"
 
 #include "dogwoodhall/telemetry/Logging.h"
 
@@ -16,8 +16,6 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-constexpr Duration watchWait = std::chrono::seconds(20);
-constexpr Duration retryDelay = std::chrono::milliseconds(500);
 // How often a member that is no watcher checks whether it has become one.
 constexpr Duration roleCheckPeriod = std::chrono::seconds(1);
 // How long the first read of the records waits for the host list, which tells the size of the fleet. The host list
@@ -26,34 +24,34 @@
 
 } // namespace
 
-PlatformWatcher::PlatformWatcher(
-    asio::io_context& io, const NetworkAddress& platform, Hooks hooks, DaemonMetrics& metrics)
+PlatformWatcher::PlatformWatcher(asio::io_context& io, RecordSource source, Hooks hooks, DaemonMetrics& metrics)
     : m_io(io)
     , m_hooks(std::move(hooks))
     , m_metrics(metrics)
-    , m_records(io.get_executor(), platform)
-    , m_hosts(io.get_executor(), platform)
-    , m_hostsAsked(io, std::chrono::duration_cast<std::chrono::steady_clock::duration>(hostsPatience))
+    , m_source(std::move(source))
+    , m_hostsAsked(io)
     , m_interrupt(io, asio::steady_timer::time_point::max())
 {
+    const Duration patience = m_source.readHosts ? hostsPatience : Duration::zero();
+    m_hostsAsked.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(patience));
 }
 
 asio::awaitable<void> PlatformWatcher::watchRecords()
 {
     co_await awaitFirstRead();
     while (true) {
-        if (!m_mustReadAtOnce && !m_hooks.isWatcher()) {
+        if (!m_mustReadAtOnce && !m_source.isReadByAll && !m_hooks.isWatcher()) {
             co_await pause(roleCheckPeriod);
             continue;
         }
         const bool isAtOnce = std::exchange(m_mustReadAtOnce, false);
-        const Duration wait = isAtOnce ? Duration::zero() : watchWait;
+        const Duration wait = isAtOnce ? Duration::zero() : m_source.watchWait;
         const auto ended = co_await (readRecords(wait) || m_interrupt.async_wait(useTuple));
         const bool* isRead = std::get_if<0>(&ended);
         if (!isRead || *isRead)
             continue;
         m_mustReadAtOnce = m_mustReadAtOnce || isAtOnce;
-        co_await pause(isAtOnce ? startRetryDelay() : retryDelay);
+        co_await pause(isAtOnce ? startRetryDelay() : m_source.retryDelay);
     }
 }
 
@@ -67,7 +65,7 @@
 // Longer in a large fleet, all of which may be starting while the configuration service is down.
 Duration PlatformWatcher::startRetryDelay() const
 {
-    return std::max(retryDelay, m_hooks.hostListPeriod() / 2) + m_hooks.firstReadDelay();
+    return std::max(m_source.retryDelay, m_hooks.hostListPeriod() / 2) + m_hooks.firstReadDelay();
 }
 
 void PlatformWatcher::readAtOnce()
@@ -79,24 +77,37 @@
 asio::awaitable<bool> PlatformWatcher::readRecords(Duration wait)
 {
     m_metrics.platformReads.add();
-    auto batch = co_await m_records.readRecords(m_hooks.highestRevision(), wait);
+    const auto askedAt = std::chrono::steady_clock::now();
+    auto batch = co_await m_source.readRecords(m_hooks.highestRevision(), wait);
+    const bool wasReachable = std::exchange(m_isReachable, batch.has_value());
     if (!batch) {
         m_metrics.platformFailures.add();
         DOGWOODHALL_LOG(platform, warning) << "Cannot read the configuration service: " << batch.error().detail << ".";
+        if (wasReachable)
+            m_hooks.recordsLost();
         co_return false;
     }
+    if (!wasReachable)
+        DOGWOODHALL_LOG(platform, info) << "The configuration service answers again.";
     m_hooks.recordsRead(*batch);
-    // A service that answers at once although it has nothing new is stale or at fault; it is not asked without pause.
-    if (wait > Duration::zero() && batch->records.empty())
-        co_await pause(retryDelay);
+    if (wait == Duration::zero())
+        co_return true;
+    // A service that answers early although it has nothing new is stale or at fault; it is not asked without pause.
+    const bool isEarly = std::chrono::steady_clock::now() - askedAt < wait / 2;
+    if (batch->records.empty() && isEarly)
+        co_await pause(m_source.retryDelay);
+    else if (!batch->records.empty())
+        co_await pause(m_source.pauseAfterNews);
     co_return true;
 }
 
 asio::awaitable<void> PlatformWatcher::watchHosts()
 {
+    if (!m_source.readHosts)
+        co_return;
     while (true) {
         m_metrics.platformReads.add();
-        auto hosts = co_await m_hosts.readHosts();
+        auto hosts = co_await m_source.readHosts();
         if (hosts) {
             m_hooks.hostsRead(*hosts);
         } else {
--- a/packages/daemon/src/control/SnapshotBuilder.cpp
+++ b/packages/daemon/src/control/SnapshotBuilder.cpp
@@ -1,5 +1,6 @@
-#include "dogwoodhall/daemon/SnapshotBuilder.h"
+#include "dogwoodhall/daemon/control/SnapshotBuilder.h"
 
+#include <algorithm>
 #include <map>
 #include <utility>
 
@@ -30,6 +31,28 @@
     return snapshot;
 }
 
+void SnapshotBuilder::addDirectory(
+    Snapshot& snapshot, const Fleet& fleet, const LapsedEndpoints& lapsed, TimePoint now) const
+{
+    snapshot.acceptsAnyPeer = true;
+    const auto members = fleet.others();
+    const auto notGone = std::count_if(
+        members.begin(), members.end(), [](const Member* member) { return member->state != MemberState::Gone; });
+    snapshot.membersToCount = 1 + static_cast<std::size_t>(notGone);
+    const auto routing = m_configuration.routing();
+    if (!routing)
+        return;
+    auto endpoints = m_configuration.registrations();
+    const auto kept = lapsed.kept(now);
+    endpoints.insert(endpoints.end(), kept.begin(), kept.end());
+    snapshot.directory = Directory::Builder()
+                             .ownDataCentre(m_settings.dataCentre)
+                             .regions(m_settings.registry->regions)
+                             .routing(routing)
+                             .endpoints(std::move(endpoints))
+                             .build();
+}
+
 void SnapshotBuilder::addHomes(Snapshot& snapshot, const Fleet& fleet) const
 {
     for (const auto* member : knownEntryHosts(fleet)) {
--- a/packages/daemon/src/control/SpanExporter.cpp
+++ b/packages/daemon/src/control/SpanExporter.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/SpanExporter.h"
+#include "dogwoodhall/daemon/control/SpanExporter.h"
 
 #include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/telemetry/Logging.h"
--- a/packages/daemon/src/control/StatusReport.cpp
+++ b/packages/daemon/src/control/StatusReport.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/StatusReport.h"
+#include "dogwoodhall/daemon/control/StatusReport.h"
 
 #include <algorithm>
 #include <array>
--- a/packages/daemon/src/homes/AttemptRunnerHomes.cpp
+++ b/packages/daemon/src/homes/AttemptRunnerHomes.cpp
@@ -1,6 +1,6 @@
-#include "dogwoodhall/daemon/AttemptRunner.h"
+#include "dogwoodhall/daemon/homes/AttemptRunner.h"
 
-#include "dogwoodhall/daemon/HeaderValues.h"
+#include "dogwoodhall/daemon/traffic/HeaderValues.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/packages/daemon/src/homes/BufferedAnswer.cpp
+++ b/packages/daemon/src/homes/BufferedAnswer.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/BufferedAnswer.h"
+#include "dogwoodhall/daemon/homes/BufferedAnswer.h"
 
 #include "dogwoodhall/exchange/WholeBody.h"
 
--- a/packages/daemon/src/homes/ForwardEnvelope.cpp
+++ b/packages/daemon/src/homes/ForwardEnvelope.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/ForwardEnvelope.h"
+#include "dogwoodhall/daemon/homes/ForwardEnvelope.h"
 
 #include <array>
 #include <charconv>
--- a/packages/daemon/src/homes/HedgedExchange.cpp
+++ b/packages/daemon/src/homes/HedgedExchange.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/HedgedExchange.h"
+#include "dogwoodhall/daemon/homes/HedgedExchange.h"
 
 #include "dogwoodhall/exchange/UseTuple.h"
 
--- a/packages/daemon/src/homes/HomeBypass.cpp
+++ b/packages/daemon/src/homes/HomeBypass.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/HomeBypass.h"
+#include "dogwoodhall/daemon/homes/HomeBypass.h"
 
 namespace dogwoodhall {
 
--- a/packages/daemon/src/homes/LoadTable.cpp
+++ b/packages/daemon/src/homes/LoadTable.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/LoadTable.h"
+#include "dogwoodhall/daemon/homes/LoadTable.h"
 
 namespace dogwoodhall {
 
--- a/packages/daemon/src/homes/PoolDirectory.cpp
+++ b/packages/daemon/src/homes/PoolDirectory.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/PoolDirectory.h"
+#include "dogwoodhall/daemon/homes/PoolDirectory.h"
 
 #include <utility>
 
--- a/packages/daemon/src/homes/PoolShard.cpp
+++ b/packages/daemon/src/homes/PoolShard.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/PoolShard.h"
+#include "dogwoodhall/daemon/homes/PoolShard.h"
 
 #include "dogwoodhall/telemetry/Logging.h"
 
@@ -7,14 +7,6 @@
 
 namespace dogwoodhall {
 
-TimePoint monotonicNow() { return TimePoint(std::chrono::steady_clock::now().time_since_epoch()); }
-
-std::chrono::steady_clock::time_point toSteadyClock(TimePoint t)
-{
-    return std::chrono::steady_clock::time_point(
-        std::chrono::duration_cast<std::chrono::steady_clock::duration>(t.sinceOrigin()));
-}
-
 PoolShard::Entry::Entry(Pool pool, asio::io_context& io)
     : pool(std::move(pool))
     , timer(io)
--- a/packages/daemon/src/homes/RequestRunner.cpp
+++ b/packages/daemon/src/homes/RequestRunner.cpp
@@ -1,6 +1,6 @@
-#include "dogwoodhall/daemon/RequestRunner.h"
+#include "dogwoodhall/daemon/homes/RequestRunner.h"
 
-#include "dogwoodhall/daemon/HeaderValues.h"
+#include "dogwoodhall/daemon/traffic/HeaderValues.h"
 
 #include <algorithm>
 #include <utility>
--- a/packages/daemon/src/homes/SlotGateway.cpp
+++ b/packages/daemon/src/homes/SlotGateway.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/SlotGateway.h"
+#include "dogwoodhall/daemon/homes/SlotGateway.h"
 
 #include "dogwoodhall/exchange/UseTuple.h"
 
--- a/packages/daemon/src/homes/TicketService.cpp
+++ b/packages/daemon/src/homes/TicketService.cpp
@@ -1,7 +1,7 @@
-#include "dogwoodhall/daemon/TicketService.h"
+#include "dogwoodhall/daemon/homes/TicketService.h"
 
-#include "dogwoodhall/daemon/AnswerRelay.h"
 #include "dogwoodhall/daemon/CallOn.h"
+#include "dogwoodhall/daemon/traffic/AnswerRelay.h"
 #include "dogwoodhall/exchange/UseTuple.h"
 #include "dogwoodhall/exchange/WholeBody.h"
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,6 +1,7 @@
 #include "dogwoodhall/commandline/CommandLine.h"
 #include "dogwoodhall/daemon/Daemon.h"
 #include "dogwoodhall/declarations/SettingsParser.h"
+#include "dogwoodhall/platform/Adapter.h"
 #include "dogwoodhall/telemetry/Logging.h"
 
 #include <boost/program_options.hpp>
@@ -41,9 +42,12 @@
         std::cout << path << ": settings of " << settings->member << " are valid\n";
         return 0;
     }
-    // Standard output carries the listening addresses only.
+    // Standard output carries the listening addresses and the structured log.
     dogwoodhall::startLogging(std::clog, settings->log);
-    dogwoodhall::Daemon daemon(*settings);
+    const auto& registry = settings->registry;
+    auto adapter = registry ? dogwoodhall::platform::makeAdapter(settings->platformAddress, registry->readPause)
+                            : dogwoodhall::ownPlatformAdapter(settings->platformAddress);
+    dogwoodhall::Daemon daemon(*settings, std::move(adapter), path);
     // Ends without destructors: coroutines that still wait in the event loops refer to objects that would be destroyed
     // before the loops, and all that the process holds is memory.
     std::quick_exit(run(daemon));
--- a/packages/daemon/src/traffic/AnswerRelay.cpp
+++ b/packages/daemon/src/traffic/AnswerRelay.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/AnswerRelay.h"
+#include "dogwoodhall/daemon/traffic/AnswerRelay.h"
 
 #include <memory>
 
--- a/packages/daemon/src/traffic/ConnectionQuotas.cpp
+++ b/packages/daemon/src/traffic/ConnectionQuotas.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/ConnectionQuotas.h"
+#include "dogwoodhall/daemon/traffic/ConnectionQuotas.h"
 
 #include "dogwoodhall/pool/ConnectionQuota.h"
 #include "dogwoodhall/pool/DispatchAllowance.h"
--- a/packages/daemon/src/traffic/HeaderValues.cpp
+++ b/packages/daemon/src/traffic/HeaderValues.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/HeaderValues.h"
+#include "dogwoodhall/daemon/traffic/HeaderValues.h"
 
 #include <algorithm>
 #include <charconv>
--- a/packages/daemon/src/traffic/RequestTrace.cpp
+++ b/packages/daemon/src/traffic/RequestTrace.cpp
@@ -1,4 +1,4 @@
-#include "dogwoodhall/daemon/RequestTrace.h"
+#include "dogwoodhall/daemon/traffic/RequestTrace.h"
 
 #include <utility>
 
--- a/packages/daemon/src/traffic/TrafficThread.cpp
+++ b/packages/daemon/src/traffic/TrafficThread.cpp
@@ -1,7 +1,7 @@
-#include "dogwoodhall/daemon/TrafficThread.h"
+#include "dogwoodhall/daemon/traffic/TrafficThread.h"
 
-#include "dogwoodhall/daemon/GossipDriver.h"
-#include "dogwoodhall/daemon/HeaderValues.h"
+#include "dogwoodhall/daemon/control/GossipDriver.h"
+#include "dogwoodhall/daemon/traffic/HeaderValues.h"
 #include "dogwoodhall/exchange/UseTuple.h"
 #include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/telemetry/Logging.h"
@@ -19,11 +19,13 @@
 
 // Also how old the load of a pool on another thread can be.
 constexpr auto heartbeatPeriod = std::chrono::milliseconds(100);
-// Callers' connections are still accepted for this long after readiness is off, so that the platform's balancer, which
-// polls it, has stopped sending when the port closes.
-constexpr auto drainGrace = std::chrono::milliseconds(1000);
 constexpr std::string_view ticketsPath = "/.dogwoodhall/tickets";
 
+CallerLimits toLimits(const CallerBounds& bounds)
+{
+    return { bounds.headerBytes, bounds.bodyBytes, bounds.headerTimeout, bounds.idleTimeout };
+}
+
 UpstreamLimits upstreamLimits(const ConnectionQuotas& quotas)
 {
     UpstreamLimits limits;
@@ -33,7 +35,7 @@
 
 } // namespace
 
-TrafficThread::TrafficThread(Options options, DaemonMetrics& metrics)
+TrafficThread::TrafficThread(Options options, DaemonMetrics& metrics, EventLog& events)
     : m_options(std::move(options))
     , m_metrics(metrics)
     , m_work(asio::make_work_guard(m_io))
@@ -61,8 +63,16 @@
           [this](IncomingRequest request, ResponseWriter writer) {
               return handlePeer(std::move(request), std::move(writer));
           },
-          [this](const asio::ip::address& address) { return m_snapshot->memberIps.contains(address.to_string()); })
+          [this](const asio::ip::address& address) {
+              return m_snapshot->acceptsAnyPeer || m_snapshot->memberIps.contains(address.to_string());
+          })
 {
+    if (m_options.dispatch) {
+        m_dispatch.emplace(m_io, *m_options.dispatch, metrics, m_random, events);
+        m_path = m_dispatch->path();
+    } else {
+        m_path = pathByHomes();
+    }
     m_peers.detectSilence({ [this](bool isRepeated) { return payForPing(isRepeated); },
         [this](const NetworkAddress& peer, SilenceChange change) { peerChanged(peer, change); } });
     m_tickets.setRunEnded([this] { checkDrained(); });
@@ -105,13 +115,37 @@
     asio::post(m_io, [this, task = std::move(task)] { task(*this); });
 }
 
+RequestPath TrafficThread::pathByHomes()
+{
+    RequestPath path;
+    path.run = [this](IncomingRequest request, const ResponseWriter& writer) -> asio::awaitable<void> {
+        if (request.head.method == "POST" && pathOf(request.head.target) == ticketsPath)
+            return m_tickets.issue(writer);
+        if (request.head.fields.find(fields::ticket))
+            return m_tickets.run(std::move(request), writer, false);
+        return m_runner.run(std::move(request), writer);
+    };
+    path.apply = [this](const SnapshotPointer& snapshot) {
+        m_shard.apply(snapshot);
+        m_connections.apply(snapshot);
+        m_tickets.apply(snapshot);
+        m_runner.apply(snapshot);
+    };
+    path.running = [this] { return m_runner.running(); };
+    path.tick = [this] {
+        m_metrics.endpointEjections.add(m_shard.reportEjections());
+        m_options.shareLoads(m_shard.loads());
+        m_upstreams.closeIdle();
+    };
+    return path;
+}
+
 void TrafficThread::apply(SnapshotPointer snapshot)
 {
-    m_snapshot = snapshot;
-    m_shard.apply(snapshot);
-    m_connections.apply(snapshot);
-    m_tickets.apply(snapshot);
-    m_runner.apply(std::move(snapshot));
+    m_snapshot = std::move(snapshot);
+    if (m_snapshot->directory)
+        m_sessions.setLimits(toLimits(m_snapshot->directory->callers()));
+    m_path.apply(m_snapshot);
 }
 
 void TrafficThread::observeLoads(const std::vector<PoolLoadSummary>& loads)
@@ -125,10 +159,8 @@
     asio::steady_timer timer(m_io);
     while (true) {
         observePauses();
-        m_requestsRunning.store(m_runner.running(), std::memory_order_relaxed);
-        m_metrics.endpointEjections.add(m_shard.reportEjections());
-        m_options.shareLoads(m_shard.loads());
-        m_upstreams.closeIdle();
+        m_requestsRunning.store(m_path.running(), std::memory_order_relaxed);
+        m_path.tick();
         timer.expires_after(heartbeatPeriod);
         co_await timer.async_wait(useTuple);
     }
@@ -180,12 +212,7 @@
 asio::awaitable<void> TrafficThread::handleCaller(IncomingRequest request, ResponseWriter writer)
 {
     observePauses();
-    if (request.head.method == "POST" && pathOf(request.head.target) == ticketsPath)
-        co_await m_tickets.issue(writer);
-    else if (request.head.fields.find(fields::ticket))
-        co_await m_tickets.run(std::move(request), writer, false);
-    else
-        co_await m_runner.run(std::move(request), writer);
+    co_await m_path.run(std::move(request), writer);
 }
 
 asio::awaitable<void> TrafficThread::handlePeer(IncomingRequest request, ResponseWriter writer)
@@ -232,7 +259,9 @@
 
 asio::awaitable<void> TrafficThread::finishDrain()
 {
-    asio::steady_timer grace(m_io, drainGrace);
+    m_sessions.closeAfterNextAnswers();
+    asio::steady_timer grace(
+        m_io, std::chrono::duration_cast<std::chrono::steady_clock::duration>(m_options.drainGrace));
     co_await grace.async_wait(useTuple);
     m_acceptor.close();
     m_sessions.stopAfterCurrentRequests();
--- a/packages/daemon/tests/OperationsPageTest.cpp
+++ b/packages/daemon/tests/OperationsPageTest.cpp
@@ -4,7 +4,7 @@
 #include "ManualPage.h"
 #include "TableRows.h"
 #include "dogwoodhall/daemon/DaemonMetrics.h"
-#include "dogwoodhall/daemon/StatusReport.h"
+#include "dogwoodhall/daemon/control/StatusReport.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -43,8 +43,10 @@
 Names logLines()
 {
     std::string sources;
-    for (const auto& file : std::filesystem::directory_iterator(SOURCE_FOLDER))
-        sources += ManualPage::wholeFile(file.path());
+    for (const auto& file : std::filesystem::recursive_directory_iterator(SOURCE_FOLDER)) {
+        if (file.is_regular_file())
+            sources += ManualPage::wholeFile(file.path());
+    }
     Names lines;
     const std::regex line("DOGWOODHALL_LOG\\((\\w+), \\w+\\)\\s*<< \"([^\":.;]+)");
     for (std::sregex_iterator it(sources.begin(), sources.end(), line), end; it != end; ++it)
@@ -76,7 +78,7 @@
 {
     const PageRow& row = rows[*index];
     const auto onPage
-        = ManualPage::matches(ManualPage(DOCS_FOLDER "/operations.md").section(row.heading), row.expression);
+        = ManualPage::matches(ManualPage(DOCS_FOLDER "/OPERATIONS.md").section(row.heading), row.expression);
     const auto inCode = row.inCode();
     cr_assert_not(onPage.empty());
     for (const auto& name : onPage) {
--- a/packages/declarations/src/SettingsSchema.cpp
+++ b/packages/declarations/src/SettingsSchema.cpp
@@ -17,6 +17,14 @@
 constexpr IntegerRange measuringCallsRange { 1, 1'000'000 };
 // The platform gives a daemon 128 MB in all.
 constexpr IntegerRange ticketBytesRange { 0, 128LL * 1024 * 1024 };
+// A balancer that asks once a second and wants two misses stops sending after two to three seconds.
+constexpr IntegerRange drainGraceMsRange { 0, 600'000 };
+constexpr IntegerRange stopGraceMsRange { 1'000, 3'600'000 };
+constexpr IntegerRange retryWindowMsRange { 100, 600'000 };
+constexpr IntegerRange retrySlackRange { 0, 1'000'000 };
+constexpr IntegerRange healthCallsRange { 1, 1'000'000 };
+constexpr IntegerRange readPauseMsRange { 0, 10'000 };
+constexpr IntegerRange lapseGraceMsRange { 0, 60'000 };
 
 NetworkAddress address(ObjectReader& reader, const std::string& name, Presence presence, const TextRule& rule)
 {
@@ -73,6 +81,50 @@
     settings.ticketBytes = bytes(reader, "ticketBytes", ticketBytesRange, settings.ticketBytes);
 }
 
+std::map<DataCentreId, RegionId> readRegions(ObjectReader& reader)
+{
+    std::map<DataCentreId, RegionId> regions;
+    reader.object("regions", Presence::Required, [&](const JsonNode& node, const std::string& pointer) {
+        if (node.kind != JsonNode::Kind::Object || node.members.empty())
+            reader.context().report(node, pointer, "an object of data centres and their regions");
+        for (const auto& member : node.members) {
+            if (member.value.kind != JsonNode::Kind::String || !idText().accepts(member.value.text))
+                reader.context().report(member.value, childPointer(pointer, member.name), idText().expected);
+            else
+                regions.emplace(DataCentreId(member.name), RegionId(member.value.text));
+        }
+    });
+    return regions;
+}
+
+Duration milliseconds(ObjectReader& reader, const std::string& name, IntegerRange range, Duration absent)
+{
+    const auto value = reader.integer(name, Presence::Optional, range);
+    return value ? std::chrono::milliseconds(*value) : absent;
+}
+
+RegistrySettings readRegistry(CheckContext& context, const JsonNode& node, const std::string& pointer)
+{
+    ObjectReader reader(context, node, pointer);
+    RegistrySettings registry;
+    registry.regions = readRegions(reader);
+    for (const auto& seed : reader.texts("seeds", remoteAddressText()))
+        registry.seeds.push_back(*parseNetworkAddress(seed));
+    registry.drainGrace = milliseconds(reader, "drainGraceMs", drainGraceMsRange, registry.drainGrace);
+    registry.stopGrace = milliseconds(reader, "stopGraceMs", stopGraceMsRange, registry.stopGrace);
+    if (auto percent = reader.decimal("retryPercent", Presence::Optional, { 0, 100 }))
+        registry.retries.ratio = Fraction(*percent / 100);
+    registry.retries.window = milliseconds(reader, "retryWindowMs", retryWindowMsRange, registry.retries.window);
+    if (auto slack = reader.integer("retrySlack", Presence::Optional, retrySlackRange))
+        registry.retries.slack = static_cast<double>(*slack);
+    if (auto calls = reader.integer("healthCallsPerSecond", Presence::Optional, healthCallsRange))
+        registry.healthCallsPerSecond = CallCount(static_cast<std::uint64_t>(*calls));
+    registry.readPause = milliseconds(reader, "readPauseMs", readPauseMsRange, registry.readPause);
+    registry.lapseGrace = milliseconds(reader, "lapseGraceMs", lapseGraceMsRange, registry.lapseGrace);
+    reader.finish();
+    return registry;
+}
+
 } // namespace
 
 Settings readSettings(CheckContext& context, const JsonNode& node)
@@ -88,6 +140,9 @@
     readAddresses(reader, settings);
     readLog(reader, settings.log);
     readLimits(reader, settings);
+    reader.object("registry", Presence::Optional, [&](const JsonNode& registry, const std::string& pointer) {
+        settings.registry = readRegistry(context, registry, pointer);
+    });
     reader.finish();
     return settings;
 }
--- a/packages/declarations/tests/ConfigurationPageTest.cpp
+++ b/packages/declarations/tests/ConfigurationPageTest.cpp
@@ -17,6 +17,9 @@
 // Valid documents in which a row sets or removes one field.
 const char* const settings = R"({"member": "m", "dataCentre": "d", "callerAddress": "127.0.0.1:0",
     "peerAddress": "127.0.0.1:0", "adminAddress": "127.0.0.1:0", "platformAddress": "127.0.0.1:1"})";
+const char* const registrySettings = R"({"member": "m", "dataCentre": "d", "callerAddress": "127.0.0.1:0",
+    "peerAddress": "127.0.0.1:0", "adminAddress": "127.0.0.1:0", "platformAddress": "127.0.0.1:1",
+    "registry": {"regions": {"d": "r"}}})";
 const char* const serviceOne = R"({"service": "a", "endpoints": [
     {"id": "e", "host": "h", "dataCentre": "d", "address": "127.0.0.1:1", "slots": 1}], "rules": [{"id": "r"}]})";
 const char* const serviceTwo = R"({"schemaVersion": 2, "service": "a", "limits": {}, "rules": [{"id": "r"}],
@@ -46,6 +49,7 @@
 
 const FieldsRow rows[] = {
     { "## Settings (schema version 1)", "", "", nullptr, settings, "" },
+    { "### Registry", "", "registry.", nullptr, registrySettings, "/registry" },
     { "### Fields of both versions", "", "", "services/a", serviceOne, "" },
     { "### Fields of both versions", "", "rules[].", "services/a", serviceOne, "/rules/0" },
     { "### Endpoints", "1", "", "services/a", serviceOne, "" },
--- /dev/null
+++ b/packages/dispatch/include/dogwoodhall/dispatch/Directory.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "dogwoodhall/configuration/EndpointRegistration.h"
+#include "dogwoodhall/configuration/RoutingDeclaration.h"
+#include "dogwoodhall/routing/HostPathIndex.h"
+#include "dogwoodhall/routing/RouteTable.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+// How far an endpoint is from this process, in the order of cost.
+enum class Distance : std::uint8_t {
+    SameDataCentre,
+    SameRegion,
+    OtherRegion,
+};
+
+struct DirectoryEndpoint {
+    std::shared_ptr<const EndpointRegistration> registration;
+    Distance distance = Distance::OtherRegion;
+};
+
+struct DirectoryService {
+    UpstreamDeclaration declaration;
+    std::vector<DirectoryEndpoint> endpoints; // Those that take work, by id.
+};
+
+// Routes, services and endpoints at one moment, seen from one data centre. Immutable.
+class Directory {
+public:
+    class Builder;
+
+    // The route with this host name and the longest path prefix; null where there is none.
+    const RouteDeclaration* route(const RouteQuery&) const;
+    const DirectoryService* service(const ServiceId&) const;
+    const std::map<ServiceId, DirectoryService>& services() const { return m_services; }
+    const CallerBounds& callers() const { return m_routing->callers; }
+    std::uint64_t version() const { return m_routing->version; }
+    std::size_t endpointCount() const { return m_endpointCount; }
+
+private:
+    std::shared_ptr<const RoutingDeclaration> m_routing;
+    HostPathIndex m_index; // Positions in the routes.
+    std::map<ServiceId, DirectoryService> m_services;
+    std::size_t m_endpointCount = 0;
+};
+
+class Directory::Builder {
+public:
+    Builder& ownDataCentre(DataCentreId id) { return m_own = std::move(id), *this; }
+    Builder& regions(std::map<DataCentreId, RegionId> regions) { return m_regions = std::move(regions), *this; }
+    Builder& routing(std::shared_ptr<const RoutingDeclaration> routing)
+    {
+        return m_routing = std::move(routing), *this;
+    }
+    Builder& endpoints(std::vector<std::shared_ptr<const EndpointRegistration>> endpoints)
+    {
+        return m_endpoints = std::move(endpoints), *this;
+    }
+
+    // Needs a routing document. Leaving endpoints, and those of services that it does not name, are left out.
+    std::shared_ptr<const Directory> build() const;
+
+private:
+    Distance distanceTo(const DataCentreId&) const;
+
+    DataCentreId m_own;
+    std::map<DataCentreId, RegionId> m_regions;
+    std::shared_ptr<const RoutingDeclaration> m_routing;
+    std::vector<std::shared_ptr<const EndpointRegistration>> m_endpoints;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/dispatch/src/EndpointChooser.cpp
@@ -0,0 +1,161 @@
+#include "dogwoodhall/dispatch/EndpointChooser.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dogwoodhall {
+
+namespace {
+
+// Service times spread log-normally around the expected one; with the spells in which a host is slowed, by about this
+// much (standard deviation of the logarithm).
+constexpr double spreadOfTimes = 0.45;
+// Share of its value that an endpoint keeps which says that it is not healthy: most of these are right.
+constexpr double unhealthyShare = 0.2;
+// What is left of an endpoint's value while it is cold, where others are warm.
+constexpr double coldShare = 0.7;
+// Endpoints of unknown load are taken for used by the other entry hosts as much as by this one.
+constexpr std::uint64_t membersPerUnknownRequest = 2;
+
+bool contains(const std::vector<EndpointId>& ids, const EndpointId& id)
+{
+    return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+} // namespace
+
+bool EndpointChooser::isCandidate(const EndpointQuery& query, const DirectoryEndpoint& endpoint, TimePoint now) const
+{
+    const auto& id = endpoint.registration->id;
+    return !contains(query.tried, id) && m_book.isUsable(id, now);
+}
+
+std::vector<DirectoryEndpoint> EndpointChooser::toAsk(
+    const EndpointQuery& query, Distance distance, DecisionContext context) const
+{
+    std::vector<DirectoryEndpoint> endpoints;
+    for (const auto& endpoint : query.service->endpoints) {
+        if (endpoint.distance == distance && isCandidate(query, endpoint, context.now))
+            endpoints.push_back(endpoint);
+    }
+    std::shuffle(endpoints.begin(), endpoints.end(), context.random);
+    if (endpoints.size() <= m_limits.mostAsked)
+        return endpoints;
+    std::stable_partition(endpoints.begin(), endpoints.end(), [&](const DirectoryEndpoint& endpoint) {
+        return m_book.failureShare(endpoint.registration->id, context.now) < 0.5;
+    });
+    endpoints.resize(m_limits.mostAsked);
+    return endpoints;
+}
+
+std::optional<EndpointChoice> EndpointChooser::best(const EndpointQuery& query, Distance farthest, TimePoint now) const
+{
+    std::optional<EndpointChoice> best;
+    for (const auto& endpoint : query.service->endpoints) {
+        if (endpoint.distance > farthest || !isCandidate(query, endpoint, now))
+            continue;
+        auto choice = judge(query, endpoint, now);
+        if (!best || isBetter(choice, *best))
+            best = std::move(choice);
+    }
+    return best;
+}
+
+bool EndpointChooser::isBetter(const EndpointChoice& choice, const EndpointChoice& than)
+{
+    if (choice.isFresh != than.isFresh)
+        return choice.isFresh;
+    if (choice.hasRoom != than.hasRoom)
+        return choice.hasRoom;
+    return choice.value > than.value;
+}
+
+EndpointChoice EndpointChooser::judge(
+    const EndpointQuery& query, const DirectoryEndpoint& endpoint, TimePoint now) const
+{
+    const auto& registration = *endpoint.registration;
+    const auto* belief = m_book.find(registration.id);
+    EndpointChoice choice;
+    choice.endpoint = registration.id;
+    choice.address = registration.address;
+    choice.reportAge = now - belief->reportedAt;
+    choice.isFresh = choice.reportAge <= m_limits.freshFor;
+    if (const auto load = m_book.currentLoad(registration.id)) {
+        choice.load = *load;
+    } else {
+        choice.load.slots = registration.slots;
+        choice.load.running = SlotCount(belief->sentAt.size() * membersPerUnknownRequest);
+    }
+    const auto& service = query.service->declaration.id;
+    choice.expected = roundTrip(endpoint.distance)
+        + m_times.expected(query.route->id, service, choice.load, query.route->latencyGoal);
+    choice.hasRoom = choice.load.waiting == SlotCount(0)
+        && choice.load.running < m_times.bestConcurrency(service, choice.load.slots);
+    const double inTime = chanceInTime(choice.expected, query.goalAt - now);
+    const double inLimit = chanceInTime(choice.expected, query.limit - now);
+    double reliability = 1 - m_book.failureShare(registration.id, now);
+    if (belief->saysUnhealthy)
+        reliability *= unhealthyShare;
+    if (belief->coldUntil > now)
+        reliability *= coldShare;
+    choice.chance = inTime * reliability;
+    choice.value
+        = reliability * (inTime + m_limits.lateValue * (inLimit - inTime)) - linkCost(query, endpoint.distance);
+    return choice;
+}
+
+bool EndpointChooser::isWorthAsking(
+    const EndpointQuery& query, Distance distance, const std::optional<EndpointChoice>& choice, TimePoint now) const
+{
+    const bool hasAny = std::any_of(query.service->endpoints.begin(), query.service->endpoints.end(),
+        [&](const DirectoryEndpoint& it) { return it.distance == distance && isCandidate(query, it, now); });
+    if (!hasAny)
+        return false;
+    if (!choice)
+        return true;
+    LoadReport calm;
+    calm.slots = SlotCount(2);
+    // The answer to the question takes a round trip, and the request another.
+    const Duration expected = 2 * roundTrip(distance)
+        + m_times.expected(query.route->id, query.service->declaration.id, calm, query.route->latencyGoal);
+    const double value = chanceInTime(expected, query.goalAt - now) - linkCost(query, distance);
+    return value > (choice->hasRoom ? choice->value : 0);
+}
+
+double EndpointChooser::linkCost(const EndpointQuery& query, Distance distance) const
+{
+    constexpr double bytesPerMegabyte = 1e6;
+    const double bytes = static_cast<double>(m_times.expectedAnswerBytes(query.route->id).count());
+    switch (distance) {
+    case Distance::SameDataCentre:
+        return 0;
+    case Distance::SameRegion:
+        return bytes / bytesPerMegabyte * m_limits.costPerMegabyteWithinRegion;
+    case Distance::OtherRegion:
+        break;
+    }
+    return bytes / bytesPerMegabyte * m_limits.costPerMegabyteBetweenRegions;
+}
+
+Duration EndpointChooser::roundTrip(Distance distance) const
+{
+    switch (distance) {
+    case Distance::SameDataCentre:
+        return Duration::zero();
+    case Distance::SameRegion:
+        return m_limits.roundTripWithinRegion;
+    case Distance::OtherRegion:
+        break;
+    }
+    return m_limits.roundTripBetweenRegions;
+}
+
+double EndpointChooser::chanceInTime(Duration expected, Duration left) const
+{
+    if (left <= Duration::zero())
+        return 0;
+    const double deviations = std::log(toSeconds(left) / std::max(toSeconds(expected), 1e-6)) / spreadOfTimes;
+    return 0.5 * std::erfc(-deviations / std::sqrt(2.0));
+}
+
+} // namespace dogwoodhall
--- a/packages/exchange/include/dogwoodhall/exchange/Exchange.h
+++ b/packages/exchange/include/dogwoodhall/exchange/Exchange.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 
@@ -19,6 +20,8 @@
     // Proof that the other side did not run the request and will not.
     bool provenNotRun = false;
     std::string detail; // For logs.
+    // The connection had carried an earlier exchange: the failure may be that of the connection alone.
+    bool onReusedConnection = false;
 };
 
 template <typename T> using ExchangeResult = asio::awaitable<tl::expected<T, ExchangeError>>;
@@ -61,7 +64,9 @@
 // Serves one request. Cancelled (by Asio's cancellation) when the sender goes away.
 using RequestHandler = std::function<asio::awaitable<void>(IncomingRequest, ResponseWriter)>;
 
-// Writes a whole answer for an error kind: head with kind and outcome, one sentence as body.
-asio::awaitable<void> writeError(const ResponseWriter&, ErrorKind, Outcome);
+// Writes a whole answer for an error kind: head with kind and outcome, one sentence as body. `retryAfter` tells the
+// caller when to come back.
+asio::awaitable<void> writeError(
+    const ResponseWriter&, ErrorKind, Outcome, std::optional<Duration> retryAfter = std::nullopt);
 
 } // namespace dogwoodhall
--- a/packages/exchange/include/dogwoodhall/exchange/Head.h
+++ b/packages/exchange/include/dogwoodhall/exchange/Head.h
@@ -56,6 +56,8 @@
     unsigned status = 0;
     HeaderFields fields;
     BodyLength bodyLength;
+    // The sender ends the connection after this answer. Set where an answer is read; a writer decides for itself.
+    bool closesConnection = false;
 };
 
 // True for fields that hold for one connection only and must not be forwarded.
--- a/packages/exchange/src/Exchange.cpp
+++ b/packages/exchange/src/Exchange.cpp
@@ -2,6 +2,9 @@
 
 #include "dogwoodhall/exchange/WholeBody.h"
 
+#include <array>
+#include <cstdio>
+
 namespace dogwoodhall {
 
 ReadBody emptyBody()
@@ -9,7 +12,8 @@
     return [](asio::mutable_buffer) -> ExchangeResult<std::size_t> { co_return std::size_t { 0 }; };
 }
 
-asio::awaitable<void> writeError(const ResponseWriter& writer, ErrorKind kind, Outcome outcome)
+asio::awaitable<void> writeError(
+    const ResponseWriter& writer, ErrorKind kind, Outcome outcome, std::optional<Duration> retryAfter)
 {
     const ErrorAnswer& answer = answerFor(kind);
     const std::string body = std::string(answer.text) + "\n";
@@ -18,6 +22,11 @@
     head.fields.add("Content-Type", "text/plain");
     head.fields.add(std::string(fields::error), std::string(answer.name));
     head.fields.add(std::string(fields::outcome), std::string(toString(outcome)));
+    if (retryAfter) {
+        std::array<char, 32> text {};
+        const int n = std::snprintf(text.data(), text.size(), "%.3f", toSeconds(*retryAfter));
+        head.fields.add("Retry-After", std::string(text.data(), static_cast<std::size_t>(n)));
+    }
     co_await writeWhole(writer, head, body);
 }
 
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -70,7 +70,10 @@
     // Entry hosts of the host list, which lags: it adds members that gossip has not named and marks leaving ones. A
     // host that is no longer listed stays a member as long as it is heard.
     std::vector<FleetAction> applyHostList(std::span<const ListedHost>, TimePoint now);
-    // Regions of the data centres, from the topology record.
+    // Addresses where other members may run, for platforms without a host list. Each is tried until it has answered
+    // once; members learn the rest from one another.
+    std::vector<FleetAction> applySeeds(std::span<const NetworkAddress>, TimePoint now);
+    // Regions of the data centres, from the topology record or the settings.
     void setRegions(std::map<DataCentreId, RegionId>);
 
     // Looks for a pause of the process, as every other call does that takes a time.
@@ -103,6 +106,8 @@
 
     // Claim about a known member other than this one; null where it is unknown.
     const Member* find(const MemberId&) const;
+    // Claims about the other members that have been heard of, gone ones included, by id.
+    std::vector<const Member*> others() const;
     // Known members, this one included.
     std::size_t size() const { return m_table.members().size() + 1; }
     // Members in this state, this one included; without listed hosts that were never heard of.
@@ -142,6 +147,8 @@
         std::optional<bool> isWatcher; // Worked out when first asked for.
     };
 
+    static MemberId seedId(const NetworkAddress&);
+    void removeSeed(const NetworkAddress&);
     void observe(TimePoint now, std::vector<FleetAction>&);
     void expireState(TimePoint now);
     bool merge(const Member& claim, TimePoint now);
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -38,6 +38,16 @@
     return actions;
 }
 
+std::vector<FleetAction> Fleet::applySeeds(std::span<const NetworkAddress> seeds, TimePoint now)
+{
+    std::vector<ListedHost> hosts;
+    for (const auto& address : seeds) {
+        if (address != m_self.peerAddress)
+            hosts.push_back({ seedId(address), {}, address, false });
+    }
+    return applyHostList(hosts, now);
+}
+
 void Fleet::setRegions(std::map<DataCentreId, RegionId> regions)
 {
     m_regions = std::move(regions);
@@ -88,6 +98,7 @@
         m_isSelfExpired = false;
         noteChange();
     }
+    removeSeed(message.sender.peerAddress);
     // A request that waited in a socket while this process was paused confirms nothing.
     mergeMembers(message, isFreshReply || !m_isSelfExpired, now);
     if (!message.records.empty())
@@ -187,6 +198,29 @@
     return tracked ? &tracked->member : nullptr;
 }
 
+std::vector<const Member*> Fleet::others() const
+{
+    std::vector<const Member*> members;
+    for (const auto& [id, tracked] : m_table.members()) {
+        if (tracked.hasRun())
+            members.push_back(&tracked.member);
+    }
+    return members;
+}
+
+// A seed stands in the table under its address until the member there has said who it is.
+MemberId Fleet::seedId(const NetworkAddress& address) { return MemberId("seed-" + toString(address)); }
+
+void Fleet::removeSeed(const NetworkAddress& address)
+{
+    const auto id = seedId(address);
+    if (!m_table.find(id))
+        return;
+    m_exchanges.erase(id);
+    m_table.remove(id);
+    noteChange();
+}
+
 std::size_t Fleet::countIn(MemberState state) const
 {
     const auto& members = m_table.members();
--- a/packages/http/include/dogwoodhall/http/CallerSession.h
+++ b/packages/http/include/dogwoodhall/http/CallerSession.h
@@ -35,6 +35,9 @@
     // Ends the connection after the request in progress, or at once where it is idle.
     void stopAfterCurrentRequest();
 
+    // Tells the caller with the next answer that the connection ends with it. Until then an idle connection stays open.
+    void closeAfterNextAnswer();
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/packages/http/include/dogwoodhall/http/CallerSessions.h
+++ b/packages/http/include/dogwoodhall/http/CallerSessions.h
@@ -21,6 +21,10 @@
     void serve(asio::ip::tcp::socket);
     // Ends each connection after its request in progress, or at once where it is idle.
     void stopAfterCurrentRequests();
+    // Ends each connection with its next answer, also those that are accepted from now on; see CallerSession.
+    void closeAfterNextAnswers();
+    // For connections accepted from now on.
+    void setLimits(const CallerLimits& limits) { m_limits = limits; }
     bool empty() const { return m_sessions.empty(); }
 
 private:
@@ -33,6 +37,7 @@
     RequestRejected m_rejected;
     std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
     std::uint64_t m_nextConnection = 1;
+    bool m_isClosing = false;
 };
 
 } // namespace dogwoodhall
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -80,6 +80,7 @@
 
     asio::awaitable<void> run();
     void stopAfterCurrentRequest();
+    void closeAfterNextAnswer() { m_isClosing = true; }
 
 private:
     asio::awaitable<bool> serveOne();
@@ -110,6 +111,7 @@
     asio::steady_timer m_bodyRead; // Cancelled when the request body has been read to its end.
     bool m_isIdle = true;
     bool m_isStopping = false;
+    bool m_isClosing = false; // The next answer ends the connection.
 };
 
 asio::awaitable<void> CallerSession::Impl::run()
@@ -325,7 +327,7 @@
     response.version(11);
     response.result(head.status);
     toBeast(head.fields, response);
-    m_current->keepAlive = m_current->keepAlive && m_current->parser->is_done() && !m_isStopping;
+    m_current->keepAlive = m_current->keepAlive && m_current->parser->is_done() && !m_isStopping && !m_isClosing;
     response.keep_alive(m_current->keepAlive);
     if (head.bodyLength.kind == BodyLength::Kind::Streamed)
         response.chunked(true);
@@ -385,4 +387,6 @@
 
 void CallerSession::stopAfterCurrentRequest() { m_impl->stopAfterCurrentRequest(); }
 
+void CallerSession::closeAfterNextAnswer() { m_impl->closeAfterNextAnswer(); }
+
 } // namespace dogwoodhall
--- a/packages/http/src/CallerSessions.cpp
+++ b/packages/http/src/CallerSessions.cpp
@@ -21,7 +21,10 @@
     boost::system::error_code ec;
     socket.set_option(asio::ip::tcp::no_delay(true), ec);
     const ConnectionId id(m_nextConnection++);
-    m_sessions.emplace(id, std::make_unique<CallerSession>(std::move(socket), m_limits, m_handler, m_rejected));
+    auto& session = m_sessions[id];
+    session = std::make_unique<CallerSession>(std::move(socket), m_limits, m_handler, m_rejected);
+    if (m_isClosing)
+        session->closeAfterNextAnswer();
     asio::co_spawn(m_executor, run(id), asio::detached);
 }
 
@@ -33,6 +36,13 @@
         m_sessionEnded();
 }
 
+void CallerSessions::closeAfterNextAnswers()
+{
+    m_isClosing = true;
+    for (auto& [id, session] : m_sessions)
+        session->closeAfterNextAnswer();
+}
+
 void CallerSessions::stopAfterCurrentRequests()
 {
     for (auto& [id, session] : m_sessions)
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -5,24 +5,34 @@
 #include "BeastHeads.h"
 #include "MessageRules.h"
 
+#include <algorithm>
 #include <array>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <iterator>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <optional>
 #include <random>
+#include <sys/socket.h>
 #include <utility>
 
 namespace dogwoodhall {
 
 namespace beast = boost::beast;
+using asio::experimental::awaitable_operators::operator||;
 
 namespace {
 
 constexpr std::size_t relayBufferBytes = 16 * 1024;
 constexpr std::uint32_t responseHeaderLimit = 64 * 1024;
+// Keep-Alive gives whole seconds, and a request that crosses the upstream's close is lost without an answer.
+constexpr Duration keepAliveMargin = std::chrono::seconds(1);
 
 using ResponseParser = http::response_parser<http::buffer_body>;
 using BodyRequest = http::request<http::buffer_body>;
@@ -47,6 +57,23 @@
     return { BodyLength::Kind::Streamed, {} };
 }
 
+// One probe after half of the time, and one more after the other half; unacknowledged data likewise.
+void detectDeadPeer(asio::ip::tcp::socket& socket, Duration timeout)
+{
+    const auto half = std::max<std::chrono::seconds>(
+        std::chrono::seconds(1), std::chrono::duration_cast<std::chrono::seconds>(timeout / 2));
+    const int seconds = static_cast<int>(half.count());
+    const int probes = 1;
+    const auto ms = static_cast<unsigned>(std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count());
+    beast::error_code ec;
+    socket.set_option(asio::socket_base::keep_alive(true), ec);
+    const int fd = socket.native_handle();
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+    ::setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 // Apart from send(), so that the frame of a request without a body does not hold the buffer.
 ExchangeResult<void> sendBody(beast::tcp_stream& stream, BodyRequest& message, RequestSerializer& serializer,
     const ReadBody& readBody, std::chrono::steady_clock::time_point deadline)
@@ -92,14 +119,29 @@
     }
 
     // False where the answer is to another request.
-    bool answersTheRequest(const HeaderFields& answer)
+    bool answersTheRequest(const HeaderFields& answer, const Correlation& correlation)
     {
-        const auto echo = answer.find(fields::exchange);
+        const auto echo = answer.find(correlation.field);
+        if (correlation.source == Correlation::Source::Caller)
+            return echo.value_or("") == exchangeId;
         const bool isExpected = echo ? *echo == exchangeId : !hasEchoed;
         hasEchoed = hasEchoed || echo.has_value();
         return isExpected;
     }
 
+    // How long the connection may be idle by the upstream's word, less a margin for what is on its way when the
+    // upstream closes it. Zero: not at all.
+    void noteKeepAlive(std::string_view keepAlive)
+    {
+        constexpr std::string_view name = "timeout=";
+        const auto at = keepAlive.find(name);
+        if (at == std::string_view::npos)
+            return;
+        unsigned seconds = 0;
+        std::from_chars(keepAlive.data() + at + name.size(), keepAlive.data() + keepAlive.size(), seconds);
+        upstreamIdleTimeout = std::max<Duration>(std::chrono::seconds(seconds) - keepAliveMargin, Duration::zero());
+    }
+
     // Prepares for the next head. An answer to HEAD has no body, also where an interim answer came before it.
     void resetParser()
     {
@@ -114,9 +156,12 @@
     beast::flat_buffer buffer;
     std::optional<ResponseParser> parser;
     std::chrono::steady_clock::time_point idleSince;
-    std::string exchangeId; // Of the request in progress.
+    std::string exchangeId; // Of the request in progress; empty where it has none.
     bool isHead = false; // Of the request in progress.
     bool hasEchoed = false; // An answer carried an exchange id.
+    bool isReused = false; // An exchange before the one in progress succeeded.
+    bool isRequestSent = false; // All of the request in progress was written.
+    Duration upstreamIdleTimeout = Duration::max(); // By the upstream's last Keep-Alive field.
 };
 
 UpstreamClient::UpstreamClient(asio::any_io_executor executor, UpstreamLimits limits)
@@ -150,19 +195,60 @@
     Connection& connection = *m_connections.at(id);
     connection.stream.expires_at(deadline);
     connection.isHead = request.head.method == "HEAD";
-    connection.exchangeId = newExchangeId();
+    if (m_limits.correlation.source == Correlation::Source::Client) {
+        connection.exchangeId = newExchangeId();
+        request.head.fields.set(m_limits.correlation.field, connection.exchangeId);
+    } else {
+        connection.exchangeId = request.head.fields.find(m_limits.correlation.field).value_or("");
+    }
     connection.resetParser();
-    if (auto sent = co_await send(connection, request, deadline); !sent)
-        co_return tl::unexpected(sent.error());
-    auto head = co_await readHead(connection);
-    if (!head)
+    auto head = co_await sendAndReadHead(connection, request, deadline);
+    if (!head) {
+        head.error().onReusedConnection = connection.isReused;
         co_return tl::unexpected(head.error());
+    }
+    connection.isReused = true;
     connection.stream.expires_never();
     guard.armed = false;
     co_return IncomingResponse { std::move(*head), [this, id](asio::mutable_buffer buf) { return readBody(id, buf); },
         [this, id] { close(id); } };
 }
 
+// An upstream may answer before it has read a long body. What it has not read is not sent then: the connection is
+// closed after the answer, since the upstream would take the next request for the rest of the body.
+ExchangeResult<ResponseHead> UpstreamClient::sendAndReadHead(
+    Connection& connection, OutgoingRequest& request, std::chrono::steady_clock::time_point deadline)
+{
+    connection.isRequestSent = false;
+    if (request.head.bodyLength.kind == BodyLength::Kind::None) {
+        if (auto sent = co_await send(connection, request, deadline); !sent)
+            co_return tl::unexpected(sent.error());
+        connection.isRequestSent = true;
+        co_return co_await readHead(connection);
+    }
+    std::optional<tl::expected<ResponseHead, ExchangeError>> head;
+    std::optional<tl::expected<void, ExchangeError>> sent;
+    auto reading = [&]() -> asio::awaitable<void> { head = co_await readHead(connection); };
+    auto sending = [&]() -> asio::awaitable<void> {
+        sent = co_await send(connection, request, deadline);
+        connection.isRequestSent = sent->has_value();
+        // The answer alone ends the exchange, and a failure of the sender.
+        if (*sent) {
+            asio::steady_timer never(m_executor, asio::steady_timer::time_point::max());
+            co_await never.async_wait(useTuple);
+        }
+    };
+    co_await (reading() || sending());
+    if (head && *head)
+        co_return std::move(*head);
+    if (sent && !*sent)
+        co_return tl::unexpected(sent->error());
+    if (head)
+        co_return std::move(*head);
+    ExchangeError cancelled { ErrorKind::Cancelled, false, "cancelled" };
+    co_return tl::unexpected(std::move(cancelled));
+}
+
 ExchangeResult<ConnectionId> UpstreamClient::acquire(
     const NetworkAddress& address, std::chrono::steady_clock::time_point deadline)
 {
@@ -180,6 +266,9 @@
         co_return failure(ErrorKind::UpstreamFailed, true, ec == beast::error::timeout ? asio::error::timed_out : ec);
     beast::error_code optionError;
     connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), optionError);
+    if (m_limits.deadPeerTimeout)
+        detectDeadPeer(connection->stream.socket(), *m_limits.deadPeerTimeout);
+    ++m_connectionsOpened;
     m_connections.emplace(id, std::move(connection));
     co_return id;
 }
@@ -192,7 +281,6 @@
     message.method_string(request.head.method);
     message.target(request.head.target);
     toBeast(request.head.fields, message);
-    message.set(std::string(fields::exchange), connection.exchangeId);
     if (request.head.bodyLength.kind == BodyLength::Kind::Exact)
         message.content_length(request.head.bodyLength.bytes.count());
     else if (request.head.bodyLength.kind == BodyLength::Kind::Streamed)
@@ -227,11 +315,14 @@
             ResponseHead head;
             head.status = message.result_int();
             head.fields = fromBeast(message);
-            if (!connection.answersTheRequest(head.fields)) {
+            head.closesConnection = !message.keep_alive();
+            connection.noteKeepAlive(message["Keep-Alive"]);
+            if (!connection.answersTheRequest(head.fields, m_limits.correlation)) {
                 ExchangeError error { ErrorKind::UpstreamFailed, false, "answer to another request" };
                 co_return tl::unexpected(std::move(error));
             }
-            head.fields.remove(fields::exchange);
+            if (m_limits.correlation.source == Correlation::Source::Client)
+                head.fields.remove(m_limits.correlation.field);
             head.bodyLength = bodyLengthOf(*connection.parser);
             co_return head;
         }
@@ -273,7 +364,9 @@
         const ConnectionId id = it->second.back();
         it->second.pop_back();
         Connection& connection = *m_connections.at(id);
-        if (connection.idleSince > oldest && !connection.isStale())
+        const Duration idle = std::chrono::steady_clock::now() - connection.idleSince;
+        const bool isKept = connection.idleSince > oldest && idle < connection.upstreamIdleTimeout;
+        if (isKept && !connection.isStale())
             return id;
         close(id);
     }
@@ -284,8 +377,9 @@
 void UpstreamClient::putIdle(ConnectionId id)
 {
     Connection& connection = *m_connections.at(id);
-    const bool reusable
-        = connection.parser->keep_alive() && !connection.parser->need_eof() && connection.buffer.size() == 0;
+    const bool reusable = connection.parser->keep_alive() && !connection.parser->need_eof()
+        && connection.buffer.size() == 0 && connection.isRequestSent
+        && connection.upstreamIdleTimeout > Duration::zero();
     auto& idle = m_idle[connection.address];
     if (!reusable || idle.size() >= m_limits.idleLimit(connection.address)) {
         close(id);
@@ -311,6 +405,16 @@
     }
 }
 
+void UpstreamClient::closeIdleTo(const NetworkAddress& address)
+{
+    const auto it = m_idle.find(address);
+    if (it == m_idle.end())
+        return;
+    for (const auto id : it->second)
+        close(id);
+    m_idle.erase(it);
+}
+
 std::string UpstreamClient::newExchangeId() { return m_idPrefix + std::to_string(m_nextExchange++); }
 
 void UpstreamClient::close(ConnectionId id) { m_connections.erase(id); }
--- /dev/null
+++ b/packages/routing/include/dogwoodhall/routing/HostPathIndex.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "dogwoodhall/core/HostName.h"
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace dogwoodhall {
+
+// Finds the entry with a matching host name and the longest path prefix that matches whole segments. A look-up takes a
+// search in a sorted map for each segment of the path, whatever the number of entries.
+class HostPathIndex {
+public:
+    // `position` is what find() gives back. An empty host name accepts any host. Of entries with the same host name and
+    // prefix the first one added counts.
+    void add(const std::string& hostName, const std::string& pathPrefix, std::size_t position);
+
+    // Host names compare without regard to case. The lower position of two prefixes of equal length.
+    std::optional<std::size_t> find(std::string_view hostName, std::string_view path) const;
+
+private:
+    struct Match {
+        std::size_t prefixLength;
+        std::size_t position;
+    };
+    using Prefixes = std::map<std::string, std::size_t, std::less<>>;
+
+    static std::optional<Match> longestMatch(const Prefixes&, std::string_view path);
+
+    std::map<std::string, Prefixes, HostNameLess> m_byHostName;
+    Prefixes m_forAnyHost;
+};
+
+// "/a" matches "/a" and "/a/b", not "/ab".
+bool matchesPathPrefix(std::string_view path, std::string_view prefix);
+
+} // namespace dogwoodhall
--- a/packages/routing/include/dogwoodhall/routing/RouteTable.h
+++ b/packages/routing/include/dogwoodhall/routing/RouteTable.h
@@ -1,10 +1,8 @@
 #pragma once
 
 #include "dogwoodhall/configuration/ServiceDeclaration.h"
-#include "dogwoodhall/core/HostName.h"
+#include "dogwoodhall/routing/HostPathIndex.h"
 
-#include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -32,8 +30,7 @@
 };
 
 // Maps requests to services and rules. The service with a matching host name and the longest matching path prefix
-// wins, the first of several equal ones; its first matching rule applies. A look-up takes a search in a sorted map for
-// each segment of the path, whatever the number of services. Immutable. Copies share the declarations.
+// wins, the first of several equal ones; its first matching rule applies. Immutable. Copies share the declarations.
 class RouteTable {
 public:
     using Services = std::vector<std::shared_ptr<const ServiceDeclaration>>;
@@ -46,17 +43,11 @@
     const ServiceDeclaration* service(const ServiceId&) const;
 
 private:
-    // Positions in m_services, by path prefix, of the services that accept the same host name.
-    using Prefixes = std::map<std::string, std::size_t, std::less<>>;
-
     void index();
-    static std::optional<std::size_t> longestMatch(const Prefixes&, std::string_view path);
-    const ServiceDeclaration* match(const RouteQuery&) const;
 
     Services m_services;
     std::unordered_map<ServiceId, std::size_t> m_byId;
-    std::map<std::string, Prefixes, HostNameLess> m_byHostName;
-    Prefixes m_forAnyHost;
+    HostPathIndex m_index; // Positions in m_services.
 };
 
 // True for the methods that HTTP defines as safe: GET, HEAD and OPTIONS.
