--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -313,6 +313,10 @@
 
 Duration ControlThread::drawFirstReadDelay()
 {
+    // Without a host list the size of the fleet is not known. A registry answers all members of a few hundred hosts
+    // within the time that they differ in starting.
+    if (m_settings.registry)
+        return Duration::zero();
     if (m_hosts.version == 0)
         return dogwoodhall::drawFirstReadDelay(std::nullopt, m_random);
     return dogwoodhall::drawFirstReadDelay(m_builder.listedEntryHosts().size(), m_random);
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -53,6 +53,15 @@
     return isCallersFault(error.kind) ? EndpointEvidence::Unrelated : EndpointEvidence::Broken;
 }
 
+// What is known of an endpoint when it is chosen, or not chosen.
+void addChoice(EventLine& line, const EndpointChoice& choice)
+{
+    line.add("endpoint", choice.endpoint.value()).add("running", choice.load.running.count());
+    line.add("waiting", choice.load.waiting.count()).add("slots", choice.load.slots.count());
+    line.addNumber("slowdown", choice.load.slowdown).addMilliseconds("reportAgeMs", choice.reportAge);
+    line.addNumber("chance", choice.chance).addMilliseconds("expectedMs", choice.expected);
+}
+
 std::string_view nameOf(RelayResult result)
 {
     switch (result) {
@@ -84,7 +93,8 @@
     ~Sending()
     {
         if (!isOver)
-            m_dispatcher.endpoints().requestEnded(action.choice.endpoint, sentAt, endEvidence, monotonicNow());
+            m_dispatcher.endpoints().requestEnded(
+                action.choice.endpoint, sentAt, EndpointEvidence::Unrelated, monotonicNow());
         dropAnswer();
     }
 
@@ -103,7 +113,6 @@
     const SendRequest action;
     const TimePoint sentAt;
     bool isOver = false; // Its end has been told to the dispatcher.
-    EndpointEvidence endEvidence = EndpointEvidence::Unrelated; // Where it ends without an answer of its own.
     std::optional<IncomingResponse> response; // To be passed on.
     std::optional<ReplayableBody> body; // Of the response.
 
@@ -215,9 +224,12 @@
     if (plan) {
         line.add("route", plan->route().id.value()).add("service", plan->service().value());
         line.add("version", plan->version()).add("sends", std::uint64_t(plan->sends())).add("repeat", plan->isRepeat());
+        line.add("asked", std::uint64_t(plan->endpointsAsked()));
         line.addMilliseconds("elapsedAtCallerMs", plan->elapsedAtCaller());
         line.addMilliseconds("ms", monotonicNow() - plan->receivedAt());
     }
+    if (refusal.best)
+        addChoice(line, *refusal.best);
     if (refusal.retryAfter)
         line.addMilliseconds("retryAfterMs", *refusal.retryAfter);
     m_events.add(std::move(line), monotonicNow());
@@ -302,8 +314,10 @@
         winner = &*copy;
     if (!winner)
         co_return false;
-    if (winner != &first && !first.isOver)
-        first.endEvidence = EndpointEvidence::Overtaken;
+    if (winner != &first && !first.isOver) {
+        m_dispatcher.overtaken(work.plan, first.action, first.sentAt, monotonicNow());
+        first.isOver = true;
+    }
     co_await relay(work, *winner, writer);
     co_return true;
 }
@@ -450,16 +464,13 @@
 void DispatchRunner::logAnswer(const Work& work, const Sending& sending, RelayResult result)
 {
     const TimePoint now = monotonicNow();
-    const auto& choice = sending.action.choice;
     EventLine line(result == RelayResult::Whole ? EventKind::Request : EventKind::Failure, "answered");
     line.add("id", work.id.value()).add("result", nameOf(result)).add("route", work.plan.route().id.value());
     line.add("service", work.plan.service().value()).add("version", work.plan.version());
-    line.add("endpoint", choice.endpoint.value()).add("sends", std::uint64_t(work.plan.sends()));
-    line.add("repeat", work.plan.isRepeat()).add("running", choice.load.running.count());
-    line.add("waiting", choice.load.waiting.count()).add("slots", choice.load.slots.count());
-    line.addNumber("slowdown", choice.load.slowdown).addMilliseconds("reportAgeMs", choice.reportAge);
+    line.add("sends", std::uint64_t(work.plan.sends())).add("asked", std::uint64_t(work.plan.endpointsAsked()));
+    line.add("repeat", work.plan.isRepeat());
     line.addMilliseconds("elapsedAtCallerMs", work.plan.elapsedAtCaller());
-    line.addNumber("chance", choice.chance).addMilliseconds("expectedMs", choice.expected);
+    addChoice(line, sending.action.choice);
     line.addMilliseconds("upstreamMs", now - sending.sentAt).addMilliseconds("ms", now - work.plan.receivedAt());
     m_events.add(std::move(line), now);
 }
--- a/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
@@ -60,6 +60,8 @@
     // The endpoint's own answer is passed on.
     void answered(const RequestPlan&, const SendRequest&, EndpointEvidence, ByteCount answerBytes, TimePoint sentAt,
         TimePoint now);
+    // A copy was answered first: the endpoint has taken at least this long.
+    void overtaken(const RequestPlan&, const SendRequest&, TimePoint sentAt, TimePoint now);
     void failed(RequestPlan&, const SendRequest&, EndpointEvidence, SendFailure, TimePoint sentAt, TimePoint now);
     // Whether a server error of the endpoint's own may be replaced by another try.
     bool mayRepeatServerError(RequestPlan&, TimePoint now);
@@ -69,9 +71,9 @@
 
 private:
     RequestAction place(RequestPlan&, DecisionContext);
-    std::optional<AskEndpoints> ask(const RequestPlan&, Distance, DecisionContext);
+    std::optional<AskEndpoints> ask(RequestPlan&, Distance, DecisionContext);
     std::optional<RefuseRequest> refuseAfterFailure(RequestPlan&, TimePoint now);
-    RefuseRequest refuse(const RequestPlan&, ErrorKind, DecisionContext) const;
+    RefuseRequest refuse(const RequestPlan&, ErrorKind, DecisionContext, std::optional<EndpointChoice> best = {}) const;
     bool mayRepeat(const RequestPlan&, TimePoint now) const;
     Duration patience(Distance) const;
     SendRequest send(const RequestPlan&, EndpointChoice, TimePoint now) const;
--- a/packages/dispatch/include/dogwoodhall/dispatch/RequestPlan.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/RequestPlan.h
@@ -30,6 +30,7 @@
     ErrorKind kind;
     Outcome outcome;
     std::optional<Duration> retryAfter;
+    std::optional<EndpointChoice> best {}; // The best endpoint that was not good enough.
 };
 
 using RequestAction = std::variant<AskEndpoints, SendRequest, RefuseRequest>;
@@ -54,6 +55,7 @@
     // Time that the caller had spent on earlier attempts, as far as can be told; zero for a first one.
     Duration elapsedAtCaller() const { return m_elapsedAtCaller; }
     unsigned sends() const { return m_sends; }
+    std::size_t endpointsAsked() const { return m_endpointsAsked; }
     // NotRun while every sending is proven not to have been run.
     Outcome outcome() const { return m_sends == m_provenNotRun ? Outcome::NotRun : Outcome::Unknown; }
 
@@ -67,6 +69,7 @@
     Duration m_elapsedAtCaller {};
     bool m_bodyCanBeReplayed = true;
     std::optional<Distance> m_asked; // The farthest endpoints that were asked since the last sending.
+    std::size_t m_endpointsAsked = 0;
     unsigned m_sends = 0;
     unsigned m_provenNotRun = 0;
     std::optional<SendFailure> m_failure; // Of the last sending.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -113,19 +113,20 @@
     if (!choice)
         return refuse(plan, ErrorKind::NoEndpoint, context);
     if (!choice->hasRoom)
-        return refuse(plan, ErrorKind::QueueFull, context);
+        return refuse(plan, ErrorKind::QueueFull, context, choice);
     const Duration goalLeft = plan.m_query.goalAt - context.now;
     const bool canStillBeInTime = !plan.m_isRepeat && plan.m_sends == 0 && goalLeft > choice->expected / 2;
     if (choice->chance < m_limits.leastChance && canStillBeInTime)
-        return refuse(plan, ErrorKind::DeadlineUnreachable, context);
+        return refuse(plan, ErrorKind::DeadlineUnreachable, context, choice);
     return send(plan, *std::move(choice), context.now);
 }
 
-std::optional<AskEndpoints> Dispatcher::ask(const RequestPlan& plan, Distance distance, DecisionContext context)
+std::optional<AskEndpoints> Dispatcher::ask(RequestPlan& plan, Distance distance, DecisionContext context)
 {
     auto endpoints = m_chooser.toAsk(plan.m_query, distance, context);
     if (endpoints.empty() || !m_asks.tryTake(CallCount(endpoints.size()), context.now))
         return std::nullopt;
+    plan.m_endpointsAsked += endpoints.size();
     return AskEndpoints { std::move(endpoints), plan.m_query.service->declaration.healthPath, patience(distance) };
 }
 
@@ -155,12 +156,13 @@
     return action;
 }
 
-RefuseRequest Dispatcher::refuse(const RequestPlan& plan, ErrorKind kind, DecisionContext context) const
+RefuseRequest Dispatcher::refuse(
+    const RequestPlan& plan, ErrorKind kind, DecisionContext context, std::optional<EndpointChoice> best) const
 {
     const Outcome outcome = plan.outcome();
     // The kinds for which a caller may come back promise that the request has not run.
     if (outcome == Outcome::Unknown && kind != ErrorKind::DeadlineExceeded)
-        return { ErrorKind::UpstreamFailed, outcome, std::nullopt };
+        return { ErrorKind::UpstreamFailed, outcome, std::nullopt, std::move(best) };
     if (kind == ErrorKind::DeadlineExceeded && outcome == Outcome::NotRun)
         kind = ErrorKind::DeadlineUnreachable;
     LoadReport calm;
@@ -173,7 +175,7 @@
     std::optional<Duration> retryAfter;
     if (outcome == Outcome::NotRun)
         retryAfter = m_limits.retryAfter(query, context.random);
-    return { kind, outcome, retryAfter };
+    return { kind, outcome, retryAfter, std::move(best) };
 }
 
 bool Dispatcher::mayRepeat(const RequestPlan& plan, TimePoint now) const
@@ -200,7 +202,7 @@
     }
     const Outcome outcome = plan.outcome();
     return RefuseRequest { outcome == Outcome::NotRun ? ErrorKind::UpstreamRefused : failure->kind, outcome,
-        std::nullopt };
+        std::nullopt, std::nullopt };
 }
 
 std::optional<AskEndpoints> Dispatcher::askForCopy(RequestPlan& plan, DecisionContext context)
@@ -244,6 +246,13 @@
     m_times.observeAnswerBytes(plan.route().id, answerBytes);
 }
 
+void Dispatcher::overtaken(const RequestPlan& plan, const SendRequest& action, TimePoint sentAt, TimePoint now)
+{
+    m_book.requestEnded(action.choice.endpoint, sentAt, EndpointEvidence::Overtaken, now);
+    // Without them only the requests that went well would be learnt from.
+    m_times.observe(plan.route().id, plan.service(), action.choice.load, now - sentAt);
+}
+
 void Dispatcher::failed(RequestPlan& plan, const SendRequest& action, EndpointEvidence evidence, SendFailure failure,
     TimePoint sentAt, TimePoint now)
 {
