Derive the limit on health calls from the platform's, the endpoints and the members

Cause: 200 calls a second for each member bound at the crest, so that requests were refused after two questions.

--- a/packages/budget/include/dogwoodhall/budget/TokenBucket.h
+++ b/packages/budget/include/dogwoodhall/budget/TokenBucket.h
@@ -21,6 +21,16 @@
         assert(capacity.count() <= unit);
     }
 
+    // Keeps what has been earned so far, up to the new capacity.
+    void setRate(Amount perSecond, Amount capacity, TimePoint now)
+    {
+        assert(capacity.count() <= unit);
+        refill(now);
+        m_perSecond = perSecond.count();
+        m_capacity = capacity.count() * unit;
+        m_level = std::min(m_level, m_capacity);
+    }
+
     // Takes `amount` where at least `reserve` remains afterwards; otherwise takes nothing.
     bool tryTake(Amount amount, TimePoint now, Amount reserve = {})
     {
--- a/packages/declarations/src/SettingsSchema.cpp
+++ b/packages/declarations/src/SettingsSchema.cpp
@@ -117,8 +117,8 @@
     registry.retries.window = milliseconds(reader, "retryWindowMs", retryWindowMsRange, registry.retries.window);
     if (auto slack = reader.integer("retrySlack", Presence::Optional, retrySlackRange))
         registry.retries.slack = static_cast<double>(*slack);
-    if (auto calls = reader.integer("healthCallsPerSecond", Presence::Optional, healthCallsRange))
-        registry.healthCallsPerSecond = CallCount(static_cast<std::uint64_t>(*calls));
+    if (auto calls = reader.integer("healthCallsPerEndpoint", Presence::Optional, healthCallsRange))
+        registry.healthCallsPerEndpoint = CallCount(static_cast<std::uint64_t>(*calls));
     registry.readPause = milliseconds(reader, "readPauseMs", readPauseMsRange, registry.readPause);
     registry.lapseGrace = milliseconds(reader, "lapseGraceMs", lapseGraceMsRange, registry.lapseGrace);
     reader.finish();
--- a/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
@@ -16,7 +16,9 @@
 struct DispatchLimits {
     ChooserLimits chooser;
     RetryLimits retries; // Of all members together.
-    CallCount asksPerSecond { 200 }; // Health calls of this process.
+    // Health calls to an endpoint by all members together. This thread's share depends on the members and endpoints.
+    double asksPerEndpointAndSecond = 10;
+    std::size_t trafficThreads = 1; // Of this process, which share in the budgets.
     // How long answers to health calls are waited for. A busy entry host needs milliseconds to read them.
     Duration patienceNear = std::chrono::milliseconds(12); // Own data centre.
     Duration patienceInRegion = std::chrono::milliseconds(16);
@@ -77,6 +79,7 @@
     bool mayRepeat(const RequestPlan&, TimePoint now) const;
     Duration patience(Distance) const;
     SendRequest send(const RequestPlan&, EndpointChoice, TimePoint now) const;
+    void shareAsks(TimePoint now);
     RetryAllowance& retriesOf(const ServiceId&);
     Duration elapsedAtCaller(const RouteDeclaration&, std::optional<Duration> timeLeft);
 
@@ -87,7 +90,7 @@
     ServiceTimes m_times;
     EndpointChooser m_chooser;
     SplitTurns m_splits;
-    TokenBucket<CallCount> m_asks;
+    std::optional<TokenBucket<CallCount>> m_asks; // Empty before the first directory.
     std::map<ServiceId, RetryAllowance> m_retries;
     // The longest time that callers of a route have given: what they give for a first attempt.
     std::unordered_map<RouteId, Duration> m_fullTime;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -8,8 +8,10 @@
 
 namespace {
 
-// Health calls that may be made at once after a quiet spell, in seconds of the rate.
-constexpr std::uint64_t askBurstSeconds = 2;
+// Of the health calls that are allowed. The rest is for members that this one has not heard of.
+constexpr double asksUsed = 0.75;
+// Health calls that may be made at once after a quiet spell, in seconds of the rate: a crest of demand lasts as long.
+constexpr double askBurstSeconds = 5;
 // Less time than this is not enough for any answer: the round trip and the handling of a request at both ends.
 constexpr Duration shortestAttempt = std::chrono::milliseconds(5);
 // Callers of a route do not all give the same time: first attempts were seen to state up to a sixth less than others.
@@ -22,7 +24,6 @@
 Dispatcher::Dispatcher(DispatchLimits limits)
     : m_limits(std::move(limits))
     , m_chooser(m_book, m_times, m_limits.chooser)
-    , m_asks(m_limits.asksPerSecond, CallCount(m_limits.asksPerSecond.count() * askBurstSeconds))
 {
 }
 
@@ -31,10 +32,23 @@
     m_directory = std::move(directory);
     m_members = members;
     m_book.apply(*m_directory, now);
+    shareAsks(now);
     for (auto& [service, retries] : m_retries)
         retries.setMembers(members);
 }
 
+void Dispatcher::shareAsks(TimePoint now)
+{
+    const double rate = asksUsed * m_limits.asksPerEndpointAndSecond * static_cast<double>(m_directory->endpointCount())
+        / static_cast<double>(m_members * m_limits.trafficThreads);
+    const auto perSecond = static_cast<std::uint64_t>(std::max(rate, 1.0));
+    const CallCount capacity(static_cast<std::uint64_t>(std::max(rate * askBurstSeconds, 1.0)));
+    if (m_asks)
+        m_asks->setRate(CallCount(perSecond), capacity, now);
+    else
+        m_asks.emplace(CallCount(perSecond), capacity);
+}
+
 RetryAllowance& Dispatcher::retriesOf(const ServiceId& service)
 {
     const auto [it, isNew] = m_retries.try_emplace(service, m_limits.retries);
@@ -124,7 +138,7 @@
 std::optional<AskEndpoints> Dispatcher::ask(RequestPlan& plan, Distance distance, DecisionContext context)
 {
     auto endpoints = m_chooser.toAsk(plan.m_query, distance, context);
-    if (endpoints.empty() || !m_asks.tryTake(CallCount(endpoints.size()), context.now))
+    if (endpoints.empty() || !m_asks->tryTake(CallCount(endpoints.size()), context.now))
         return std::nullopt;
     plan.m_endpointsAsked += endpoints.size();
     return AskEndpoints { std::move(endpoints), plan.m_query.service->declaration.healthPath, patience(distance) };
