Report a sender that is late as such where the answer is read beside the body

Cause: requests with a body read the answer while they send, and the deadline of the read came first, so that OutcomeTest, row "later than the deadline", saw no 408. The read now notes whether the endpoint waits for the sender. Ruled out: the caller's session, which answers 408 as before.

--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -75,12 +75,15 @@
 }
 
 // Apart from send(), so that the frame of a request without a body does not hold the buffer.
+// `awaitsSender` is true while the next part of the body has not come yet.
 ExchangeResult<void> sendBody(beast::tcp_stream& stream, BodyRequest& message, RequestSerializer& serializer,
-    const ReadBody& readBody, std::chrono::steady_clock::time_point deadline)
+    const ReadBody& readBody, std::chrono::steady_clock::time_point deadline, bool& awaitsSender)
 {
     std::array<char, relayBufferBytes> buf;
     while (!serializer.is_done()) {
+        awaitsSender = true;
         auto n = co_await readBody(asio::buffer(buf));
+        awaitsSender = false;
         if (!n)
             co_return tl::unexpected(n.error());
         // The endpoint has taken all that was sent: the sender is late, not the endpoint.
@@ -160,6 +163,7 @@
     bool isHead = false; // Of the request in progress.
     bool hasEchoed = false; // An answer carried an exchange id.
     bool isReused = false; // An exchange before the one in progress succeeded.
+    bool awaitsSender = false; // The endpoint has taken all of the request that has come.
     bool isRequestSent = false; // All of the request in progress was written.
     Duration upstreamIdleTimeout = Duration::max(); // By the upstream's last Keep-Alive field.
 };
@@ -220,6 +224,7 @@
     Connection& connection, OutgoingRequest& request, std::chrono::steady_clock::time_point deadline)
 {
     connection.isRequestSent = false;
+    connection.awaitsSender = false;
     if (request.head.bodyLength.kind == BodyLength::Kind::None) {
         if (auto sent = co_await send(connection, request, deadline); !sent)
             co_return tl::unexpected(sent.error());
@@ -228,7 +233,11 @@
     }
     std::optional<tl::expected<ResponseHead, ExchangeError>> head;
     std::optional<tl::expected<void, ExchangeError>> sent;
-    auto reading = [&]() -> asio::awaitable<void> { head = co_await readHead(connection); };
+    bool isSenderLate = false;
+    auto reading = [&]() -> asio::awaitable<void> {
+        head = co_await readHead(connection);
+        isSenderLate = connection.awaitsSender;
+    };
     auto sending = [&]() -> asio::awaitable<void> {
         sent = co_await send(connection, request, deadline);
         connection.isRequestSent = sent->has_value();
@@ -239,14 +248,18 @@
         }
     };
     co_await (reading() || sending());
-    if (head && *head)
-        co_return std::move(*head);
-    if (sent && !*sent)
+    // The one that ended first cancelled the other.
+    const bool isHeadCancelled = !head || (!*head && head->error().kind == ErrorKind::Cancelled);
+    if (isHeadCancelled && sent && !*sent)
         co_return tl::unexpected(sent->error());
-    if (head)
-        co_return std::move(*head);
-    ExchangeError cancelled { ErrorKind::Cancelled, false, "cancelled" };
-    co_return tl::unexpected(std::move(cancelled));
+    ExchangeError error { ErrorKind::Cancelled, false, "cancelled" };
+    if (!head)
+        co_return tl::unexpected(std::move(error));
+    if (!*head && head->error().kind == ErrorKind::DeadlineExceeded && isSenderLate) {
+        error = { ErrorKind::RequestTimeout, false, "body not sent by the deadline" };
+        co_return tl::unexpected(std::move(error));
+    }
+    co_return std::move(*head);
 }
 
 ExchangeResult<ConnectionId> UpstreamClient::acquire(
@@ -297,7 +310,7 @@
         co_return failure(ErrorKind::UpstreamFailed, false, ec);
     if (!hasBody)
         co_return tl::expected<void, ExchangeError> {};
-    co_return co_await sendBody(connection.stream, message, serializer, request.readBody, deadline);
+    co_return co_await sendBody(connection.stream, message, serializer, request.readBody, deadline, connection.awaitsSender);
 }
 
 ExchangeResult<ResponseHead> UpstreamClient::readHead(Connection& connection)
