Test the path through the registry against stand-ins, and let all members of a small fleet watch

A service that takes longer than its goal also at a calm endpoint was always asked to come back; found by the new test. RegistryTest: 27 rows of endpoint faults, refusals, store faults, lapse, stop and reload.

--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -75,6 +75,7 @@
     void noteChange(PublicationReason);
     void perform(const std::optional<PublicationAction>&);
     void publish();
+    bool isWatcher() const;
     StatusReport statusReport() const;
     std::vector<ProbeTarget> probeTargets() const;
     std::vector<PoolLoadSummary> ownLoads(std::size_t most);
--- a/packages/daemon/include/dogwoodhall/daemon/control/GossipDriver.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/GossipDriver.h
@@ -35,7 +35,7 @@
         std::function<void()> ticked;
     };
 
-    GossipDriver(asio::io_context&, Member self, Fleet::Hooks, Hooks, DaemonMetrics&);
+    GossipDriver(asio::io_context&, Member self, Fleet::Hooks, FleetLimits, Hooks, DaemonMetrics&);
 
     // Ticks until the event loop ends.
     asio::awaitable<void> run();
@@ -60,6 +60,7 @@
 
     asio::io_context& m_io;
     Hooks m_hooks;
+    Duration m_period;
     DaemonMetrics& m_metrics;
     PeerClient m_peers;
     Fleet m_fleet;
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -30,11 +30,15 @@
     // Empty where the platform has no host list.
     std::function<ExchangeResult<HostList>()> readHosts;
     Duration watchWait = std::chrono::seconds(20);
+    // How often a member that is no watcher checks whether it has become one.
+    Duration roleCheckPeriod = std::chrono::seconds(1);
     Duration retryDelay = std::chrono::milliseconds(500); // After a failure.
     Duration pauseAfterNews {}; // So that changes in quick succession are read together.
     // An answer is never older than an earlier one, whoever got that: no peer has to confirm it.
     bool isLinearizable = false;
-    bool isReadByAll = false; // Every member watches; otherwise the watchers that the fleet chooses.
+    // In a fleet of up to so many members each watches, so that news depends on no peer; in a larger one only the
+    // watchers that the fleet chooses.
+    std::size_t readersAtMost = 0;
 };
 
 } // namespace dogwoodhall
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -21,6 +21,9 @@
 constexpr ByteCount recordBurst { 2 * 1024 * 1024 };
 // Loads of a pool whose home has moved away are no longer passed on.
 constexpr Duration ownLoadLifetime = std::chrono::seconds(1);
+// In a large fleet one member of each data centre watches the registry and passes news on at once; each call of the
+// registry costs. A whole region that the registry turns away hears of news from another one within a second.
+constexpr FleetLimits registryFleet { .otherRegionPeriods = 2, .watchersPerDataCentre = 1 };
 // A leaving endpoint must be out of use within two seconds, of which the read of the registry and gossip take most.
 constexpr PublicationLimits registryPublications { .mostUpstreamsDelay = std::chrono::milliseconds(200),
     .mostDelay = std::chrono::milliseconds(200) };
@@ -53,7 +56,7 @@
                    .control)
     , m_recordBytes(recordBytesPerSecond, recordBurst)
     , m_platform(m_io, m_source,
-          { [this] { return m_gossip->fleet().isWatcher(); }, [this] { return m_configuration.highestRevision(); },
+          { [this] { return isWatcher(); }, [this] { return m_configuration.highestRevision(); },
               [this] { return m_gossip->fleet().hostListPeriod(); }, [this] { return drawFirstReadDelay(); },
               [this](const RecordBatch& batch) { acceptBatch(batch); },
               [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { m_lapsed.registryLost(); } },
@@ -101,7 +104,8 @@
             updateReadiness();
         },
         [this] { updateReadiness(); } };
-    m_gossip = std::make_unique<GossipDriver>(m_io, self, std::move(sources), std::move(hooks), m_metrics);
+    m_gossip = std::make_unique<GossipDriver>(m_io, self, std::move(sources),
+        m_settings.registry ? registryFleet : FleetLimits {}, std::move(hooks), m_metrics);
     if (m_settings.registry)
         applySeeds();
     asio::co_spawn(m_io, m_gossip->run(), asio::detached);
@@ -111,6 +115,12 @@
     asio::co_spawn(m_io, m_prober.run(), asio::detached);
 }
 
+bool ControlThread::isWatcher() const
+{
+    const auto& fleet = m_gossip->fleet();
+    return fleet.size() <= m_source.readersAtMost || fleet.isWatcher();
+}
+
 bool ControlThread::pay(MeasuringCategory category, ByteCount size)
 {
     if (!m_budget.trySpend(category, size, monotonicNow())) {
@@ -208,7 +218,10 @@
         m_joinBarrier.platformAnswered(Revision());
     else
         m_joinBarrier.platformAnswered(batch.highest);
+    const Revision before = m_configuration.highestRevision();
     acceptRecords(batch.records);
+    if (m_settings.registry && before > Revision() && m_configuration.highestRevision() > before)
+        m_gossip->perform(m_gossip->fleet().spreadRecords(before, monotonicNow()));
 }
 
 void ControlThread::keepLapsed(const std::vector<Record>& records)
@@ -376,7 +389,7 @@
     report.dataCentre = m_settings.dataCentre;
     report.isReady = m_isReady;
     report.isDraining = m_isDraining;
-    report.isWatcher = m_gossip->fleet().isWatcher();
+    report.isWatcher = isWatcher();
     const bool showsPublished = m_pacer.hasPending() && m_published;
     report.revision = showsPublished ? m_published->revision : m_configuration.highestRevision();
     report.hostListVersion = showsPublished ? m_published->hostListVersion : m_hosts.version;
--- a/packages/daemon/src/control/GossipDriver.cpp
+++ b/packages/daemon/src/control/GossipDriver.cpp
@@ -39,19 +39,20 @@
 } // namespace
 
 GossipDriver::GossipDriver(
-    asio::io_context& io, Member self, Fleet::Hooks fleetHooks, Hooks hooks, DaemonMetrics& metrics)
+    asio::io_context& io, Member self, Fleet::Hooks fleetHooks, FleetLimits limits, Hooks hooks, DaemonMetrics& metrics)
     : m_io(io)
     , m_hooks(std::move(hooks))
+    , m_period(limits.gossipPeriod)
     , m_metrics(metrics)
     , m_peers(io.get_executor(), PeerLimits {})
-    , m_fleet(std::move(self), std::move(fleetHooks))
+    , m_fleet(std::move(self), std::move(fleetHooks), limits)
     , m_random(std::random_device {}())
 {
 }
 
 asio::awaitable<void> GossipDriver::run()
 {
-    const auto period = std::chrono::duration_cast<std::chrono::steady_clock::duration>(FleetLimits {}.gossipPeriod);
+    const auto period = std::chrono::duration_cast<std::chrono::steady_clock::duration>(m_period);
     asio::steady_timer timer(m_io);
     while (true) {
         perform(m_fleet.tick({ monotonicNow(), m_random }));
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -16,8 +16,6 @@
 namespace {
 
 constexpr auto useTuple = asio::as_tuple(asio::use_awaitable);
-// How often a member that is no watcher checks whether it has become one.
-constexpr Duration roleCheckPeriod = std::chrono::seconds(1);
 // How long the first read of the records waits for the host list, which tells the size of the fleet. The host list
 // answers within milliseconds where it answers at all.
 constexpr Duration hostsPatience = std::chrono::seconds(1);
@@ -40,8 +38,8 @@
 {
     co_await awaitFirstRead();
     while (true) {
-        if (!m_mustReadAtOnce && !m_source.isReadByAll && !m_hooks.isWatcher()) {
-            co_await pause(roleCheckPeriod);
+        if (!m_mustReadAtOnce && !m_hooks.isWatcher()) {
+            co_await pause(m_source.roleCheckPeriod);
             continue;
         }
         const bool isAtOnce = std::exchange(m_mustReadAtOnce, false);
--- a/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
@@ -76,6 +76,7 @@
     std::optional<AskEndpoints> ask(RequestPlan&, Distance, DecisionContext);
     std::optional<RefuseRequest> refuseAfterFailure(RequestPlan&, TimePoint now);
     RefuseRequest refuse(const RequestPlan&, ErrorKind, DecisionContext, std::optional<EndpointChoice> best = {}) const;
+    Duration expectedWhenCalm(const RequestPlan&) const;
     bool mayRepeat(const RequestPlan&, TimePoint now) const;
     Duration patience(Distance) const;
     SendRequest send(const RequestPlan&, EndpointChoice, TimePoint now) const;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -128,8 +128,9 @@
         return refuse(plan, ErrorKind::NoEndpoint, context);
     if (!choice->hasRoom)
         return refuse(plan, ErrorKind::QueueFull, context, choice);
-    const Duration goalLeft = plan.m_query.goalAt - context.now;
-    const bool canStillBeInTime = !plan.m_isRepeat && plan.m_sends == 0 && goalLeft > choice->expected / 2;
+    // Work that takes longer than its goal also at a calm endpoint gains nothing from coming back.
+    const bool canStillBeInTime = !plan.m_isRepeat && plan.m_sends == 0
+        && plan.m_query.goalAt - context.now > expectedWhenCalm(plan) + shortestAttempt;
     if (choice->chance < m_limits.leastChance && canStillBeInTime)
         return refuse(plan, ErrorKind::DeadlineUnreachable, context, choice);
     return send(plan, *std::move(choice), context.now);
@@ -179,12 +180,10 @@
         return { ErrorKind::UpstreamFailed, outcome, std::nullopt, std::move(best) };
     if (kind == ErrorKind::DeadlineExceeded && outcome == Outcome::NotRun)
         kind = ErrorKind::DeadlineUnreachable;
-    LoadReport calm;
-    calm.slots = SlotCount(2);
     RefusalQuery query;
     query.goalLeft = plan.m_query.goalAt - context.now;
     query.timeLeft = plan.m_query.limit - context.now;
-    query.expected = m_times.expected(plan.route().id, plan.service(), calm, plan.route().latencyGoal);
+    query.expected = expectedWhenCalm(plan);
     query.isRepeat = plan.m_isRepeat;
     std::optional<Duration> retryAfter;
     if (outcome == Outcome::NotRun)
@@ -192,6 +191,13 @@
     return { kind, outcome, retryAfter, std::move(best) };
 }
 
+Duration Dispatcher::expectedWhenCalm(const RequestPlan& plan) const
+{
+    LoadReport calm;
+    calm.slots = SlotCount(2);
+    return m_times.expected(plan.route().id, plan.service(), calm, plan.route().latencyGoal);
+}
+
 bool Dispatcher::mayRepeat(const RequestPlan& plan, TimePoint now) const
 {
     const bool isSafe = plan.route().isIdempotent || plan.outcome() == Outcome::NotRun;
--- a/packages/dispatch/src/EndpointChooser.cpp
+++ b/packages/dispatch/src/EndpointChooser.cpp
@@ -17,6 +17,15 @@
 // Endpoints of unknown load are taken for used by the other entry hosts as much as by this one.
 constexpr std::uint64_t membersPerUnknownRequest = 2;
 
+// Values that differ by less are equal, and the less busy endpoint is better.
+constexpr double sameValue = 0.005;
+
+double shareInUse(const LoadReport& load)
+{
+    return static_cast<double>(load.running.count())
+        / static_cast<double>(std::max<std::uint64_t>(load.slots.count(), 1));
+}
+
 bool contains(const std::vector<EndpointId>& ids, const EndpointId& id)
 {
     return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -67,7 +76,9 @@
         return choice.isFresh;
     if (choice.hasRoom != than.hasRoom)
         return choice.hasRoom;
-    return choice.value > than.value;
+    if (std::abs(choice.value - than.value) > sameValue)
+        return choice.value > than.value;
+    return shareInUse(choice.load) < shareInUse(than.load);
 }
 
 EndpointChoice EndpointChooser::judge(
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -28,6 +28,7 @@
     unsigned retryPeriods = 10;
     // One exchange in this many periods goes to another region, where there is one.
     unsigned otherRegionPeriods = 4;
+    std::size_t watchersPerDataCentre = 2;
     // With 8 messages sent a second (two exchanges a period, requests and replies), 16 updates of about 60 bytes stay
     // below 8 KB/s of the daemon's 14 KB/s.
     std::size_t maxMemberUpdates = 16;
@@ -80,6 +81,9 @@
     std::vector<FleetAction> checkPause(TimePoint now);
     // Called once in each gossip period.
     std::vector<FleetAction> tick(DecisionContext);
+    // This member has read records above `before` from the platform: passes them on to its data centre's members at once.
+    // Without it they learn of them by the exchanges of their next periods.
+    std::vector<FleetAction> spreadRecords(Revision before, TimePoint now);
     // The request for an exchange that tick() or handle() asked for.
     GossipMessage messageFor(const MemberId& peer, TimePoint now);
     // A request from a peer, or the reply to this member's request.
@@ -101,7 +105,7 @@
     std::optional<MemberId> homeOf(const PoolId&) const;
     // The best `count` candidates for the pool's home, confirmed or not, from the best downwards.
     std::vector<MemberId> homesRanked(const PoolId&, std::size_t count) const;
-    // True where this member is to watch the platform: one of two in its data centre. Also where it knows no other.
+    // True where this member is to watch the platform: one of few in its data centre. Also where it knows no other.
     bool isWatcher() const;
 
     // Claim about a known member other than this one; null where it is unknown.
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -80,6 +80,21 @@
     return actions;
 }
 
+std::vector<FleetAction> Fleet::spreadRecords(Revision before, TimePoint now)
+{
+    std::vector<FleetAction> actions;
+    observe(now, actions);
+    for (const auto* tracked : views().own) {
+        if (!tracked->hasRun())
+            continue;
+        const auto [it, isNew] = m_behind.try_emplace(tracked->member.id, before);
+        it->second = std::min(it->second, before);
+        startExchange(tracked, now, actions);
+    }
+    reportChange(actions);
+    return actions;
+}
+
 HandledGossip Fleet::handle(const GossipMessage& message, TimePoint now)
 {
     HandledGossip handled;
--- a/packages/fleet/src/FleetPeers.cpp
+++ b/packages/fleet/src/FleetPeers.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::size_t watchersPerDataCentre = 2;
-
 std::uint64_t rosterEntry(const Member& member) { return stableHash(member.id.value(), member.incarnation.value()); }
 
 std::uint64_t keyOf(const PoolId& pool)
@@ -229,9 +227,9 @@
             if (tracked->isActive())
                 watchers.push_back(tracked->member.id);
         }
-        if (m_self.state == MemberState::Alive)
-            watchers.push_back(m_self.id);
-        const auto ranked = Rendezvous(std::move(watchers)).ranked(stableHash("watcher"), watchersPerDataCentre);
+        // A member that leaves goes on until its successor has heard of that.
+        watchers.push_back(m_self.id);
+        const auto ranked = Rendezvous(std::move(watchers)).ranked(stableHash("watcher"), m_limits.watchersPerDataCentre);
         current.isWatcher = std::find(ranked.begin(), ranked.end(), m_self.id) != ranked.end();
     }
     return *current.isWatcher;
--- /dev/null
+++ b/tests/system/RegistryTest.cpp
@@ -0,0 +1,170 @@
+#include "RegistryCluster.h"
+#include "TableRows.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <csignal>
+
+using namespace dogwoodhall;
+
+namespace {
+
+// Is less busy than the other one, so that it is chosen first.
+constexpr std::size_t faultyEndpoint = 0;
+
+} // namespace
+
+struct FaultRow {
+    const char* fault;
+    bool isIdempotent;
+    unsigned status;
+    std::size_t mostRuns;
+};
+
+const FaultRow faultRows[] = {
+    { "refuse", true, 200, 1 },
+    { "refuse", false, 200, 1 },
+    { "misdirected", true, 200, 1 },
+    { "misdirected", false, 200, 1 },
+    { "cut", true, 200, 2 },
+    { "cut", false, 502, 1 },
+    { "cut-unrun", true, 200, 1 },
+    { "cut-unrun", false, 502, 0 },
+    { "truncate", true, 200, 2 },
+    { "truncate", false, 502, 1 },
+    { "other", true, 200, 2 },
+    { "other", false, 502, 1 },
+    { "unsigned", true, 200, 2 },
+    { "unsigned", false, 502, 1 },
+    { "error", true, 200, 2 },
+    { "error", false, 500, 1 },
+    { "unframed", true, 200, 1 },
+    { "unframed", false, 200, 1 },
+    { "extra", false, 200, 1 },
+    { "hang", true, 200, 2 },
+    { "hang", false, 504, 1 },
+};
+
+// Guards against a request that runs twice, an answer that is cut short or another request's, and a promise that a
+// request has not run without proof.
+ParameterizedTestParameters(Registry, survivesFaultyEndpoints) { return rowIndices(faultRows); }
+
+ParameterizedTest(std::size_t* index, Registry, survivesFaultyEndpoints, .timeout = 60)
+{
+    const auto& row = faultRows[*index];
+    RegistryCluster cluster(2);
+    cluster.setMode(1, "running=1");
+    cluster.setMode(faultyEndpoint, std::string("fault=") + row.fault);
+    const std::string path = row.isIdempotent ? "/lookups/1" : "/orders/1";
+    const auto answer = cluster.request(row.isIdempotent ? "GET" : "POST", path, "first");
+    cr_expect_eq(answer.status, row.status, "%s: %u", row.fault, answer.status);
+    cr_expect(answer.isWhole, "%s: broken", row.fault);
+    cr_expect(cluster.runs("first") <= row.mostRuns, "%s: %zu runs", row.fault, cluster.runs("first"));
+    if (row.status == 200) {
+        cr_expect_eq(answer.field("Dogwoodhall-Response-Signature"), "signed-first", "%s", row.fault);
+        cr_expect(answer.body.ends_with(" served first\n"), "%s: %s", row.fault, answer.body.c_str());
+    }
+    // What the faulty endpoint left on its connections reaches no later caller.
+    cluster.setMode(faultyEndpoint, "");
+    for (int n = 0; n < 5; ++n) {
+        const std::string id = "later-" + std::to_string(n);
+        const auto later = cluster.request("POST", "/orders/1", id);
+        cr_expect_eq(later.status, 200, "%s: later request got %u", row.fault, later.status);
+        cr_expect(later.body.ends_with(" served " + id + "\n"), "%s: %s", row.fault, later.body.c_str());
+        cr_expect_eq(cluster.runs(id), 1, "%s", row.fault);
+    }
+}
+
+struct RefusalRow {
+    const char* name;
+    const char* mode; // Of all endpoints.
+    const char* path;
+    unsigned status;
+    bool tellsWhen;
+};
+
+const RefusalRow refusalRows[] = {
+    { "all full", "running=3", "/orders/1", 503, true },
+    { "all refuse", "fault=refuse", "/orders/1", 503, true },
+    { "no route", "", "/nowhere/1", 404, false },
+};
+
+// Guards against requests that are held although they cannot be served, and against a refusal after a run.
+ParameterizedTestParameters(Registry, refusesAtOnce) { return rowIndices(refusalRows); }
+
+ParameterizedTest(std::size_t* index, Registry, refusesAtOnce, .timeout = 60)
+{
+    const auto& row = refusalRows[*index];
+    RegistryCluster cluster(2);
+    cluster.setMode(0, row.mode);
+    cluster.setMode(1, row.mode);
+    const auto answer = cluster.request("POST", row.path, "refused");
+    cr_expect_eq(answer.status, row.status, "%s: %u", row.name, answer.status);
+    cr_expect_eq(!answer.field("Retry-After").empty(), row.tellsWhen, "%s", row.name);
+    cr_expect_eq(answer.field("Dogwoodhall-Outcome"), "not-run", "%s", row.name);
+    cr_expect_eq(cluster.runs("refused"), 0, "%s", row.name);
+}
+
+// Guards against work for endpoints that leave, and against members that miss changes while the store's history or the
+// store itself is gone.
+Test(Registry, followsTheStore, .timeout = 60)
+{
+    RegistryCluster cluster(2);
+    const auto servedBy = [&](std::size_t endpoint) {
+        const auto before = cluster.received(endpoint);
+        for (int n = 0; n < 4; ++n)
+            cluster.request("GET", "/lookups/1", "probe");
+        return cluster.received(endpoint) > before;
+    };
+    cluster.publishEndpoint(0, "draining");
+    cr_expect(eventually([&] { return !servedBy(0); }), "a draining endpoint gets work");
+    cluster.compactRegistry();
+    cluster.publishEndpoint(0, "ready");
+    cr_expect(eventually([&] { return servedBy(0); }), "a change after the compaction is missed");
+    cluster.publishText("servers/i-1", "{\"address\":");
+    cr_expect(eventually([&] { return !servedBy(1); }), "a spoilt entry is used");
+    cluster.publishRouting(2, "/finds/");
+    cr_expect(eventually([&] { return cluster.request("GET", "/finds/1", "a").status == 200; }));
+    cr_expect_eq(cluster.request("GET", "/lookups/1", "b").status, 404);
+    cluster.publishRouting(1);
+    cluster.publishText("op/config", "spoilt");
+    cluster.removeEndpoint(0);
+    cr_expect(eventually([&] { return cluster.request("GET", "/finds/1", "c").status == 503; }),
+        "a removed endpoint is used, or an older or spoilt configuration replaced the one in force");
+}
+
+// Guards against endpoints that are lost when their leases run out while the store is away.
+Test(Registry, keepsEndpointsThatLapseInAnOutage, .timeout = 60)
+{
+    RegistryCluster cluster(1);
+    cluster.setRegistryMode("down");
+    ::usleep(700'000);
+    cluster.removeEndpoint(0);
+    cluster.setRegistryMode("serving");
+    const auto reads = cluster.registryReads();
+    cr_assert(eventually([&] { return cluster.registryReads() > reads; }));
+    cr_expect_eq(cluster.request("GET", "/lookups/1", "a").status, 200, "lapsed");
+    cr_expect(eventually([&] { return cluster.request("GET", "/lookups/1", "b").status == 503; }), "kept for good");
+}
+
+// Guards against a planned stop that cuts off a request, and against a reload that does.
+Test(Registry, stopsAndReloadsWithoutLoss, .timeout = 60)
+{
+    RegistryCluster cluster(1);
+    cluster.setMode(0, "delay_ms=400");
+    auto& daemon = cluster.daemon();
+    TestClient kept(daemon.caller);
+    kept.send("POST /orders/1 HTTP/1.1\r\nHost: shop\r\nDogwoodhall-Attempt-Id: a\r\n\r\n");
+    cr_assert(eventually([&] { return cluster.received(0) == 1; }));
+    daemon.process.signal(SIGHUP);
+    const auto first = kept.readAnswer();
+    cr_expect_eq(first.status, 200);
+    cr_expect_not(first.closesConnection, "a reload closes connections");
+    kept.send("POST /orders/1 HTTP/1.1\r\nHost: shop\r\nDogwoodhall-Attempt-Id: b\r\n\r\n");
+    cr_assert(eventually([&] { return cluster.received(0) == 2; }));
+    daemon.process.signal(SIGTERM);
+    const auto second = kept.readAnswer();
+    cr_expect_eq(second.status, 200);
+    cr_expect(second.closesConnection, "the caller is not told that the connection ends");
+    cr_expect_eq(daemon.process.waitForExit().value_or(-1), 0);
+}
--- /dev/null
+++ b/tests/system/support/RegistryCluster.cpp
@@ -0,0 +1,161 @@
+#include "RegistryCluster.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <fstream>
+#include <stdexcept>
+
+namespace dogwoodhall {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string toBase64(std::string_view text)
+{
+    static constexpr std::string_view digits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    std::string result;
+    for (std::size_t n = 0; n < text.size(); n += 3) {
+        std::uint32_t bits = 0;
+        for (std::size_t k = 0; k < 3; ++k)
+            bits = bits << 8 | (n + k < text.size() ? static_cast<unsigned char>(text[n + k]) : 0U);
+        for (std::size_t k = 0; k < 4; ++k)
+            result += n + k > text.size() ? '=' : digits[bits >> (18 - 6 * k) & 63U];
+    }
+    return result;
+}
+
+// A member's part of the retry slack grows over its first window.
+constexpr unsigned retryWindowMs = 100;
+
+json::object route(const std::string& prefix, const char* kind)
+{
+    return { { "host", "shop" }, { "prefix", prefix }, { "kind", kind }, { "timeout_ms", 1000 },
+        { "target_latency_ms", 300 }, { "priority", 1 }, { "service", "catalogue" }, { "max_attempts", 2 } };
+}
+
+} // namespace
+
+RegistryCluster::RegistryCluster(std::size_t endpoints, std::size_t daemons)
+    : m_registry({ REGISTRY_BINARY })
+    , m_registryAddress(m_registry.readListening().at("address"))
+{
+    for (std::size_t n = 0; n < endpoints; ++n)
+        startEndpoint();
+    publishRouting(1);
+    for (std::size_t n = 0; n < daemons; ++n)
+        startDaemon();
+    for (auto& daemon : m_daemons) {
+        const auto isReady = [&] { return call(daemon.admin, { "GET", "/ready", {}, {}, {} }).status == 200; };
+        if (!eventually(isReady))
+            throw std::runtime_error("a daemon does not become ready");
+    }
+    for (std::size_t n = 0; n < m_daemons.size(); ++n)
+        request("GET", "/lookups/1", "first-window", n);
+    ::usleep(2 * retryWindowMs * 1000);
+}
+
+void RegistryCluster::startEndpoint()
+{
+    const std::string id = "i-" + std::to_string(m_endpoints.size());
+    Process process({ REGISTERED_UPSTREAM_BINARY, "--id", id, "--runs-file", (m_folder / "runs").string() });
+    const auto address = process.readListening().at("address");
+    m_endpoints.push_back({ id, std::move(process), address });
+    publishEndpoint(m_endpoints.size() - 1, "ready");
+}
+
+void RegistryCluster::startDaemon()
+{
+    const std::string name = "entry-" + std::to_string(m_daemons.size());
+    const auto file = m_folder / (name + ".json");
+    const json::object settings { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", "dc0" },
+        { "callerAddress", "127.0.0.1:0" }, { "peerAddress", "127.0.0.1:0" }, { "adminAddress", "127.0.0.1:0" },
+        { "platformAddress", toString(m_registryAddress) }, { "trafficThreads", 1 },
+        { "registry",
+            json::object { { "regions", json::object { { "dc0", "r0" } } }, { "retrySlack", 1000 }, { "retryWindowMs", retryWindowMs },
+                { "drainGraceMs", 500 }, { "stopGraceMs", 5000 } } } };
+    std::ofstream(file) << json::serialize(settings);
+    Process process({ DAEMON_BINARY, "--settings", file.string() });
+    auto addresses = process.readListening();
+    m_daemons.push_back({ std::move(process), addresses.at("caller"), addresses.at("admin") });
+}
+
+Answer RegistryCluster::callRegistry(
+    const std::string& method, const std::string& target, const std::string& body) const
+{
+    return call(m_registryAddress, { method, target, {}, body, {} });
+}
+
+Answer RegistryCluster::request(const std::string& method, const std::string& path, const std::string& id,
+    std::size_t daemon, const std::string& body)
+{
+    const std::string length = body.empty() ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    TestClient client(m_daemons.at(daemon).caller);
+    client.send(method + " " + path + " HTTP/1.1\r\nHost: shop\r\nDogwoodhall-Attempt-Id: " + id
+        + "\r\nDogwoodhall-Deadline-Ms: 2000\r\n" + length + "\r\n" + body);
+    return client.readAnswer();
+}
+
+std::size_t RegistryCluster::runs(const std::string& id) const
+{
+    std::ifstream file(m_folder / "runs");
+    std::size_t count = 0;
+    for (std::string line; std::getline(file, line);)
+        count += line == id;
+    return count;
+}
+
+std::size_t RegistryCluster::received(std::size_t endpoint) const
+{
+    return std::stoul(call(m_endpoints.at(endpoint).address, { "GET", "/control/received", {}, {}, {} }).body);
+}
+
+void RegistryCluster::setMode(std::size_t endpoint, const std::string& query)
+{
+    call(m_endpoints.at(endpoint).address, { "PUT", "/control/mode?" + query, {}, {}, {} });
+}
+
+void RegistryCluster::setRegistryMode(const std::string& state) { callRegistry("PUT", "/control/mode?state=" + state); }
+
+void RegistryCluster::compactRegistry() { callRegistry("PUT", "/control/compact"); }
+
+std::size_t RegistryCluster::registryReads() const { return std::stoul(callRegistry("GET", "/control/reads").body); }
+
+void RegistryCluster::publishText(const std::string& key, const std::string& text)
+{
+    callRegistry("PUT", "/control/items/" + key, toBase64(text));
+}
+
+void RegistryCluster::publishRouting(unsigned version, const std::string& prefix)
+{
+    char digits[16];
+    std::snprintf(digits, sizeof(digits), "%08x", version);
+    publishText("op/config",
+        json::serialize(json::object { { "version", digits },
+            { "routes",
+                json::object {
+                    { "lookups", route(prefix, "idempotent") }, { "orders", route("/orders/", "non_idempotent") } } },
+            { "services",
+                json::object { { "catalogue",
+                    json::object { { "health_path", "/health" }, { "max_connections", 100 }, { "protocol", "h1" },
+                        { "tls", false } } } } } }));
+}
+
+void RegistryCluster::publishEndpoint(std::size_t endpoint, const std::string& state)
+{
+    const auto& it = m_endpoints.at(endpoint);
+    publishText("servers/" + it.id,
+        json::serialize(json::object { { "address", toString(it.address) },
+            { "info",
+                json::object { { "service", "catalogue" }, { "version", "v1" }, { "zone", "dc0" },
+                    { "concurrency", 3 } } },
+            { "status", json::object { { "state", state }, { "seq", 1 }, { "warmup_left_ms", 0 } } },
+            { "born", 1700000000000 } }));
+}
+
+void RegistryCluster::removeEndpoint(std::size_t endpoint)
+{
+    callRegistry("DELETE", "/control/items/servers/" + m_endpoints.at(endpoint).id);
+}
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/tests/system/support/RegistryCluster.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Process.h"
+#include "TemporaryFolder.h"
+#include "TestClient.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dogwoodhall {
+
+// A stand-in of the users' store, endpoints that are registered in it, and daemons, on ports that the kernel chooses.
+// Routes of host "shop": /lookups/ is idempotent, /orders/ is not; time-outs are 1 s.
+class RegistryCluster {
+public:
+    struct Endpoint {
+        std::string id;
+        Process process;
+        NetworkAddress address;
+    };
+    struct Daemon {
+        Process process;
+        NetworkAddress caller;
+        NetworkAddress admin;
+    };
+
+    RegistryCluster(std::size_t endpoints, std::size_t daemons = 1);
+
+    Endpoint& endpoint(std::size_t n = 0) { return m_endpoints.at(n); }
+    Daemon& daemon(std::size_t n = 0) { return m_daemons.at(n); }
+    Process& registry() { return m_registry; }
+
+    // A request of host "shop" with an attempt id.
+    Answer request(const std::string& method, const std::string& path, const std::string& id, std::size_t daemon = 0,
+        const std::string& body = {});
+    // Times that any endpoint ran the request with this attempt id.
+    std::size_t runs(const std::string& id) const;
+    std::size_t received(std::size_t endpoint) const;
+    void setMode(std::size_t endpoint, const std::string& query);
+    void setRegistryMode(const std::string& state);
+    void compactRegistry();
+    std::size_t registryReads() const;
+
+    // Writes the routing document; the idempotent route has this path prefix.
+    void publishRouting(unsigned version, const std::string& prefix = "/lookups/");
+    void publishEndpoint(std::size_t endpoint, const std::string& state);
+    void publishText(const std::string& key, const std::string& text);
+    void removeEndpoint(std::size_t endpoint);
+
+private:
+    void startEndpoint();
+    void startDaemon();
+    Answer callRegistry(const std::string& method, const std::string& target, const std::string& body = {}) const;
+
+    TemporaryFolder m_folder;
+    Process m_registry;
+    NetworkAddress m_registryAddress;
+    std::vector<Endpoint> m_endpoints;
+    std::vector<Daemon> m_daemons;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/tools/src/RegistryStandIn.cpp
@@ -0,0 +1,167 @@
+#include "StandInOptions.h"
+#include "StandInServer.h"
+
+#include "dogwoodhall/exchange/WholeBody.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+// Stand-in for the users' key-value store, from its published page: GET /api/kv-range and /api/kv-watch. Tests write
+// through /control, which daemons never call:
+//   PUT or DELETE /control/items/<key>   writes or deletes an item; the value is sent as base64 text
+//   PUT /control/mode?state=serving|down|busy   down breaks each connection without an answer, busy answers 503
+//   PUT /control/compact                 forgets the history: watches from before it are answered 410
+//   GET /control/reads                   number of calls by daemons
+
+namespace json = boost::json;
+namespace options = boost::program_options;
+
+namespace dogwoodhall {
+
+namespace {
+
+constexpr std::string_view itemsPrefix = "/control/items/";
+constexpr ByteCount controlLimit { 16ULL * 1024 * 1024 };
+// Small, so that a few endpoints take several pages.
+constexpr std::size_t pageItems = 3;
+
+class RegistryStandIn {
+public:
+    explicit RegistryStandIn(const NetworkAddress& address)
+        : m_server(address,
+            [this](IncomingRequest request, ResponseWriter writer) {
+                return handle(std::move(request), std::move(writer));
+            })
+        , m_changed(m_server.io(), asio::steady_timer::time_point::max())
+    {
+    }
+
+    void run() { m_server.run(); }
+
+private:
+    struct Item {
+        std::string value;
+        std::uint64_t revision = 0;
+        bool isDeleted = false;
+    };
+
+    asio::awaitable<void> handle(IncomingRequest, ResponseWriter);
+    asio::awaitable<void> handleControl(const IncomingRequest&, const Target&, const ResponseWriter&);
+    asio::awaitable<void> watch(const Target&, const ResponseWriter&);
+    std::string range(const std::string& after) const;
+    std::string eventsAfter(std::uint64_t revision) const;
+    static json::object toJson(const std::string& key, const Item&);
+
+    StandInServer m_server;
+    asio::steady_timer m_changed; // Cancelled at each change, to wake waiting watches.
+    std::map<std::string, Item> m_items;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_compacted = 0; // History up to here is gone.
+    std::string m_mode = "serving";
+    std::uint64_t m_reads = 0;
+};
+
+asio::awaitable<void> RegistryStandIn::handle(IncomingRequest request, ResponseWriter writer)
+{
+    const auto target = parseTarget(request.head.target);
+    if (target.path.starts_with("/control/")) {
+        co_await handleControl(request, target, writer);
+        co_return;
+    }
+    ++m_reads;
+    if (m_mode == "down")
+        co_return;
+    if (m_mode == "busy")
+        co_await writeAnswer(writer, 503, "{\"error\":\"busy\"}");
+    else if (target.path == "/api/kv-range")
+        co_await writeAnswer(writer, 200, range(target.text("after")));
+    else if (target.path == "/api/kv-watch")
+        co_await watch(target, writer);
+    else
+        co_await writeAnswer(writer, 404, "{\"error\":\"no such call\"}");
+}
+
+asio::awaitable<void> RegistryStandIn::handleControl(
+    const IncomingRequest& request, const Target& target, const ResponseWriter& writer)
+{
+    const auto received = co_await readWhole(request.readBody, controlLimit);
+    std::string text = "ok\n";
+    if (target.path.starts_with(itemsPrefix)) {
+        m_items[target.path.substr(itemsPrefix.size())]
+            = { received.value_or(""), ++m_revision, request.head.method == "DELETE" };
+    } else if (target.path == "/control/mode") {
+        m_mode = target.text("state");
+    } else if (target.path == "/control/compact") {
+        m_compacted = ++m_revision;
+    } else if (target.path == "/control/reads") {
+        text = std::to_string(m_reads);
+    }
+    m_changed.cancel();
+    co_await writeAnswer(writer, 200, text);
+}
+
+asio::awaitable<void> RegistryStandIn::watch(const Target& target, const ResponseWriter& writer)
+{
+    const auto after = target.number("after", 0);
+    const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(target.number("wait_ms", 0));
+    const auto hasNews = [&] {
+        return m_mode != "serving" || after < m_compacted || json::parse(eventsAfter(after)).at("events").as_array().size();
+    };
+    while (!hasNews() && std::chrono::steady_clock::now() < end) {
+        m_changed.expires_at(end);
+        co_await m_changed.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    if (m_mode != "serving")
+        co_return;
+    if (after < m_compacted)
+        co_await writeAnswer(writer, 410, "{\"error\":\"history is gone\"}");
+    else
+        co_await writeAnswer(writer, 200, eventsAfter(after));
+}
+
+json::object RegistryStandIn::toJson(const std::string& key, const Item& item)
+{
+    if (item.isDeleted)
+        return { { "key", key }, { "revision", item.revision }, { "tombstone", true } };
+    return { { "key", key }, { "value", item.value }, { "revision", item.revision }, { "created", item.revision },
+        { "lease", 0 } };
+}
+
+std::string RegistryStandIn::range(const std::string& after) const
+{
+    json::array items;
+    bool hasMore = false;
+    for (const auto& [key, item] : m_items) {
+        if (key <= after || item.isDeleted)
+            continue;
+        hasMore = items.size() == pageItems;
+        if (hasMore)
+            break;
+        items.push_back(toJson(key, item));
+    }
+    return json::serialize(
+        json::object { { "items", items }, { "has_more", hasMore }, { "store_revision", m_revision } });
+}
+
+std::string RegistryStandIn::eventsAfter(std::uint64_t revision) const
+{
+    json::array events;
+    for (const auto& [key, item] : m_items) {
+        if (item.revision > revision)
+            events.push_back(toJson(key, item));
+    }
+    return json::serialize(json::object { { "events", events }, { "store_revision", m_revision } });
+}
+
+} // namespace
+
+} // namespace dogwoodhall
+
+int main(int argc, char** argv)
+{
+    const auto arguments
+        = dogwoodhall::parseStandInArguments(argc, argv, options::options_description("registry-standin"));
+    dogwoodhall::RegistryStandIn(arguments.listen).run();
+}
