--- a/packages/configuration/tests/ConfigurationInForceTest.cpp
+++ b/packages/configuration/tests/ConfigurationInForceTest.cpp
@@ -197,3 +197,53 @@
         all.begin(), all.end(), [](const Record& a, const Record& b) { return a.revision < b.revision; }));
     cr_assert_eq(source.recordsSince(source.highestRevision()).size(), 0);
 }
+
+struct WholeReadRow {
+    const char* name;
+    std::uint64_t readAt; // Revision of the store at the read; it holds "a" only.
+    std::uint64_t revisionOfB;
+    bool isDeleted;
+};
+
+const WholeReadRow wholeReadRows[] = {
+    { "a known key is missing", 9, 4, true },
+    { "it was written after the read", 9, 12, false },
+};
+
+// Guards against entries that stay in force after the store has forgotten the history of their deletion.
+ParameterizedTestParameters(ConfigurationInForce, findsDeletionsInAWholeRead) { return rowIndices(wholeReadRows); }
+
+ParameterizedTest(std::size_t* index, ConfigurationInForce, findsDeletionsInAWholeRead)
+{
+    const auto& row = wholeReadRows[*index];
+    ConfigurationInForce configuration([](const Record& record) -> tl::expected<Declaration, std::string> {
+        EndpointRegistration endpoint;
+        endpoint.id = EndpointId(record.key.value());
+        return endpoint;
+    });
+    const Record a { RecordKey("a"), Revision(3), false, "x" };
+    configuration.offer(a);
+    configuration.offer({ RecordKey("b"), Revision(row.revisionOfB), false, "x" });
+    const auto deletions = configuration.deletionsIn({ Revision(row.readAt), { a }, true });
+    cr_assert_eq(deletions.size(), row.isDeleted ? 1 : 0, "%s", row.name);
+    for (const auto& deletion : deletions)
+        configuration.offer(deletion);
+    cr_expect_eq(configuration.registrations().size(), row.isDeleted ? 1 : 2, "%s", row.name);
+    cr_expect_eq(configuration.registration(RecordKey("b")) == nullptr, row.isDeleted, "%s", row.name);
+}
+
+// Guards against routes that go back to an older state, whatever revision the store gives that.
+Test(ConfigurationInForce, keepsTheNewestRoutingVersion)
+{
+    ConfigurationInForce configuration([](const Record& record) -> tl::expected<Declaration, std::string> {
+        RoutingDeclaration routing;
+        routing.version = std::stoul(record.value);
+        return routing;
+    });
+    configuration.offer({ RecordKey("routing"), Revision(1), false, "7" });
+    const auto outcome = configuration.offer({ RecordKey("routing"), Revision(2), false, "6" });
+    cr_expect(outcome.result == OfferResult::Rejected);
+    cr_expect_eq(configuration.routing()->version, 7);
+    configuration.offer({ RecordKey("routing"), Revision(3), false, "8" });
+    cr_expect_eq(configuration.routing()->version, 8);
+}
--- a/packages/configuration/tests/JoinBarrierTest.cpp
+++ b/packages/configuration/tests/JoinBarrierTest.cpp
@@ -67,3 +67,35 @@
     cr_assert(barrier.isReady(Revision(row.held), start + row.waited + JoinBarrier::silenceLimit), "%s: nobody answers",
         row.name);
 }
+
+struct LinearizableRow {
+    const char* name;
+    bool hasPlatform;
+    bool hasPeer;
+    std::uint64_t peerRevision;
+    std::uint64_t held;
+    bool isReady;
+};
+
+const LinearizableRow linearizableRows[] = {
+    { "nothing read", false, false, 0, 0, false },
+    { "read from the platform", true, false, 0, 5, true },
+    { "the platform is away, a peer answered", false, true, 5, 5, true },
+    { "not caught up with the peer", false, true, 9, 5, false },
+    { "the platform has no records", true, false, 0, 0, false },
+};
+
+// Guards against a member that waits for peers although the platform's answer cannot be older than theirs.
+ParameterizedTestParameters(JoinBarrier, trustsALinearizablePlatform) { return rowIndices(linearizableRows); }
+
+ParameterizedTest(std::size_t* index, JoinBarrier, trustsALinearizablePlatform)
+{
+    const auto& row = linearizableRows[*index];
+    const TimePoint start(std::chrono::seconds(100));
+    JoinBarrier barrier(start, PlatformTrust::Linearizable);
+    if (row.hasPlatform)
+        barrier.platformAnswered(Revision());
+    if (row.hasPeer)
+        barrier.peerAnswered(MemberId("p"), Revision(row.peerRevision), false);
+    cr_expect_eq(barrier.isReady(Revision(row.held), start), row.isReady, "%s", row.name);
+}
--- /dev/null
+++ b/packages/http/tests/UpstreamAnswerTest.cpp
@@ -0,0 +1,157 @@
+#include "TableRows.h"
+
+#include "dogwoodhall/exchange/WholeBody.h"
+#include "dogwoodhall/http/UpstreamClient.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+
+using namespace dogwoodhall;
+
+namespace {
+
+constexpr std::chrono::seconds testTimeout { 10 };
+
+// An upstream that answers each request with the same bytes, and a client that carries its caller's ids.
+class Fixture {
+public:
+    explicit Fixture(std::string answer)
+        : m_answer(std::move(answer))
+        , m_acceptor(m_io, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+        , client(m_io.get_executor(), limits())
+    {
+        asio::co_spawn(m_io, accept(), asio::detached);
+    }
+
+    tl::expected<std::string, ExchangeError> call(const std::string& id, std::string body = {})
+    {
+        std::optional<tl::expected<std::string, ExchangeError>> result;
+        asio::co_spawn(m_io, exchange(id, std::move(body), result), asio::detached);
+        const auto end = std::chrono::steady_clock::now() + testTimeout;
+        while (!result && std::chrono::steady_clock::now() < end)
+            m_io.run_one_for(std::chrono::milliseconds(50));
+        cr_assert(result.has_value());
+        return *result;
+    }
+
+    std::size_t accepted = 0;
+
+private:
+    static UpstreamLimits limits()
+    {
+        UpstreamLimits limits;
+        limits.correlation = { Correlation::Source::Caller, "X-Id" };
+        return limits;
+    }
+
+    asio::awaitable<void> accept()
+    {
+        while (true) {
+            auto socket = co_await m_acceptor.async_accept(asio::use_awaitable);
+            ++accepted;
+            asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        std::string received;
+        while (true) {
+            const auto n = co_await asio::async_read_until(
+                socket, asio::dynamic_buffer(received), "\r\n\r\n", asio::use_awaitable);
+            received.erase(0, n);
+            co_await asio::async_write(socket, asio::buffer(m_answer), asio::use_awaitable);
+        }
+    }
+
+    asio::awaitable<void> exchange(
+        std::string id, std::string body, std::optional<tl::expected<std::string, ExchangeError>>& result)
+    {
+        OutgoingRequest request;
+        request.head.method = body.empty() ? "GET" : "POST";
+        request.head.target = "/";
+        request.head.fields.add("Host", "test");
+        if (!id.empty())
+            request.head.fields.add("X-Id", id);
+        if (!body.empty())
+            request.head.bodyLength = { BodyLength::Kind::Exact, ByteCount(1'000'000) };
+        // A sender that gives its first part only.
+        request.readBody = [this, body, sent = false](asio::mutable_buffer buf) mutable -> ExchangeResult<std::size_t> {
+            if (!std::exchange(sent, true)) {
+                const auto n = std::min(buf.size(), body.size());
+                std::copy_n(body.data(), n, static_cast<char*>(buf.data()));
+                co_return n;
+            }
+            asio::steady_timer never(m_io, asio::steady_timer::time_point::max());
+            co_await never.async_wait(asio::use_awaitable);
+            co_return std::size_t { 0 };
+        };
+        const auto deadline = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+        const auto address = NetworkAddress { "127.0.0.1", m_acceptor.local_endpoint().port() };
+        auto response = co_await client.exchange(address, std::move(request), deadline);
+        if (!response) {
+            result = tl::unexpected(response.error());
+            co_return;
+        }
+        result = co_await readWhole(response->readBody, ByteCount(1000));
+    }
+
+    std::string m_answer;
+    asio::io_context m_io { 1 };
+    asio::ip::tcp::acceptor m_acceptor;
+
+public:
+    UpstreamClient client;
+};
+
+} // namespace
+
+struct AnswerRow {
+    const char* name;
+    const char* answer;
+    const char* id; // Of the request.
+    const char* body; // Of the request, which is never sent whole.
+    bool isAccepted;
+    std::size_t connections; // For two calls.
+};
+
+const AnswerRow rows[] = {
+    { "the request's own id", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok", "a", "", true, 1 },
+    { "another request's id", "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 2\r\n\r\nok", "a", "", false, 2 },
+    { "no id in the answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "a", "", false, 2 },
+    { "no id in request and answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "", "", true, 1 },
+    { "an id where none was asked for", "HTTP/1.1 200 OK\r\nX-Id: b\r\nContent-Length: 2\r\n\r\nok", "", "", false, 2 },
+    { "bytes after the answer", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200", "a", "", true,
+        2 },
+    { "closes after the answer", "HTTP/1.1 200 OK\r\nX-Id: a\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", "a",
+        "", true, 2 },
+    { "may not be idle for long", "HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok",
+        "a", "", true, 2 },
+    { "may be idle", "HTTP/1.1 200 OK\r\nX-Id: a\r\nKeep-Alive: timeout=9\r\nContent-Length: 2\r\n\r\nok", "a", "",
+        true, 1 },
+    { "answers before the body was sent", "HTTP/1.1 413 No\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok", "a", "part",
+        true, 2 },
+};
+
+// Guards against another request's answer, and against the reuse of a connection on which the upstream still expects
+// or sends something, or which it is about to close.
+ParameterizedTestParameters(UpstreamAnswer, decidesAboutReuse) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, UpstreamAnswer, decidesAboutReuse, .timeout = 30)
+{
+    const auto& row = rows[*index];
+    Fixture fixture(row.answer);
+    for (int n = 0; n < 2; ++n) {
+        const auto answer = fixture.call(row.id, row.body);
+        cr_expect_eq(answer.has_value(), row.isAccepted, "%s: %s", row.name,
+            answer ? "accepted" : answer.error().detail.c_str());
+    }
+    cr_expect_eq(fixture.accepted, row.connections, "%s: %zu connections", row.name, fixture.accepted);
+}
