--- a/packages/ctl/include/dogwoodhall/ctl/Command.h
+++ b/packages/ctl/include/dogwoodhall/ctl/Command.h
@@ -46,6 +46,7 @@
 Command explainCommand();
 Command statusCommand();
 Command drainCommand();
+Command whyCommand();
 Command completionCommand();
 
 // Runs the program with its arguments, without its name. Gives the exit status.
--- a/packages/ctl/src/Program.cpp
+++ b/packages/ctl/src/Program.cpp
@@ -17,6 +17,7 @@
     commands.push_back(explainCommand());
     commands.push_back(statusCommand());
     commands.push_back(drainCommand());
+    commands.push_back(whyCommand());
     commands.push_back(completionCommand());
     return commands;
 }
--- a/packages/ctl/tests/ProgramTest.cpp
+++ b/packages/ctl/tests/ProgramTest.cpp
@@ -57,6 +57,8 @@
     { "chek", 2, "unknown command chek; did you mean check?" },
     { "--hepl", 2, "unknown option --hepl; did you mean --help?" },
     { "explain --recrods x", 2, "unknown option --recrods; did you mean --records?" },
+    { "why", 2, "REQUEST-ID is required" },
+    { "why a missing.log", 2, "cannot read missing.log" },
     { "drain --help", 0, "Usage: dogwoodhallctl drain --admin IP:PORT" },
     { "check --help", 0, "Arguments:\n  FILE...: settings, a record" },
     { "drain --help", 0, "  --admin IP:PORT " },
