--- a/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
@@ -39,7 +39,7 @@
 class Dispatcher {
 public:
     explicit Dispatcher(DispatchLimits);
-    // The placement refers to this object's book and times.
+    // The chooser refers to this object's book and times.
     Dispatcher(const Dispatcher&) = delete;
     Dispatcher& operator=(const Dispatcher&) = delete;
 
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -81,8 +81,8 @@
     std::vector<FleetAction> checkPause(TimePoint now);
     // Called once in each gossip period.
     std::vector<FleetAction> tick(DecisionContext);
-    // This member has read records above `before` from the platform: passes them on to its data centre's members at once.
-    // Without it they learn of them by the exchanges of their next periods.
+    // This member has read records above `before` from the platform: passes them on to its data centre's members at
+    // once. Without it they learn of them by the exchanges of their next periods.
     std::vector<FleetAction> spreadRecords(Revision before, TimePoint now);
     // The request for an exchange that tick() or handle() asked for.
     GossipMessage messageFor(const MemberId& peer, TimePoint now);
--- a/packages/fleet/src/FleetPeers.cpp
+++ b/packages/fleet/src/FleetPeers.cpp
@@ -229,7 +229,8 @@
         }
         // A member that leaves goes on until its successor has heard of that.
         watchers.push_back(m_self.id);
-        const auto ranked = Rendezvous(std::move(watchers)).ranked(stableHash("watcher"), m_limits.watchersPerDataCentre);
+        const auto ranked
+            = Rendezvous(std::move(watchers)).ranked(stableHash("watcher"), m_limits.watchersPerDataCentre);
         current.isWatcher = std::find(ranked.begin(), ranked.end(), m_self.id) != ranked.end();
     }
     return *current.isWatcher;
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -310,7 +310,8 @@
         co_return failure(ErrorKind::UpstreamFailed, false, ec);
     if (!hasBody)
         co_return tl::expected<void, ExchangeError> {};
-    co_return co_await sendBody(connection.stream, message, serializer, request.readBody, deadline, connection.awaitsSender);
+    co_return co_await sendBody(
+        connection.stream, message, serializer, request.readBody, deadline, connection.awaitsSender);
 }
 
 ExchangeResult<ResponseHead> UpstreamClient::readHead(Connection& connection)
--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -72,8 +72,8 @@
         { "callerAddress", "127.0.0.1:0" }, { "peerAddress", "127.0.0.1:0" }, { "adminAddress", "127.0.0.1:0" },
         { "platformAddress", toString(m_registryAddress) }, { "trafficThreads", 1 },
         { "registry",
-            json::object { { "regions", json::object { { "dc0", "r0" } } }, { "retrySlack", 1000 }, { "retryWindowMs", retryWindowMs },
-                { "drainGraceMs", 500 }, { "stopGraceMs", 5000 } } } };
+            json::object { { "regions", json::object { { "dc0", "r0" } } }, { "retrySlack", 1000 },
+                { "retryWindowMs", retryWindowMs }, { "drainGraceMs", 500 }, { "stopGraceMs", 5000 } } } };
     std::ofstream(file) << json::serialize(settings);
     Process process({ DAEMON_BINARY, "--settings", file.string() });
     auto addresses = process.readListening();
@@ -147,8 +147,8 @@
     publishText("servers/" + it.id,
         json::serialize(json::object { { "address", toString(it.address) },
             { "info",
-                json::object { { "service", "catalogue" }, { "version", "v1" }, { "zone", "dc0" },
-                    { "concurrency", 3 } } },
+                json::object {
+                    { "service", "catalogue" }, { "version", "v1" }, { "zone", "dc0" }, { "concurrency", 3 } } },
             { "status", json::object { { "state", state }, { "seq", 1 }, { "warmup_left_ms", 0 } } },
             { "born", 1700000000000 } }));
 }
--- a/tools/src/RegistryStandIn.cpp
+++ b/tools/src/RegistryStandIn.cpp
@@ -107,7 +107,8 @@
     const auto after = target.number("after", 0);
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(target.number("wait_ms", 0));
     const auto hasNews = [&] {
-        return m_mode != "serving" || after < m_compacted || json::parse(eventsAfter(after)).at("events").as_array().size();
+        return m_mode != "serving" || after < m_compacted
+            || json::parse(eventsAfter(after)).at("events").as_array().size();
     };
     while (!hasNews() && std::chrono::steady_clock::now() < end) {
         m_changed.expires_at(end);
