--- a/packages/daemon/include/dogwoodhall/daemon/traffic/DispatchRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/DispatchRunner.h
@@ -3,6 +3,7 @@
 #include "dogwoodhall/core/RandomEngine.h"
 #include "dogwoodhall/daemon/DaemonMetrics.h"
 #include "dogwoodhall/daemon/traffic/AnswerRelay.h"
+#include "dogwoodhall/daemon/traffic/LoadAsker.h"
 #include "dogwoodhall/daemon/traffic/RequestCodec.h"
 #include "dogwoodhall/daemon/traffic/RequestPath.h"
 #include "dogwoodhall/dispatch/Dispatcher.h"
@@ -11,13 +12,12 @@
 #include "dogwoodhall/telemetry/EventLog.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <unordered_map>
+#include <optional>
 
 namespace dogwoodhall {
 
-// Carries out what the Dispatcher decides: asks endpoints for their load, sends requests and copies, and passes answers
-// on. Decides nothing itself. One for each traffic thread.
+// Carries out what the Dispatcher decides: has endpoints asked for their load, sends requests and copies, and passes
+// answers on. Decides nothing itself. One for each traffic thread.
 class DispatchRunner {
 public:
     struct Options {
@@ -38,19 +38,11 @@
         RequestPlan plan;
         CallId id;
     };
-    // Health calls that a request waits for.
-    struct Round {
-        std::size_t pending = 0;
-        asio::steady_timer done;
-    };
     class Sending;
 
     asio::awaitable<void> run(IncomingRequest, const ResponseWriter&);
     asio::awaitable<void> serve(Work&, const ResponseWriter&);
     asio::awaitable<void> refuse(const ResponseWriter&, const CallId&, const RefuseRequest&, const RequestPlan*);
-    asio::awaitable<void> ask(const AskEndpoints&);
-    asio::awaitable<void> askOne(DirectoryEndpoint, std::string healthPath, std::uint64_t round);
-    void noteHealthAnswer(const DirectoryEndpoint&, const ResponseHead&, TimePoint sentAt);
     // True where an answer was passed on, whole or broken.
     asio::awaitable<bool> sendAndRelay(Work&, const SendRequest&, const ResponseWriter&);
     asio::awaitable<void> sendFirst(Work&, Sending& first, const std::optional<Sending>& copy);
@@ -75,9 +67,8 @@
     EventLog& m_events;
     Dispatcher m_dispatcher;
     UpstreamClient m_upstreams;
+    LoadAsker m_asker;
     SnapshotPointer m_snapshot;
-    std::unordered_map<std::uint64_t, Round> m_rounds;
-    std::uint64_t m_nextRound = 1;
     std::size_t m_running = 0;
     std::size_t m_idleLimit = 1; // Unused connections kept to one endpoint.
 };
--- a/packages/daemon/src/control/PlatformClient.cpp
+++ b/packages/daemon/src/control/PlatformClient.cpp
@@ -1,6 +1,6 @@
 #include "dogwoodhall/daemon/control/PlatformClient.h"
 
-#include "dogwoodhall/exchange/WholeBody.h"
+#include "dogwoodhall/http/Document.h"
 
 #include <boost/json.hpp>
 #include <memory>
@@ -85,23 +85,14 @@
 
 ExchangeResult<std::string> PlatformClient::get(std::string target, Duration timeout)
 {
-    OutgoingRequest request;
-    request.head.method = "GET";
-    request.head.target = std::move(target);
-    request.head.fields.add("Host", toString(m_address));
-    request.readBody = emptyBody();
-    const auto deadline
-        = std::chrono::steady_clock::now() + std::chrono::duration_cast<std::chrono::steady_clock::duration>(timeout);
-    auto response = co_await m_client.exchange(m_address, std::move(request), deadline);
-    if (!response)
-        co_return tl::unexpected(response.error());
-    auto body = co_await readWhole(*response, maxAnswer, std::chrono::steady_clock::now() + bodyTimeout);
-    if (!body)
-        co_return tl::unexpected(body.error());
-    if (response->head.status != 200)
+    const DocumentLimits limits { timeout, bodyTimeout, maxAnswer };
+    auto document = co_await getDocument(m_client, m_address, std::move(target), limits);
+    if (!document)
+        co_return tl::unexpected(document.error());
+    if (document->status != 200)
         co_return tl::unexpected(
-            ExchangeError { ErrorKind::Internal, true, "platform answered " + std::to_string(response->head.status) });
-    co_return body;
+            ExchangeError { ErrorKind::Internal, true, "platform answered " + std::to_string(document->status) });
+    co_return std::move(document->body);
 }
 
 RecordSource platformRecordSource(asio::any_io_executor executor, const NetworkAddress& address)
--- a/packages/daemon/src/homes/RequestRunner.cpp
+++ b/packages/daemon/src/homes/RequestRunner.cpp
@@ -1,5 +1,6 @@
 #include "dogwoodhall/daemon/homes/RequestRunner.h"
 
+#include "dogwoodhall/daemon/RunningGuard.h"
 #include "dogwoodhall/daemon/traffic/HeaderValues.h"
 
 #include <algorithm>
@@ -13,21 +14,6 @@
 constexpr unsigned retryReserve = 10;
 constexpr ByteCount replayLimit { 64 * 1024 };
 
-class RunningGuard {
-public:
-    explicit RunningGuard(std::size_t& running)
-        : m_running(running)
-    {
-        ++m_running;
-    }
-    RunningGuard(const RunningGuard&) = delete;
-    RunningGuard& operator=(const RunningGuard&) = delete;
-    ~RunningGuard() { --m_running; }
-
-private:
-    std::size_t& m_running;
-};
-
 } // namespace
 
 RequestRunner::RequestRunner(TrafficServices& services, std::uint32_t trafficThreads)
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -1,13 +1,11 @@
 #include "dogwoodhall/daemon/traffic/DispatchRunner.h"
 
 #include "dogwoodhall/daemon/Clock.h"
+#include "dogwoodhall/daemon/RunningGuard.h"
 #include "dogwoodhall/daemon/traffic/HeaderValues.h"
 #include "dogwoodhall/exchange/UseTuple.h"
-#include "dogwoodhall/exchange/WholeBody.h"
 
 #include <algorithm>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <limits>
 #include <utility>
@@ -23,29 +21,11 @@
 constexpr ByteCount replayLimit { 64 * 1024 };
 // Answers up to this size are read whole before they are passed on, so that one that breaks off can be asked for again.
 constexpr ByteCount answerPrefetch { 128 * 1024 };
-// A health answer that takes longer means that the endpoint or the path to it is gone.
-constexpr Duration healthTimeout = std::chrono::milliseconds(250);
-constexpr ByteCount healthBodyLimit { 4096 };
 // Until the first configuration has been read; members are ready within a second of their start.
 constexpr Duration notReadyRetry = std::chrono::milliseconds(200);
 // Of an endpoint's connections, all members together keep half unused; the rest is for requests in flight.
 constexpr std::size_t idlePart = 2;
 
-class RunningGuard {
-public:
-    explicit RunningGuard(std::size_t& running)
-        : m_running(running)
-    {
-        ++m_running;
-    }
-    RunningGuard(const RunningGuard&) = delete;
-    RunningGuard& operator=(const RunningGuard&) = delete;
-    ~RunningGuard() { --m_running; }
-
-private:
-    std::size_t& m_running;
-};
-
 EndpointEvidence evidenceOf(const ExchangeError& error)
 {
     if (error.kind == ErrorKind::DeadlineExceeded)
@@ -135,6 +115,7 @@
               limits.correlation = m_codec.correlation;
               return limits;
           }())
+    , m_asker(io, m_codec, m_dispatcher.endpoints(), m_upstreams, metrics, events)
     , m_snapshot(std::make_shared<Snapshot>())
 {
 }
@@ -202,7 +183,7 @@
             m_dispatcher.setBodyCannotBeReplayed(work.plan);
         const auto action = m_dispatcher.next(work.plan, context());
         if (const auto* question = std::get_if<AskEndpoints>(&action)) {
-            co_await ask(*question);
+            co_await m_asker.ask(*question);
         } else if (const auto* refusal = std::get_if<RefuseRequest>(&action)) {
             co_return co_await refuse(writer, work.id, *refusal, &work.plan);
         } else {
@@ -237,70 +218,6 @@
     co_await writeError(writer, refusal.kind, refusal.outcome, refusal.retryAfter);
 }
 
-asio::awaitable<void> DispatchRunner::ask(const AskEndpoints& question)
-{
-    const std::uint64_t id = m_nextRound++;
-    struct Guard {
-        std::unordered_map<std::uint64_t, Round>& rounds;
-        std::uint64_t id;
-        ~Guard() { rounds.erase(id); }
-    } guard { m_rounds, id };
-    const auto [it, isNew] = m_rounds.emplace(id, Round { question.endpoints.size(), asio::steady_timer(m_io) });
-    auto& done = it->second.done;
-    done.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(question.patience));
-    for (const auto& endpoint : question.endpoints)
-        asio::co_spawn(m_io, askOne(endpoint, question.healthPath, id), asio::detached);
-    co_await done.async_wait(useTuple);
-}
-
-asio::awaitable<void> DispatchRunner::askOne(DirectoryEndpoint endpoint, std::string healthPath, std::uint64_t round)
-{
-    const auto& registration = *endpoint.registration;
-    OutgoingRequest request;
-    request.head.method = "GET";
-    request.head.target = healthPath;
-    request.head.fields.add("Host", toString(registration.address));
-    request.readBody = emptyBody();
-    m_metrics.loadAsks.add();
-    const TimePoint sentAt = monotonicNow();
-    const auto deadline = toSteadyClock(sentAt + healthTimeout);
-    auto response = co_await m_upstreams.exchange(registration.address, std::move(request), deadline);
-    if (response) {
-        auto body = co_await readWhole(*response, healthBodyLimit, deadline);
-        if (body)
-            noteHealthAnswer(endpoint, response->head, sentAt);
-    } else {
-        m_metrics.loadAsksUnanswered.add();
-        // Connections can fall silent together; the others would cost a time-out each.
-        if (response.error().onReusedConnection)
-            m_upstreams.closeIdleTo(registration.address);
-        m_dispatcher.endpoints().healthUnanswered(registration.id, response.error().onReusedConnection, monotonicNow());
-    }
-    const auto it = m_rounds.find(round);
-    if (it != m_rounds.end() && --it->second.pending == 0)
-        it->second.done.cancel();
-}
-
-void DispatchRunner::noteHealthAnswer(const DirectoryEndpoint& endpoint, const ResponseHead& head, TimePoint sentAt)
-{
-    const auto& registration = *endpoint.registration;
-    auto said = m_codec.read(head);
-    const bool isOther = said.endpoint && *said.endpoint != registration.id;
-    if (isOther || said.isMisdirected) {
-        EventLine line(EventKind::Belief, "endpoint-gone");
-        line.add("endpoint", registration.id.value()).add("address", toString(registration.address));
-        m_events.add(std::move(line), monotonicNow());
-        m_dispatcher.endpoints().foundGone(registration.id);
-        return;
-    }
-    auto word = HealthWord::Healthy;
-    if (said.provenNotRun && !said.load)
-        said.load = LoadReport { registration.slots, SlotCount(0), registration.slots, 1 };
-    else if (!said.provenNotRun && head.status != 200)
-        word = head.closesConnection ? HealthWord::Closing : HealthWord::Unhealthy;
-    m_dispatcher.endpoints().healthAnswered(registration.id, said.load, word, sentAt);
-}
-
 asio::awaitable<bool> DispatchRunner::sendAndRelay(Work& work, const SendRequest& action, const ResponseWriter& writer)
 {
     Sending first(m_dispatcher, work.plan, action);
@@ -334,7 +251,7 @@
 {
     co_await waitUntil(first.sentAt + *first.action.copyAfter);
     if (const auto question = m_dispatcher.askForCopy(work.plan, context())) {
-        co_await ask(*question);
+        co_await m_asker.ask(*question);
         if (auto action = m_dispatcher.copy(work.plan, context())) {
             m_metrics.hedges.add();
             copy.emplace(m_dispatcher, work.plan, *std::move(action));
