Hold a late sender's exchange until its next part, as before the answer was read beside the body

Ruled out: load alone, since the row's bound follows from a slot that is held, and the earlier code held it.

--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -233,32 +233,34 @@
     }
     std::optional<tl::expected<ResponseHead, ExchangeError>> head;
     std::optional<tl::expected<void, ExchangeError>> sent;
-    bool isSenderLate = false;
+    bool hasSendingFailed = false; // Before the answer had come.
+    const auto waitForever = [this]() -> asio::awaitable<void> {
+        asio::steady_timer never(m_executor, asio::steady_timer::time_point::max());
+        co_await never.async_wait(useTuple);
+    };
     auto reading = [&]() -> asio::awaitable<void> {
         head = co_await readHead(connection);
-        isSenderLate = connection.awaitsSender;
+        // The sender is late, not the upstream: it is told so when its next part comes or fails to.
+        const bool isSenderLate
+            = !*head && head->error().kind == ErrorKind::DeadlineExceeded && connection.awaitsSender;
+        if (isSenderLate)
+            co_await waitForever();
     };
     auto sending = [&]() -> asio::awaitable<void> {
         sent = co_await send(connection, request, deadline);
         connection.isRequestSent = sent->has_value();
+        const auto state = co_await asio::this_coro::cancellation_state;
+        hasSendingFailed = !*sent && state.cancelled() == asio::cancellation_type::none;
         // The answer alone ends the exchange, and a failure of the sender.
-        if (*sent) {
-            asio::steady_timer never(m_executor, asio::steady_timer::time_point::max());
-            co_await never.async_wait(useTuple);
-        }
+        if (*sent)
+            co_await waitForever();
     };
     co_await (reading() || sending());
-    // The one that ended first cancelled the other.
-    const bool isHeadCancelled = !head || (!*head && head->error().kind == ErrorKind::Cancelled);
-    if (isHeadCancelled && sent && !*sent)
+    ExchangeError cancelled { ErrorKind::Cancelled, false, "cancelled" };
+    if (hasSendingFailed)
         co_return tl::unexpected(sent->error());
-    ExchangeError error { ErrorKind::Cancelled, false, "cancelled" };
     if (!head)
-        co_return tl::unexpected(std::move(error));
-    if (!*head && head->error().kind == ErrorKind::DeadlineExceeded && isSenderLate) {
-        error = { ErrorKind::RequestTimeout, false, "body not sent by the deadline" };
-        co_return tl::unexpected(std::move(error));
-    }
+        co_return tl::unexpected(std::move(cancelled));
     co_return std::move(*head);
 }
 
