Remove a field of RefusalQuery that no policy reads, and correct the comment on the forced end

Found by reading the whole change again: isRepeat was set and never read; the comment said that late requests are answered, where they are cut off.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -203,7 +203,8 @@
 
 void Daemon::logLifecycle(EventLine line) { m_events.add(std::move(line), monotonicNow()); }
 
-// The platform kills the process after the grace: requests that cannot end by then are better answered than cut off.
+// The platform kills the process after the grace: requests that cannot end by then are cut off here, with a line in the
+// log and an exit status of its own.
 void Daemon::armForcedEnd()
 {
     if (!m_settings.registry)
--- a/packages/dispatch/include/dogwoodhall/dispatch/RefusalPolicy.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/RefusalPolicy.h
@@ -13,7 +13,6 @@
     Duration goalLeft {}; // Negative: the goal has passed.
     Duration timeLeft {}; // Until no answer is of use.
     Duration expected {}; // Of the request at a free endpoint.
-    bool isRepeat = false; // The caller has come back already.
 };
 
 // When the caller should come back; empty where it need not.
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -184,7 +184,6 @@
     query.goalLeft = plan.m_query.goalAt - context.now;
     query.timeLeft = plan.m_query.limit - context.now;
     query.expected = expectedWhenCalm(plan);
-    query.isRepeat = plan.m_isRepeat;
     std::optional<Duration> retryAfter;
     if (outcome == Outcome::NotRun)
         retryAfter = m_limits.retryAfter(query, context.random);
--- a/packages/dispatch/tests/RefusalPolicyTest.cpp
+++ b/packages/dispatch/tests/RefusalPolicyTest.cpp
@@ -30,7 +30,7 @@
     RandomEngine random(1);
     Duration least = Duration::max(), most {};
     for (int n = 0; n < 200; ++n) {
-        const auto wait = spreadWithinGoal({ row.goalLeft, row.timeLeft, 80ms, false }, random);
+        const auto wait = spreadWithinGoal({ row.goalLeft, row.timeLeft, 80ms }, random);
         cr_assert_eq(wait.has_value(), row.isTold, "%s", row.name);
         if (!wait)
             return;
