Wait in PlatformTest until a record is in force before a fault strikes

Cause: the failure "request 1 got u0" of the row "killed" was the test's. All three upstreams are declared at the start, so that a request could reach u1 by chance while the first record was still in force; the platform was then killed before the daemon had read the newer ones. The other rows wait for reads after the fault and hid it. Shown: with the platform down from the start, the old test passed its two waits and failed with "request 0 got u0" and "got u2" in 4 of 5 rows; the new one fails where it should, since the record does not come into force.

--- a/tests/system/PlatformTest.cpp
+++ b/tests/system/PlatformTest.cpp
@@ -15,10 +15,14 @@
     return answer.status == 200 ? answer.field("X-Endpoint") : std::to_string(answer.status);
 }
 
+// Waits until the record is in force. While an earlier one that names several upstreams is, one of them may serve by
+// chance, which says nothing.
 void declareOnly(Cluster& cluster, const std::string& upstream)
 {
     cluster.declared = { upstream };
-    cluster.publishService();
+    const auto revision = cluster.publishService();
+    cr_assert(eventually([&] { return statusOf(cluster.daemon()).revision >= revision; }),
+        "the record that names only %s does not come into force", upstream.c_str());
 }
 
 // True when the daemon serves at this upstream, after whatever time a change takes to come into force.
--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -123,7 +123,7 @@
     return answer;
 }
 
-void Cluster::publishService()
+std::uint64_t Cluster::publishService()
 {
     json::array endpoints;
     for (const auto& upstream : m_upstreams) {
@@ -137,7 +137,7 @@
         { "rules",
             json::array { rule("downloads", "/download", "long", downloadDeadlineMs),
                 rule("others", "/", "short", deadlineMs) } } };
-    publishRecord(serviceName, json::serialize(service));
+    return publishRecord(serviceName, json::serialize(service));
 }
 
 std::string Cluster::recordOf(const std::string& service, std::size_t upstream, int schemaVersion) const
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -58,7 +58,7 @@
     void setMode(std::size_t upstream, const std::string& query);
 
     Answer platformCall(const std::string& method, const std::string& target, const std::string& body = {});
-    void publishService(); // Names the upstreams that are declared.
+    std::uint64_t publishService(); // Names the upstreams that are declared. Gives the revision.
     // A record in schema version 1 or 2 that names this upstream only, for paths below "/<service>/<upstream>", so that
     // the member that routes a request shows its own record as well as the home that places it.
     std::string recordOf(const std::string& service, std::size_t upstream, int schemaVersion) const;
