Hand the watch on when the platform turns a watcher away

Cause: in a fleet of more than 40 members one member of a data centre reads the store. Change: a member says in gossip whether its last read succeeded, a watcher at once to its whole data centre; members that are turned away come last in the choice, up to three of them, since more mean that the store is down. They try again every 5 s. A watcher that hears news from another data centre a second after its own last read starts a new read, since its watch may have gone silent. Tests: WatcherTest handsTheWatchOn, tellsItsDataCentreAtOnce.

--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -67,8 +67,9 @@
     void acceptBatch(RecordBatch);
     void acceptFromPeer(const MemberId& sender, const std::vector<Record>&);
     void acceptRecords(const std::vector<Record>&);
-    // Passes on to the own data centre what was news.
-    void acceptAndSpread(const std::vector<Record>&);
+    // Passes on to the own data centre what was news. False where nothing was.
+    bool acceptAndSpread(const std::vector<Record>&);
+    void recordsLost();
     void keepLapsed(const std::vector<Record>&);
     void armLapseTimer();
     void applySeeds();
@@ -102,6 +103,7 @@
     RecordSource m_source;
     JoinBarrier m_joinBarrier;
     LapsedEndpoints m_lapsed;
+    TimePoint m_lastRead; // Of the records, by this member itself.
     asio::steady_timer m_lapseTimer { m_io };
     MeasuringBudget m_budget;
     TokenBucket<ByteCount> m_recordBytes; // For records sent to peers.
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -43,6 +43,7 @@
     DaemonMetrics& m_metrics;
     RecordSource m_source;
     bool m_isReachable = true; // The last read succeeded.
+    std::chrono::steady_clock::time_point m_recheckAt; // Next read after a failure, also without the watch.
     asio::steady_timer m_hostsAsked; // Ends with the first read of the host list.
     asio::steady_timer m_interrupt; // Cancelled to end a read.
     bool m_mustReadAtOnce = true; // At the start, so that a starting member learns what is in force.
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -30,6 +30,9 @@
 // A leaving endpoint must be out of use within two seconds, of which the read of the registry and gossip take most.
 constexpr PublicationLimits registryPublications { .mostUpstreamsDelay = std::chrono::milliseconds(200),
     .mostDelay = std::chrono::milliseconds(200) };
+// News that comes from another data centre this long after the watcher's own last read shows that its watch is not
+// answered: a watch and gossip bring the same news within half a second of each other.
+constexpr Duration watchLag = std::chrono::seconds(1);
 // A pool's load in a gossip message, with ids of 15 characters.
 constexpr std::uint64_t loadBytes = 64;
 
@@ -62,7 +65,7 @@
           { [this] { return isWatcher(); }, [this] { return m_configuration.highestRevision(); },
               [this] { return m_gossip->fleet().hostListPeriod(); }, [this] { return drawFirstReadDelay(); },
               [this](const RecordBatch& batch) { acceptBatch(batch); },
-              [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { m_lapsed.registryLost(); } },
+              [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { recordsLost(); } },
           metrics)
     , m_operators(m_io,
           { [this] { return m_isReady && !m_isDraining; }, [this] { return m_hooks.metricsText(); },
@@ -210,9 +213,19 @@
     return m_gossip->answer(request);
 }
 
+void ControlThread::recordsLost()
+{
+    m_lapsed.registryLost();
+    if (m_settings.registry)
+        m_gossip->perform(m_gossip->fleet().setCanReadPlatform(false, monotonicNow()));
+}
+
 void ControlThread::acceptBatch(RecordBatch batch)
 {
-    m_lapsed.registryReturned(monotonicNow());
+    m_lastRead = monotonicNow();
+    m_lapsed.registryReturned(m_lastRead);
+    if (m_settings.registry)
+        m_gossip->perform(m_gossip->fleet().setCanReadPlatform(true, m_lastRead));
     if (batch.isWhole) {
         const auto deletions = m_configuration.deletionsIn(batch);
         batch.records.insert(batch.records.end(), deletions.begin(), deletions.end());
@@ -231,18 +244,24 @@
 void ControlThread::acceptFromPeer(const MemberId& sender, const std::vector<Record>& records)
 {
     const auto* member = m_gossip->fleet().find(sender);
-    if (member && member->dataCentre != m_settings.dataCentre)
-        acceptAndSpread(records);
-    else
+    if (!member || member->dataCentre == m_settings.dataCentre) {
         acceptRecords(records);
+        return;
+    }
+    // A watch whose connection has gone silent brings nothing for as long as it waits.
+    const bool isWatchLate = m_settings.registry && isWatcher() && monotonicNow() - m_lastRead > watchLag;
+    if (acceptAndSpread(records) && isWatchLate)
+        m_platform.readAtOnce();
 }
 
-void ControlThread::acceptAndSpread(const std::vector<Record>& records)
+bool ControlThread::acceptAndSpread(const std::vector<Record>& records)
 {
     const Revision before = m_configuration.highestRevision();
     acceptRecords(records);
-    if (m_settings.registry && before > Revision() && m_configuration.highestRevision() > before)
+    const bool isNews = before > Revision() && m_configuration.highestRevision() > before;
+    if (isNews && m_settings.registry)
         m_gossip->perform(m_gossip->fleet().spreadRecords(before, monotonicNow()));
+    return isNews;
 }
 
 void ControlThread::keepLapsed(const std::vector<Record>& records)
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -19,6 +19,9 @@
 // How long the first read of the records waits for the host list, which tells the size of the fleet. The host list
 // answers within milliseconds where it answers at all.
 constexpr Duration hostsPatience = std::chrono::seconds(1);
+// Between reads of a member that could not read and does not watch. Each call costs, also a refused one, and outages
+// last some seconds.
+constexpr std::chrono::seconds recheckPeriod { 5 };
 
 } // namespace
 
@@ -38,10 +41,13 @@
 {
     co_await awaitFirstRead();
     while (true) {
-        if (!m_mustReadAtOnce && !m_hooks.isWatcher()) {
+        // A member that has handed the watch on because it could not read finds out now and then whether it can again.
+        const bool isRecheckDue = !m_isReachable && std::chrono::steady_clock::now() >= m_recheckAt;
+        if (!m_mustReadAtOnce && !isRecheckDue && !m_hooks.isWatcher()) {
             co_await pause(m_source.roleCheckPeriod);
             continue;
         }
+        m_mustReadAtOnce = m_mustReadAtOnce || isRecheckDue;
         const bool isAtOnce = std::exchange(m_mustReadAtOnce, false);
         const Duration wait = isAtOnce ? Duration::zero() : m_source.watchWait;
         const auto ended = co_await (readRecords(wait) || m_interrupt.async_wait(useTuple));
@@ -80,6 +86,7 @@
     const bool wasReachable = std::exchange(m_isReachable, batch.has_value());
     if (!batch) {
         m_metrics.platformFailures.add();
+        m_recheckAt = std::chrono::steady_clock::now() + recheckPeriod;
         DOGWOODHALL_LOG(platform, warning) << "Cannot read the configuration service: " << batch.error().detail << ".";
         if (wasReachable)
             m_hooks.recordsLost();
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -29,6 +29,9 @@
     // One exchange in this many periods goes to another region, where there is one.
     unsigned otherRegionPeriods = 4;
     std::size_t watchersPerDataCentre = 2;
+    // Members of a data centre that hand the watch on because the platform turns them away. Where more are, the platform
+    // is down, and calls of further members would be in vain.
+    std::size_t mostTurnedAway = 3;
     // With 8 messages sent a second (two exchanges a period, requests and replies), 16 updates of about 60 bytes stay
     // below 8 KB/s of the daemon's 14 KB/s.
     std::size_t maxMemberUpdates = 16;
@@ -101,6 +104,9 @@
     // This member's own state. A change is spread by gossip.
     void setReady(bool);
     void announceLeaving();
+    // Whether this member can read the platform. A watcher that cannot tells its data centre at once, so that another
+    // member takes over.
+    std::vector<FleetAction> setCanReadPlatform(bool, TimePoint now);
     const Member& self() const { return m_self; }
 
     // The pool's home. Empty where its data centre has no live member, and where the home has not been heard of since
--- a/packages/fleet/include/dogwoodhall/fleet/Member.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Member.h
@@ -29,6 +29,7 @@
     std::uint32_t version = 0;
     MemberState state = MemberState::Alive;
     bool isReady = false; // Holds a configuration and serves callers.
+    bool canReadPlatform = true; // Its last read of the platform succeeded.
     ByteCount linkPerSecond {}; // What its host's link carries; zero where it is not known.
 
     friend bool operator==(const Member&, const Member&) = default;
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -231,6 +231,23 @@
     noteChange();
 }
 
+std::vector<FleetAction> Fleet::setCanReadPlatform(bool canRead, TimePoint now)
+{
+    std::vector<FleetAction> actions;
+    if (m_self.canReadPlatform == canRead)
+        return actions;
+    const bool wasWatcher = isWatcher();
+    m_self.canReadPlatform = canRead;
+    ++m_self.version;
+    noteChange();
+    for (const auto* tracked : views().own) {
+        if (wasWatcher && tracked->hasRun())
+            startExchange(tracked, now, actions);
+    }
+    reportChange(actions);
+    return actions;
+}
+
 const Member* Fleet::find(const MemberId& id) const
 {
     const auto* tracked = m_table.find(id);
--- a/packages/fleet/src/FleetPeers.cpp
+++ b/packages/fleet/src/FleetPeers.cpp
@@ -2,6 +2,7 @@
 #include "dogwoodhall/fleet/Fleet.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace dogwoodhall {
@@ -229,7 +230,7 @@
 }
 
 // A watcher sends what it reads to its whole data centre at once, for which a host with a small link takes seconds:
-// hosts go before others whose links carry less than half as much.
+// hosts go before others whose links carry less than half as much. Members that the platform turns away come last.
 std::vector<MemberId> Fleet::chooseWatchers() const
 {
     std::vector<const Member*> members;
@@ -241,14 +242,22 @@
     members.push_back(&m_self);
     const auto hasSmallerLink = [](const Member* a, const Member* b) { return a->linkPerSecond < b->linkPerSecond; };
     const auto largest = (*std::max_element(members.begin(), members.end(), hasSmallerLink))->linkPerSecond;
-    std::vector<MemberId> large;
-    std::vector<MemberId> small;
-    for (const auto* member : members)
-        (member->linkPerSecond.count() >= largest.count() / 2 ? large : small).push_back(member->id);
-    auto watchers = Rendezvous(std::move(large)).ranked(stableHash("watcher"), m_limits.watchersPerDataCentre);
-    const auto rest = Rendezvous(std::move(small))
-                          .ranked(stableHash("watcher"), m_limits.watchersPerDataCentre - watchers.size());
-    watchers.insert(watchers.end(), rest.begin(), rest.end());
+    const auto turnedAway = static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), [](const Member* it) { return !it->canReadPlatform; }));
+    enum Order : std::size_t { Large, Small, LargeTurnedAway, SmallTurnedAway, Orders };
+    std::array<std::vector<MemberId>, Orders> groups;
+    for (const auto* member : members) {
+        std::size_t order = member->linkPerSecond.count() >= largest.count() / 2 ? Large : Small;
+        if (!member->canReadPlatform && turnedAway <= m_limits.mostTurnedAway)
+            order += LargeTurnedAway;
+        groups[order].push_back(member->id);
+    }
+    std::vector<MemberId> watchers;
+    for (auto& group : groups) {
+        const std::size_t wanted = m_limits.watchersPerDataCentre - watchers.size();
+        const auto ranked = Rendezvous(std::move(group)).ranked(stableHash("watcher"), wanted);
+        watchers.insert(watchers.end(), ranked.begin(), ranked.end());
+    }
     return watchers;
 }
 
--- a/packages/fleet/tests/WatcherTest.cpp
+++ b/packages/fleet/tests/WatcherTest.cpp
@@ -80,3 +80,55 @@
     std::sort(chosen.begin(), chosen.end());
     cr_expect(chosen == row.chosen, "%s: %zu watchers", row.name, chosen.size());
 }
+
+struct TurnedAwayRow {
+    const char* name;
+    std::size_t members;
+    std::size_t turnedAway; // From the one that would watch on, in the order in which they take over.
+    bool isTakenOver;
+};
+
+const TurnedAwayRow turnedAwayRows[] = {
+    { "watcher", 5, 1, true },
+    { "watcher and its successors", 5, 3, true },
+    { "most members: the platform is down", 5, 4, false },
+    { "alone", 1, 1, false },
+};
+
+// Guards against a data centre without news while the platform turns its watcher away, and against calls of all members
+// in turn while the platform is down.
+ParameterizedTestParameters(Watcher, handsTheWatchOn) { return rowIndices(turnedAwayRows); }
+
+ParameterizedTest(std::size_t* index, Watcher, handsTheWatchOn)
+{
+    const auto& row = turnedAwayRows[*index];
+    std::vector<Member> members;
+    for (std::size_t n = 0; n < row.members; ++n)
+        members.push_back(member(n, 100));
+    const auto watcher = [&] {
+        for (std::size_t n = 0; n < members.size(); ++n) {
+            if (isWatcher(members, n, 1))
+                return n;
+        }
+        return members.size();
+    };
+    for (std::size_t n = 0; n < row.turnedAway; ++n)
+        members[watcher()].canReadPlatform = false;
+    const auto now = watcher();
+    cr_assert_lt(now, members.size(), "%s: nobody watches", row.name);
+    cr_expect_eq(members[now].canReadPlatform, row.isTakenOver, "%s", row.name);
+}
+
+// Guards against a successor that hears a second later by gossip that the watch is its own.
+Test(Watcher, tellsItsDataCentreAtOnce)
+{
+    Fleet fleet(member(0, 100), emptyHooks());
+    GossipMessage message;
+    message.sender = member(1, 10);
+    fleet.handle(message, start);
+    const auto actions = fleet.setCanReadPlatform(false, start);
+    const bool isTold = std::any_of(actions.begin(), actions.end(),
+        [](const FleetAction& action) { return std::holds_alternative<Exchange>(action); });
+    cr_expect(isTold);
+    cr_expect(!fleet.messageFor(MemberId("m1"), start).sender.canReadPlatform);
+}
