Add a fault soak that runs the real daemons on loopback

tests/soak: daemons, the stand-in store and endpoints as processes; faults by signals, by proxies on loopback before the store and each endpoint, and by the stand-ins; kept connections of clients; promises judged from what callers and endpoints saw.

--- /dev/null
+++ b/tests/soak/Clients.cpp
@@ -0,0 +1,141 @@
+#include "Clients.h"
+
+#include "dogwoodhall/daemon/Clock.h"
+#include "dogwoodhall/exchange/UseTuple.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <fcntl.h>
+#include <optional>
+#include <utility>
+
+namespace dogwoodhall::soak {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int deadlineMs = 2000;
+constexpr std::chrono::milliseconds patience { deadlineMs + 1000 }; // A paused daemon does not answer in time.
+constexpr std::chrono::milliseconds connectPatience { 1000 };
+constexpr std::size_t longestPauseMs = 80;
+
+} // namespace
+
+class Clients::Connection {
+public:
+    Connection(asio::io_context& io, std::size_t daemon, std::uint64_t lifetime)
+        : stream(io)
+        , daemon(daemon)
+        , lifetime(lifetime)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::size_t daemon;
+    std::uint64_t lifetime;
+    bool isUsable = true;
+};
+
+Clients::Clients(asio::io_context& io, Ledger& ledger, std::uint64_t seed)
+    : m_io(io)
+    , m_ledger(ledger)
+    , m_random(seed)
+{
+}
+
+void Clients::setTarget(std::size_t daemon, Target target)
+{
+    m_targets.resize(std::max(m_targets.size(), daemon + 1));
+    m_targets[daemon] = std::move(target);
+}
+
+void Clients::start(std::size_t clients)
+{
+    m_running = clients;
+    for (std::size_t n = 0; n < clients; ++n)
+        asio::co_spawn(m_io, run(n), asio::detached);
+}
+
+void Clients::stop(std::function<void()> ended)
+{
+    m_isStopping = true;
+    m_ended = std::move(ended);
+    if (m_running == 0)
+        m_ended();
+}
+
+asio::awaitable<void> Clients::run(std::size_t client)
+{
+    const std::size_t daemon = client % m_targets.size();
+    std::optional<Connection> connection;
+    asio::steady_timer timer(m_io);
+    for (std::uint64_t n = 0; !m_isStopping; ++n) {
+        timer.expires_after(std::chrono::milliseconds(1 + below(longestPauseMs)));
+        co_await timer.async_wait(useTuple);
+        if (!connection || !connection->isUsable) {
+            const auto target = m_targets[daemon];
+            connection.emplace(m_io, daemon, target.lifetime);
+            connection->stream.expires_after(connectPatience);
+            const asio::ip::tcp::endpoint endpoint(asio::ip::address_v4::loopback(), target.address.port);
+            auto [ec] = co_await connection->stream.async_connect(endpoint, useTuple);
+            connection->isUsable = !ec;
+            if (ec)
+                continue;
+            ::fcntl(connection->stream.socket().native_handle(), F_SETFD, FD_CLOEXEC);
+        }
+        const std::string id = "c" + std::to_string(client) + "-" + std::to_string(n);
+        const auto call = co_await send(*connection, id);
+        m_ledger.add(id, call);
+    }
+    if (--m_running == 0)
+        m_ended();
+}
+
+asio::awaitable<CallRecord> Clients::send(Connection& connection, const std::string& id)
+{
+    CallRecord call;
+    call.daemon = connection.daemon;
+    call.lifetime = connection.lifetime;
+    std::string text = "GET /lookups/" + id;
+    const auto choice = below(10);
+    if (choice < 3) {
+        call.kind = CallKind::Order;
+        text = "POST /orders/" + id;
+    } else if (choice < 5 && m_version > 0) {
+        call.version = m_version;
+        text = "GET /v" + std::to_string(m_version) + "/" + id;
+    }
+    text += " HTTP/1.1\r\nHost: shop\r\nDogwoodhall-Attempt-Id: " + id
+        + "\r\nDogwoodhall-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
+    text += call.kind == CallKind::Order ? "Content-Length: 5\r\n\r\norder" : "\r\n";
+    call.sentAt = monotonicNow();
+    connection.stream.expires_after(patience);
+    connection.isUsable = false;
+    const auto [writeError, written] = co_await asio::async_write(connection.stream, asio::buffer(text), useTuple);
+    http::response<http::string_body> answer;
+    beast::error_code ec = writeError;
+    if (!ec) {
+        const auto [readError, n] = co_await http::async_read(connection.stream, connection.buffer, answer, useTuple);
+        ec = readError;
+    }
+    call.endedAt = monotonicNow();
+    if (ec)
+        co_return call;
+    call.status = answer.result_int();
+    call.isWhole = true;
+    const auto body = answer.body();
+    call.isOwn = answer["Dogwoodhall-Response-Signature"] == "signed-" + id && body.ends_with(" served " + id + "\n");
+    connection.isUsable = answer.keep_alive();
+    co_return call;
+}
+
+} // namespace dogwoodhall::soak
