Ask subsets of many endpoints, keep retries from copies, and spend less on store calls and gossip in large fleets

Tests: EndpointSubsetTest, RetryAllowanceTest leavesRoomForRetries, FleetSeedsTest paysForFewExchangesWithOtherDataCentres. Soak: a disturbance is noted before it strikes.

--- a/packages/budget/include/dogwoodhall/budget/RetryAllowance.h
+++ b/packages/budget/include/dogwoodhall/budget/RetryAllowance.h
@@ -30,8 +30,12 @@
     void setMembers(std::size_t members) { m_members = members; }
 
     void requestArrived(TimePoint now);
-    // Takes one retry or copy; false where none is left.
+    // Takes one retry; false where none is left.
     bool tryTake(TimePoint now);
+    // Takes one for a copy of a request that may be answered late. A retry of one that has failed is worth more: a part
+    // is kept for those, and no copy is sent for a while after one of them got none.
+    bool tryTakeForCopy(TimePoint now);
+    bool hasRoomForCopy(TimePoint now);
     double available(TimePoint now);
 
     // Of the ratio that is used: the window in which a retry is judged may hold fewer of the requests than the window
@@ -39,6 +43,9 @@
     static constexpr double ratioUsed = 0.75;
     // Of the slack that is used. The rest is for members that this one has not heard of.
     static constexpr double slackUsed = 0.8;
+    // Of the whole allowance, kept for retries.
+    static constexpr double keptForRetries = 0.25;
+    static constexpr Duration noCopiesAfterDenial = std::chrono::seconds(1);
 
 private:
     struct Slice {
@@ -48,12 +55,19 @@
     };
     static constexpr std::size_t slices = 50; // A window, in steps that are short against it.
 
+    struct Balance {
+        double allowed = 0;
+        double taken = 0;
+    };
+
+    Balance balance(TimePoint now);
     Slice& sliceAt(TimePoint now);
     std::int64_t numberAt(TimePoint now) const;
 
     RetryLimits m_limits;
     std::size_t m_members = 1;
     std::optional<TimePoint> m_startedAt; // The first use.
+    std::optional<TimePoint> m_deniedAt; // The last retry that got none.
     std::array<Slice, slices> m_slices {};
 };
 
--- a/packages/budget/src/RetryAllowance.cpp
+++ b/packages/budget/src/RetryAllowance.cpp
@@ -33,13 +33,37 @@
 
 bool RetryAllowance::tryTake(TimePoint now)
 {
-    if (available(now) < 1)
+    if (available(now) < 1) {
+        m_deniedAt = now;
+        return false;
+    }
+    ++sliceAt(now).taken;
+    return true;
+}
+
+bool RetryAllowance::hasRoomForCopy(TimePoint now)
+{
+    if (m_deniedAt && now - *m_deniedAt < noCopiesAfterDenial)
+        return false;
+    const auto [allowed, taken] = balance(now);
+    return allowed - taken >= std::max(1.0, keptForRetries * allowed);
+}
+
+bool RetryAllowance::tryTakeForCopy(TimePoint now)
+{
+    if (!hasRoomForCopy(now))
         return false;
     ++sliceAt(now).taken;
     return true;
 }
 
 double RetryAllowance::available(TimePoint now)
+{
+    const auto [allowed, taken] = balance(now);
+    return allowed - taken;
+}
+
+RetryAllowance::Balance RetryAllowance::balance(TimePoint now)
 {
     const auto newest = numberAt(now);
     double requests = 0;
@@ -54,7 +78,7 @@
         m_startedAt = now;
     const double age = std::min(toSeconds(now - *m_startedAt) / toSeconds(m_limits.window), 1.0);
     const double slack = age * m_limits.slack * slackUsed / static_cast<double>(std::max<std::size_t>(m_members, 1));
-    return requests * m_limits.ratio.value() * ratioUsed + slack - taken;
+    return { requests * m_limits.ratio.value() * ratioUsed + slack, taken };
 }
 
 } // namespace dogwoodhall
--- a/packages/budget/tests/RetryAllowanceTest.cpp
+++ b/packages/budget/tests/RetryAllowanceTest.cpp
@@ -78,3 +78,43 @@
     }
     cr_expect(taken >= 1000 * 0.2 * 0.7, "%f", taken);
 }
+
+struct CopyRow {
+    const char* name;
+    int requests; // In one window.
+    int failures; // Of these; each takes a retry where it gets one.
+    int retriesAtLeast; // Of the failures, with as many copies as are allowed beside them.
+    int copiesAtLeast;
+    int copiesAtMost;
+};
+
+const CopyRow copyRows[] = {
+    { "nothing fails: copies use what is not kept", 1000, 0, 0, 105, 113 },
+    { "some fail: both have room", 1000, 40, 38, 60, 80 },
+    { "endpoints shed two of five: copies stop", 1000, 400, 110, 0, 40 },
+};
+
+// Guards against copies of slow requests that use up what repeats of failed ones need: while all endpoints of a service
+// shed load, one request in seven was refused although repeats would have served it.
+ParameterizedTestParameters(RetryAllowance, leavesRoomForRetries) { return rowIndices(copyRows); }
+
+ParameterizedTest(std::size_t* index, RetryAllowance, leavesRoomForRetries)
+{
+    const auto& row = copyRows[*index];
+    RetryAllowance allowance({ Fraction(0.2), 10s, 0 });
+    int retries = 0;
+    int copies = 0;
+    int failed = 0;
+    for (int n = 0; n < row.requests; ++n) {
+        const TimePoint now(100s + n * 10s / row.requests);
+        allowance.requestArrived(now);
+        copies += allowance.tryTakeForCopy(now);
+        if ((n + 1) * row.failures / row.requests == failed)
+            continue;
+        ++failed;
+        retries += allowance.tryTake(now);
+    }
+    cr_expect_geq(retries, row.retriesAtLeast, "%s: %d retries", row.name, retries);
+    cr_expect_geq(copies, row.copiesAtLeast, "%s: %d copies", row.name, copies);
+    cr_expect_leq(copies, row.copiesAtMost, "%s: %d copies", row.name, copies);
+}
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -80,6 +80,7 @@
     void perform(const std::optional<PublicationAction>&);
     void publish();
     bool isWatcher() const;
+    bool isLargeFleet() const;
     StatusReport statusReport() const;
     std::vector<ProbeTarget> probeTargets() const;
     std::vector<PoolLoadSummary> ownLoads(std::size_t most);
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -16,6 +16,7 @@
 public:
     struct Hooks {
         std::function<bool()> isWatcher;
+        std::function<Duration()> pauseAfterNews;
         std::function<Revision()> highestRevision;
         std::function<Duration()> hostListPeriod;
         std::function<Duration()> firstReadDelay; // Drawn anew at each call.
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -34,6 +34,7 @@
     Duration roleCheckPeriod = std::chrono::seconds(1);
     Duration retryDelay = std::chrono::milliseconds(500); // After a failure.
     Duration pauseAfterNews {}; // So that changes in quick succession are read together.
+    Duration pauseOfChosenWatcher {}; // The same of a watcher in a fleet of more than readersAtMost.
     // An answer is never older than an earlier one, whoever got that: no peer has to confirm it.
     bool isLinearizable = false;
     // In a fleet of up to so many members each watches, so that news depends on no peer; in a larger one only the
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -118,6 +118,7 @@
     options.shareLoads = [this](std::vector<PoolLoadSummary> loads) { shareLoads(std::move(loads)); };
     if (m_settings.registry) {
         DispatchLimits limits;
+        limits.chooser.memberKey = stableHash(m_settings.member.value());
         limits.retries = m_settings.registry->retries;
         limits.asksPerEndpointAndSecond = m_settings.registry->healthCallsPerEndpoint;
         limits.trafficThreads = m_settings.trafficThreads;
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -24,6 +24,8 @@
 // In a large fleet one member of each data centre watches the registry and passes news on at once; each call of the
 // registry costs. A whole region that the registry turns away hears of news from another one within a second.
 constexpr FleetLimits registryFleet { .otherRegionPeriods = 2,
+    // Six data centres then hear of one another within a tenth of a second on average, at any size.
+    .farExchangesPerDataCentre = 5,
     .watchersPerDataCentre = 1,
     // The entries of a hundred endpoints, so that news of a release or of many lapsed entries takes one exchange.
     .maxRecordBytes = ByteCount(48 * 1024) };
@@ -62,7 +64,8 @@
                    .control)
     , m_recordBytes(recordBytesPerSecond, recordBurst)
     , m_platform(m_io, m_source,
-          { [this] { return isWatcher(); }, [this] { return m_configuration.highestRevision(); },
+          { [this] { return isWatcher(); },
+              [this] { return isLargeFleet() ? m_source.pauseOfChosenWatcher : m_source.pauseAfterNews; }, [this] { return m_configuration.highestRevision(); },
               [this] { return m_gossip->fleet().hostListPeriod(); }, [this] { return drawFirstReadDelay(); },
               [this](const RecordBatch& batch) { acceptBatch(batch); },
               [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { recordsLost(); } },
@@ -125,10 +128,12 @@
 
 bool ControlThread::isWatcher() const
 {
-    const auto& fleet = m_gossip->fleet();
-    return fleet.size() <= m_source.readersAtMost || fleet.isWatcher();
+    return !isLargeFleet() || m_gossip->fleet().isWatcher();
 }
 
+// One in which not every member reads the records itself.
+bool ControlThread::isLargeFleet() const { return m_gossip->fleet().size() > m_source.readersAtMost; }
+
 bool ControlThread::pay(MeasuringCategory category, ByteCount size)
 {
     if (!m_budget.trySpend(category, size, monotonicNow())) {
--- a/packages/dispatch/include/dogwoodhall/dispatch/EndpointChooser.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/EndpointChooser.h
@@ -14,6 +14,11 @@
     // Endpoints asked at once before a request is placed. Four find a calm one in 99 of 100 cases where a third of the
     // hosts are slowed.
     std::size_t mostAsked = 4;
+    // Of the endpoints of a service at one distance, this member asks only so many, the same ones again and again, so
+    // that connections to them stay open. Each member has its own, by `memberKey`.
+    std::size_t subsetNear = 16; // In the own data centre.
+    std::size_t subsetFar = 8;
+    std::uint64_t memberKey = 0;
     // What a megabyte over a paid link costs, relative to an answer in time. An operator pays about as much for ten
     // previews that cross data centres as one late preview costs.
     double costPerMegabyteWithinRegion = 12;
@@ -73,6 +78,7 @@
 
 private:
     static bool isBetter(const EndpointChoice&, const EndpointChoice& than);
+    void keepSubset(std::vector<DirectoryEndpoint>&, Distance) const;
     bool isCandidate(const EndpointQuery&, const DirectoryEndpoint&, TimePoint now) const;
     EndpointChoice judge(const EndpointQuery&, const DirectoryEndpoint&, TimePoint now) const;
     double linkCost(const EndpointQuery&, Distance) const;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -226,7 +226,7 @@
 
 std::optional<AskEndpoints> Dispatcher::askForCopy(RequestPlan& plan, DecisionContext context)
 {
-    if (!mayRepeat(plan, context.now) || retriesOf(plan.service()).available(context.now) < 1)
+    if (!mayRepeat(plan, context.now) || !retriesOf(plan.service()).hasRoomForCopy(context.now))
         return std::nullopt;
     for (const auto distance : { Distance::SameDataCentre, Distance::SameRegion }) {
         if (!m_chooser.isWorthAsking(plan.m_query, distance, std::nullopt, context.now))
@@ -243,7 +243,7 @@
         return std::nullopt;
     auto choice = m_chooser.best(plan.m_query, *plan.m_asked, context.now);
     const bool isUseful = choice && choice->isFresh && choice->hasRoom && choice->chance >= m_limits.leastChance;
-    if (!isUseful || !retriesOf(plan.service()).tryTake(context.now))
+    if (!isUseful || !retriesOf(plan.service()).tryTakeForCopy(context.now))
         return std::nullopt;
     return SendRequest { *std::move(choice), plan.m_query.limit - context.now, std::nullopt };
 }
--- a/packages/dispatch/src/EndpointChooser.cpp
+++ b/packages/dispatch/src/EndpointChooser.cpp
@@ -47,6 +47,7 @@
         if (endpoint.distance == distance && isCandidate(query, endpoint, context.now))
             endpoints.push_back(endpoint);
     }
+    keepSubset(endpoints, distance);
     std::shuffle(endpoints.begin(), endpoints.end(), context.random);
     if (endpoints.size() <= m_limits.mostAsked)
         return endpoints;
@@ -57,6 +58,21 @@
     return endpoints;
 }
 
+// By rendezvous hashing: where an endpoint cannot be used, the next one in this member's order takes its place.
+void EndpointChooser::keepSubset(std::vector<DirectoryEndpoint>& endpoints, Distance distance) const
+{
+    const std::size_t size = distance == Distance::SameDataCentre ? m_limits.subsetNear : m_limits.subsetFar;
+    if (endpoints.size() <= size)
+        return;
+    const auto goesBefore = [&](const DirectoryEndpoint& a, const DirectoryEndpoint& b) {
+        return stableHash(a.registration->id.value(), m_limits.memberKey)
+            < stableHash(b.registration->id.value(), m_limits.memberKey);
+    };
+    std::nth_element(
+        endpoints.begin(), endpoints.begin() + static_cast<std::ptrdiff_t>(size), endpoints.end(), goesBefore);
+    endpoints.resize(size);
+}
+
 std::optional<EndpointChoice> EndpointChooser::best(const EndpointQuery& query, Distance farthest, TimePoint now) const
 {
     std::optional<EndpointChoice> best;
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 
@@ -28,6 +29,9 @@
     unsigned retryPeriods = 10;
     // One exchange in this many periods goes to another region, where there is one.
     unsigned otherRegionPeriods = 4;
+    // Exchanges with other data centres that the members of one begin in a period, on average; their links are paid for
+    // by volume. Empty: one for each member.
+    std::optional<double> farExchangesPerDataCentre {};
     std::size_t watchersPerDataCentre = 2;
     // Members of a data centre that hand the watch on because the platform turns them away. Where more are, the platform
     // is down, and calls of further members would be in vain.
@@ -177,6 +181,7 @@
     void startExchange(const TrackedMember*, TimePoint now, std::vector<FleetAction>&);
     const TrackedMember* nextOwn(RandomEngine&);
     const TrackedMember* secondPeer(DecisionContext);
+    bool isFarExchangeDue(RandomEngine&) const;
     GossipMessage replyTo(const GossipMessage& request, TimePoint now);
     GossipMessage makeMessage(GossipMessage::Kind, const MemberId& peer, std::size_t claims);
     void addPendingClaims(GossipMessage&, const MemberId& peer, std::size_t most);
--- a/packages/fleet/src/FleetPeers.cpp
+++ b/packages/fleet/src/FleetPeers.cpp
@@ -111,6 +111,8 @@
     const bool hasPeers = !(current.own.empty() && current.region.empty() && current.others.empty());
     if (!current.lost.empty() && (!hasPeers || m_periods % m_limits.retryPeriods == 0))
         return randomOf(current.lost, context.random);
+    if (!current.own.empty() && !isFarExchangeDue(context.random))
+        return nextOwn(context.random);
     const bool crossesRegion = m_periods % m_limits.otherRegionPeriods == 0;
     const bool hasNear = !(current.own.empty() && current.region.empty());
     if (!current.others.empty() && (crossesRegion || !hasNear))
@@ -118,6 +120,14 @@
     return current.region.empty() ? nextOwn(context.random) : randomOf(current.region, context.random);
 }
 
+bool Fleet::isFarExchangeDue(RandomEngine& random) const
+{
+    if (!m_limits.farExchangesPerDataCentre)
+        return true;
+    const double share = *m_limits.farExchangesPerDataCentre / static_cast<double>(views().own.size() + 1);
+    return std::uniform_real_distribution<double>(0, 1)(random) < share;
+}
+
 const RegionId* Fleet::regionOf(const DataCentreId& dataCentre) const
 {
     const auto it = m_regions.find(dataCentre);
--- a/packages/fleet/tests/FleetSeedsTest.cpp
+++ b/packages/fleet/tests/FleetSeedsTest.cpp
@@ -135,3 +135,48 @@
     cr_expect_eq(isStarted, row.isSent, "%s", row.name);
     cr_expect_eq(!fleet.messageFor(MemberId("other"), start).records.empty(), row.isSent, "%s", row.name);
 }
+
+struct FarRow {
+    const char* name;
+    std::size_t own; // Members of the own data centre, this one included.
+    int least; // Exchanges with other data centres in 1,000 periods.
+    int most;
+};
+
+const FarRow farRows[] = {
+    { "small data centre", 3, 1000, 1000 },
+    { "large data centre", 20, 200, 300 },
+};
+
+// Guards against gossip over paid links that grows with the size of a data centre: 120 members sent 20 MB in 40 s.
+ParameterizedTestParameters(FleetSeeds, paysForFewExchangesWithOtherDataCentres) { return rowIndices(farRows); }
+
+ParameterizedTest(std::size_t* index, FleetSeeds, paysForFewExchangesWithOtherDataCentres)
+{
+    const auto& row = farRows[*index];
+    FleetLimits limits;
+    limits.farExchangesPerDataCentre = 5;
+    Fleet fleet(member("self", ownAddress), emptyHooks(), limits);
+    for (std::size_t n = 1; n <= row.own; ++n) {
+        GossipMessage message;
+        message.sender = member(("m" + std::to_string(n)).c_str(), { "10.0.1.1", static_cast<std::uint16_t>(n) });
+        message.sender.dataCentre = DataCentreId(n == row.own ? "other" : "dc");
+        fleet.handle(message, start);
+    }
+    int far = 0;
+    RandomEngine random(1);
+    for (int n = 0; n < 1000; ++n) {
+        const TimePoint now = start + n * limits.gossipPeriod;
+        for (const auto& action : fleet.tick({ now, random })) {
+            const auto* exchange = std::get_if<Exchange>(&action);
+            if (!exchange)
+                continue;
+            far += exchange->member == MemberId("m" + std::to_string(row.own));
+            GossipMessage reply;
+            reply.kind = GossipMessage::Kind::Reply;
+            reply.sender = fleet.find(exchange->member) ? *fleet.find(exchange->member) : Member {};
+            fleet.handle(reply, now);
+        }
+    }
+    cr_expect(far >= row.least && far <= row.most, "%s: %d", row.name, far);
+}
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -131,14 +131,14 @@
     switch (fault.kind) {
     case FaultKind::KillDaemon:
         m_busyDaemons.insert(n);
-        daemon.process->kill();
         disturb(n, false, fault.duration + std::chrono::seconds(1));
+        daemon.process->kill();
         at(end, [this, n] { restartDaemon(n); });
         break;
     case FaultKind::PauseDaemon:
         m_busyDaemons.insert(n);
-        daemon.process->signal(SIGSTOP);
         disturb(n, false, fault.duration);
+        daemon.process->signal(SIGSTOP);
         at(end, [this, n] {
             m_cluster.daemons()[n].process->signal(SIGCONT);
             m_busyDaemons.erase(n);
@@ -153,8 +153,8 @@
         daemon.process->signal(SIGHUP);
         break;
     default:
-        onLoop([&] { daemon.store->setFault(fault.link, linkDelay); });
         disturb(n, true, fault.duration);
+        onLoop([&] { daemon.store->setFault(fault.link, linkDelay); });
         at(end, [this, n] { onLoop([&] { m_cluster.daemons()[n].store->setFault(LinkFault::None); }); });
     }
 }
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -52,6 +52,7 @@
     void replaceEndpoint(const Fault&);
     void awaitStop(std::size_t daemon, TimePoint since);
     void restartDaemon(std::size_t daemon);
+    // To be called before the fault strikes: what it cuts must not look as if it was cut before.
     void disturb(std::optional<std::size_t> daemon, bool isOfStore, Duration duration);
     void at(TimePoint when, Task task) { m_tasks.emplace(when, std::move(task)); }
     void performTasksUntil(TimePoint end);
