Take no connection after the caller port has closed

When the port closes, a connection may have been accepted already while its handler waits in the loop. It was taken, its request sent on, and the process ended meanwhile, since its last connection had been counted before. Ruled out: idle connections that the stop closes (the request had run), a forced end (5.8 s), a pause. Shown: AcceptorTest takesNothingOnceClosed fails without the change ("2 taken").

--- a/packages/exchange/src/Acceptor.cpp
+++ b/packages/exchange/src/Acceptor.cpp
@@ -46,9 +46,12 @@
 {
     while (m_acceptor.is_open()) {
         auto [ec, socket] = co_await m_acceptor.async_accept(useTuple);
+        // A connection that was accepted just before close() is closed unread: its caller knows that nothing has run.
+        if (!m_acceptor.is_open())
+            co_return;
         if (!ec) {
             takeConnection(std::move(socket));
-        } else if (m_acceptor.is_open()) {
+        } else {
             m_retry.expires_after(retryDelay);
             co_await m_retry.async_wait(useTuple);
         }
--- a/packages/exchange/tests/AcceptorTest.cpp
+++ b/packages/exchange/tests/AcceptorTest.cpp
@@ -5,7 +5,9 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <sys/resource.h>
+#include <vector>
 
 using namespace dogwoodhall;
 
@@ -139,3 +141,28 @@
     fixture.io.run();
     cr_assert_eq(fixture.accepted, closeRows[*index].isPausing ? 0 : 1, "%s", closeRows[*index].name);
 }
+
+// Guards against a connection that is taken after the port was closed: a stopping process had counted its connections
+// and ended while the request of the late one ran. The second connection is accepted as soon as the first is taken, and
+// its handler waits behind the one that closes the port.
+Test(Acceptor, takesNothingOnceClosed)
+{
+    asio::io_context io;
+    Acceptor acceptor(io.get_executor());
+    const auto address = acceptor.listen(kernelChosen, PortSharing::Exclusive).value();
+    std::size_t accepted = 0;
+    const auto take = [&](asio::ip::tcp::socket) {
+        ++accepted;
+        asio::post(io, [&] { acceptor.close(); });
+    };
+    asio::co_spawn(io, acceptor.run(take), asio::detached);
+    io.poll();
+    asio::io_context callerIo;
+    std::vector<asio::ip::tcp::socket> callers;
+    for (int n = 0; n < 2; ++n) {
+        callers.emplace_back(callerIo);
+        callers.back().connect({ asio::ip::make_address(address.ip), address.port });
+    }
+    io.run();
+    cr_assert_eq(accepted, 1, "%zu taken", accepted);
+}
