Pause between a member's first read of the registry and its first watch, and ask smaller subsets

A member without peers does not pause. Subsets of 10 and 5 endpoints instead of 16 and 8 leave fewer connections to open. Ruled out: the same pause without peers, which hid an outage 0.3 s after the start (RegistryTest lapsed).

--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -17,6 +17,7 @@
     struct Hooks {
         std::function<bool()> isWatcher;
         std::function<Duration()> pauseAfterNews;
+        std::function<bool()> hasPeers; // Others may run, heard of or not.
         std::function<Revision()> highestRevision;
         std::function<Duration()> hostListPeriod;
         std::function<Duration()> firstReadDelay; // Drawn anew at each call.
@@ -47,6 +48,7 @@
     std::chrono::steady_clock::time_point m_recheckAt; // Next read after a failure, also without the watch.
     asio::steady_timer m_hostsAsked; // Ends with the first read of the host list.
     asio::steady_timer m_interrupt; // Cancelled to end a read.
+    bool m_isFirstRead = true; // No read has succeeded yet.
     bool m_mustReadAtOnce = true; // At the start, so that a starting member learns what is in force.
 };
 
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -37,6 +37,9 @@
     Duration pauseOfChosenWatcher {}; // The same of a watcher in a fleet of more than readersAtMost.
     // An answer is never older than an earlier one, whoever got that: no peer has to confirm it.
     bool isLinearizable = false;
+    // Between a member's first read and its first watch. By its end the member knows from its peers whether the fleet
+    // is so large that others watch.
+    Duration pauseAfterFirstRead {};
     // In a fleet of up to so many members each watches, so that news depends on no peer; in a larger one only the
     // watchers that the fleet chooses.
     std::size_t readersAtMost = 0;
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -65,7 +65,8 @@
     , m_recordBytes(recordBytesPerSecond, recordBurst)
     , m_platform(m_io, m_source,
           { [this] { return isWatcher(); },
-              [this] { return isLargeFleet() ? m_source.pauseOfChosenWatcher : m_source.pauseAfterNews; }, [this] { return m_configuration.highestRevision(); },
+              [this] { return isLargeFleet() ? m_source.pauseOfChosenWatcher : m_source.pauseAfterNews; },
+              [this] { return m_gossip->fleet().size() > 1; }, [this] { return m_configuration.highestRevision(); },
               [this] { return m_gossip->fleet().hostListPeriod(); }, [this] { return drawFirstReadDelay(); },
               [this](const RecordBatch& batch) { acceptBatch(batch); },
               [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { recordsLost(); } },
@@ -126,10 +127,7 @@
     asio::co_spawn(m_io, m_prober.run(), asio::detached);
 }
 
-bool ControlThread::isWatcher() const
-{
-    return !isLargeFleet() || m_gossip->fleet().isWatcher();
-}
+bool ControlThread::isWatcher() const { return !isLargeFleet() || m_gossip->fleet().isWatcher(); }
 
 // One in which not every member reads the records itself.
 bool ControlThread::isLargeFleet() const { return m_gossip->fleet().size() > m_source.readersAtMost; }
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -52,6 +52,8 @@
         const Duration wait = isAtOnce ? Duration::zero() : m_source.watchWait;
         const auto ended = co_await (readRecords(wait) || m_interrupt.async_wait(useTuple));
         const bool* isRead = std::get_if<0>(&ended);
+        if (isRead && *isRead && std::exchange(m_isFirstRead, false) && m_hooks.hasPeers())
+            co_await pause(m_source.pauseAfterFirstRead);
         if (!isRead || *isRead)
             continue;
         m_mustReadAtOnce = m_mustReadAtOnce || isAtOnce;
--- a/packages/dispatch/include/dogwoodhall/dispatch/EndpointChooser.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/EndpointChooser.h
@@ -16,8 +16,8 @@
     std::size_t mostAsked = 4;
     // Of the endpoints of a service at one distance, this member asks only so many, the same ones again and again, so
     // that connections to them stay open. Each member has its own, by `memberKey`.
-    std::size_t subsetNear = 16; // In the own data centre.
-    std::size_t subsetFar = 8;
+    std::size_t subsetNear = 10; // In the own data centre.
+    std::size_t subsetFar = 5;
     std::uint64_t memberKey = 0;
     // What a megabyte over a paid link costs, relative to an answer in time. An operator pays about as much for ten
     // previews that cross data centres as one late preview costs.
