--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -33,8 +33,8 @@
     // by volume. Empty: one for each member.
     std::optional<double> farExchangesPerDataCentre {};
     std::size_t watchersPerDataCentre = 2;
-    // Members of a data centre that hand the watch on because the platform turns them away. Where more are, the platform
-    // is down, and calls of further members would be in vain.
+    // Members of a data centre that hand the watch on because the platform turns them away. Where more are, the
+    // platform is down, and calls of further members would be in vain.
     std::size_t mostTurnedAway = 3;
     // With 8 messages sent a second (two exchanges a period, requests and replies), 16 updates of about 60 bytes stay
     // below 8 KB/s of the daemon's 14 KB/s.
--- a/packages/fleet/tests/FleetRecordsTest.cpp
+++ b/packages/fleet/tests/FleetRecordsTest.cpp
@@ -63,10 +63,10 @@
 private:
     Fleet::Hooks hooks()
     {
-        return { [this] {
-                    return ConfigurationDigest { Revision(revisions.empty() ? 0 : *revisions.rbegin()),
-                        revisions.size() };
-                },
+        return {
+            [this] {
+                return ConfigurationDigest { Revision(revisions.empty() ? 0 : *revisions.rbegin()), revisions.size() };
+            },
             [this](Revision since, ByteCount) {
                 std::vector<Record> records;
                 for (auto it = revisions.upper_bound(since.value());
@@ -75,7 +75,8 @@
                 return records;
             },
             [](ByteCount) { return std::vector<Record> {}; },
-            [](std::size_t) { return std::vector<PoolLoadSummary> {}; } };
+            [](std::size_t) { return std::vector<PoolLoadSummary> {}; }
+        };
     }
 
     void take(const std::vector<FleetAction>& actions)
@@ -129,8 +130,8 @@
     greeting.configuration = { Revision(newest), 0 };
     reader.fleet->handle(greeting, start);
     reader.exchangeWith(peer, reader.fleet->spreadRecords(Revision(row.before), start));
-    cr_expect(peer.revisions == upTo(newest), "%s: %zu of %zu records", row.name, peer.revisions.size(),
-        std::size_t(newest));
+    cr_expect(
+        peer.revisions == upTo(newest), "%s: %zu of %zu records", row.name, peer.revisions.size(), std::size_t(newest));
     cr_expect_leq(reader.exchanges, row.exchanges, "%s: %zu exchanges", row.name, reader.exchanges);
 }
 
--- a/packages/wire/src/RecordCompressor.cpp
+++ b/packages/wire/src/RecordCompressor.cpp
@@ -54,8 +54,8 @@
         std::string result(capacity, '\0');
         uLongf size = capacity;
         uLong consumed = input.size();
-        const int status = uncompress2(reinterpret_cast<Bytef*>(result.data()), &size,
-            reinterpret_cast<const Bytef*>(input.data()), &consumed);
+        const int status = uncompress2(
+            reinterpret_cast<Bytef*>(result.data()), &size, reinterpret_cast<const Bytef*>(input.data()), &consumed);
         if (status == Z_OK && consumed == input.size()) {
             result.resize(size);
             return result;
--- a/packages/wire/tests/GossipCodecTest.cpp
+++ b/packages/wire/tests/GossipCodecTest.cpp
@@ -124,7 +124,8 @@
 struct RoundTripRow {
     GossipMessage (*make)();
 };
-const RoundTripRow roundTripRows[] = { { makeMinimal }, { makeFull }, { makeLargest }, { makeCompressible }, { makeIncompressible } };
+const RoundTripRow roundTripRows[]
+    = { { makeMinimal }, { makeFull }, { makeLargest }, { makeCompressible }, { makeIncompressible } };
 
 // Guards against content that is lost or changed between two daemons.
 ParameterizedTestParameters(GossipCodec, keepsMessage) { return rowIndices(roundTripRows); }
@@ -218,8 +219,8 @@
         "compressed record value malformed or too long" },
     { [] {
          return valid
-             + field(8,
-                 field(1, "k") + field(2, '\1') + field(5, compressedText().substr(0, compressedText().size() - 1)));
+             + field(
+                 8, field(1, "k") + field(2, '\1') + field(5, compressedText().substr(0, compressedText().size() - 1)));
      },
         "compressed record value malformed or too long" },
     { [] { return changed([](GossipMessage& m) { m.records[0].value = noise(maxGossipBytes.count()); }); },
--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -78,8 +78,7 @@
     m_links.push_back(link);
     link->far.open(tcp::v4());
     closeOnExec(link->far);
-    auto [ec]
-        = co_await link->far.async_connect({ asio::ip::address_v4::loopback(), m_target.port }, useTuple);
+    auto [ec] = co_await link->far.async_connect({ asio::ip::address_v4::loopback(), m_target.port }, useTuple);
     if (ec || m_fault == LinkFault::Reset) {
         reset(link->near);
         co_return;
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -139,11 +139,10 @@
     const auto bySending = [](const auto& a, const auto& b) { return a.second.sentAt < b.second.sentAt; };
     const auto [first, last] = std::minmax_element(m_calls.begin(), m_calls.end(), bySending);
     const double windows = 1 + toSeconds(last->second.sentAt - first->second.sentAt) / windowSeconds;
-    const double allowed
-        = m_limits.retryRatio * static_cast<double>(m_calls.size()) + m_limits.retrySlack * windows;
+    const double allowed = m_limits.retryRatio * static_cast<double>(m_calls.size()) + m_limits.retrySlack * windows;
     if (static_cast<double>(repeats) > allowed)
-        violations.push_back({ "retry budget", std::to_string(repeats) + " repeats of "
-                + std::to_string(m_calls.size()) + " requests" });
+        violations.push_back({ "retry budget",
+            std::to_string(repeats) + " repeats of " + std::to_string(m_calls.size()) + " requests" });
 }
 
 void Ledger::judgeRecovery(Violations& violations) const
--- a/tests/soak/LedgerTest.cpp
+++ b/tests/soak/LedgerTest.cpp
@@ -184,7 +184,8 @@
     const auto violations = ledger.judge();
     const std::string expected = row.rule;
     if (expected.empty()) {
-        cr_assert(violations.empty(), "%s: found \"%s: %s\"", row.name, violations.empty() ? "" : violations[0].rule.c_str(),
+        cr_assert(violations.empty(), "%s: found \"%s: %s\"", row.name,
+            violations.empty() ? "" : violations[0].rule.c_str(),
             violations.empty() ? "" : violations[0].detail.c_str());
         return;
     }
--- a/tests/soak/Scenario.cpp
+++ b/tests/soak/Scenario.cpp
@@ -39,9 +39,9 @@
 const LinkFault links[]
     = { LinkFault::Delayed, LinkFault::Reset, LinkFault::OneWay, LinkFault::Silent, LinkFault::Dead };
 
-const char* const modes[] = { "fault=refuse", "fault=cut", "fault=cut-unrun", "fault=truncate", "fault=extra",
-    "fault=other", "fault=unsigned", "fault=unframed", "fault=error", "fault=hang", "delay_ms=400", "health=503",
-    "running=3" };
+const char* const modes[]
+    = { "fault=refuse", "fault=cut", "fault=cut-unrun", "fault=truncate", "fault=extra", "fault=other",
+          "fault=unsigned", "fault=unframed", "fault=error", "fault=hang", "delay_ms=400", "health=503", "running=3" };
 
 const KindRow& rowOf(FaultKind kind)
 {
@@ -71,7 +71,8 @@
         const auto& row = chosen[below(chosen.size())];
         Fault fault;
         fault.kind = row.kind;
-        fault.at = first + Duration(static_cast<Duration::rep>(below(static_cast<std::size_t>((last - first).count()))));
+        fault.at
+            = first + Duration(static_cast<Duration::rep>(below(static_cast<std::size_t>((last - first).count()))));
         const auto longest = std::max<std::size_t>(static_cast<std::size_t>(row.longest.count()), 4);
         fault.duration = std::min<Duration>(milliseconds(longest / 4 + below(longest)), last - fault.at);
         const bool isOfDaemon = row.kind < FaultKind::EndpointLink;
--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -80,8 +80,8 @@
 void SoakCluster::startDaemon(std::size_t n)
 {
     auto& daemon = m_daemons.at(n);
-    daemon.process = std::make_unique<Process>(
-        std::vector<std::string> { DAEMON_BINARY, "--settings", daemon.settings });
+    daemon.process
+        = std::make_unique<Process>(std::vector<std::string> { DAEMON_BINARY, "--settings", daemon.settings });
     const auto addresses = daemon.process->readListening();
     daemon.caller = addresses.at("caller");
     daemon.admin = addresses.at("admin");
@@ -93,8 +93,8 @@
     auto& endpoint = m_endpoints.at(n);
     endpoint.id = "i-" + std::to_string(m_started.size());
     m_started.push_back(endpoint.id);
-    endpoint.process = std::make_unique<Process>(std::vector<std::string> { REGISTERED_UPSTREAM_BINARY, "--id",
-        endpoint.id, "--runs-file", (m_folder / endpoint.id).string() });
+    endpoint.process = std::make_unique<Process>(std::vector<std::string> {
+        REGISTERED_UPSTREAM_BINARY, "--id", endpoint.id, "--runs-file", (m_folder / endpoint.id).string() });
     endpoint.address = endpoint.process->readListening().at("address");
     // Connections through the former proxy may still be open.
     if (endpoint.proxy)
@@ -143,8 +143,8 @@
     callStore("PUT", "/control/items/op/config",
         toBase64(json::serialize(json::object { { "version", digits }, { "routes", std::move(routes) },
             { "services",
-                json::object { { "catalogue",
-                    json::object { { "health_path", "/health" }, { "max_connections", 200 } } } } } })));
+                json::object {
+                    { "catalogue", json::object { { "health_path", "/health" }, { "max_connections", 200 } } } } } })));
     return m_version;
 }
 
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -232,7 +232,8 @@
         return;
     }
     if (monotonicNow() - since > stopGrace + std::chrono::seconds(1)) {
-        m_report.violations.push_back({ "stops end", m_cluster.daemons()[daemon].name + " did not end within its grace" });
+        m_report.violations.push_back(
+            { "stops end", m_cluster.daemons()[daemon].name + " did not end within its grace" });
         process.kill();
         restartDaemon(daemon);
         return;
@@ -276,8 +277,7 @@
     namespace fs = std::filesystem;
     const fs::path folder = "/proc/" + std::to_string(process.id());
     const auto count = [&](const char* name) {
-        return static_cast<std::size_t>(
-            std::distance(fs::directory_iterator(folder / name), fs::directory_iterator()));
+        return static_cast<std::size_t>(std::distance(fs::directory_iterator(folder / name), fs::directory_iterator()));
     };
     return { process.residentKilobytes(), count("fd"), count("task") };
 }
@@ -292,9 +292,8 @@
         const auto used = resourcesOf(*daemon.process);
         if (used.kilobytes > mostKilobytes || used.descriptors > mostDescriptors || used.threads > mostThreads)
             m_report.violations.push_back({ "resources",
-                daemon.name + " holds " + std::to_string(used.kilobytes) + " KB, "
-                    + std::to_string(used.descriptors) + " descriptors, " + std::to_string(used.threads)
-                    + " threads" });
+                daemon.name + " holds " + std::to_string(used.kilobytes) + " KB, " + std::to_string(used.descriptors)
+                    + " descriptors, " + std::to_string(used.threads) + " threads" });
     }
 }
 
