Do not close a stopping caller's connection whose request has been read

Bytes that were read with the handler still queued are neither in the socket nor known to the session: the connection was closed, the request passed on, and its answer lost. Change: the read is cancelled, which does not touch one that has completed.

--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -146,10 +146,11 @@
 {
     m_isStopping = true;
     // A request that has arrived and is not read yet is served; to close here would reset the connection and leave its
-    // caller in doubt whether the request ran.
+    // caller in doubt whether the request ran. One that has been read, with its handler still queued, is not affected
+    // by the cancellation: with the connection closed it would be passed on, and its answer lost.
     beast::error_code ec;
     if (m_isIdle && m_stream.socket().available(ec) == 0)
-        m_stream.close();
+        m_stream.cancel();
 }
 
 asio::awaitable<beast::error_code> CallerSession::Impl::readHead()
