--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -48,6 +48,7 @@
     std::chrono::steady_clock::time_point m_recheckAt; // Next read after a failure, also without the watch.
     asio::steady_timer m_hostsAsked; // Ends with the first read of the host list.
     asio::steady_timer m_interrupt; // Cancelled to end a read.
+    bool m_wasWatcher = false; // At the last look.
     bool m_isFirstRead = true; // No read has succeeded yet.
     bool m_mustReadAtOnce = true; // At the start, so that a starting member learns what is in force.
 };
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -43,7 +43,10 @@
     while (true) {
         // A member that has handed the watch on because it could not read finds out now and then whether it can again.
         const bool isRecheckDue = !m_isReachable && std::chrono::steady_clock::now() >= m_recheckAt;
-        if (!m_mustReadAtOnce && !isRecheckDue && !m_hooks.isWatcher()) {
+        const bool isWatcher = m_hooks.isWatcher();
+        if (std::exchange(m_wasWatcher, isWatcher) != isWatcher)
+            DOGWOODHALL_LOG(platform, info) << (isWatcher ? "Watches" : "No longer watches") << " the records.";
+        if (!m_mustReadAtOnce && !isRecheckDue && !isWatcher) {
             co_await pause(m_source.roleCheckPeriod);
             continue;
         }
