--- a/tests/soak/Clients.cpp
+++ b/tests/soak/Clients.cpp
@@ -1,5 +1,7 @@
 #include "Clients.h"
 
+#include "Sockets.h"
+
 #include "dogwoodhall/daemon/Clock.h"
 #include "dogwoodhall/exchange/UseTuple.h"
 
@@ -10,7 +12,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <fcntl.h>
 #include <optional>
 #include <utility>
 
@@ -90,7 +91,7 @@
             connection->isUsable = !ec;
             if (ec)
                 continue;
-            ::fcntl(connection->stream.socket().native_handle(), F_SETFD, FD_CLOEXEC);
+            closeOnExec(connection->stream.socket());
         }
         const std::string id = "c" + std::to_string(client) + "-" + std::to_string(n);
         const auto call = co_await send(*connection, id);
--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -1,12 +1,13 @@
 #include "FaultProxy.h"
 
+#include "Sockets.h"
+
 #include "dogwoodhall/exchange/UseTuple.h"
 
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
-#include <fcntl.h>
 #include <utility>
 
 namespace dogwoodhall::soak {
@@ -18,19 +19,6 @@
 
 constexpr std::size_t bufferBytes = 16 * 1024;
 
-// A process that is started later must not inherit the socket.
-template <typename SocketType> void closeOnExec(SocketType& socket)
-{
-    ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
-}
-
-void reset(tcp::socket& socket)
-{
-    boost::system::error_code ec;
-    socket.set_option(asio::socket_base::linger(true, 0), ec);
-    socket.close(ec);
-}
-
 } // namespace
 
 FaultProxy::FaultProxy(asio::io_context& io, NetworkAddress target)
@@ -54,8 +42,8 @@
         const auto link = it.lock();
         link->isDead = link->isDead || fault == LinkFault::Dead;
         if (fault == LinkFault::Reset) {
-            reset(link->near);
-            reset(link->far);
+            resetConnection(link->near);
+            resetConnection(link->far);
         }
     }
     m_changed.cancel();
@@ -80,7 +68,7 @@
     closeOnExec(link->far);
     auto [ec] = co_await link->far.async_connect({ asio::ip::address_v4::loopback(), m_target.port }, useTuple);
     if (ec || m_fault == LinkFault::Reset) {
-        reset(link->near);
+        resetConnection(link->near);
         co_return;
     }
     asio::co_spawn(m_io, pump(link, Direction::FromTarget), asio::detached);
@@ -107,8 +95,8 @@
             std::tie(ec, n) = co_await asio::async_write(to, asio::buffer(buf.data(), n), useTuple);
         if (!ec)
             continue;
-        reset(link->near);
-        reset(link->far);
+        resetConnection(link->near);
+        resetConnection(link->far);
         co_return;
     }
 }
--- a/tests/system/support/PeerRelay.cpp
+++ b/tests/system/support/PeerRelay.cpp
@@ -1,5 +1,7 @@
 #include "PeerRelay.h"
 
+#include "Sockets.h"
+
 #include "dogwoodhall/exchange/UseTuple.h"
 
 #include <array>
@@ -8,7 +10,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <fcntl.h>
 #include <filesystem>
 #include <future>
 #include <linux/inet_diag.h>
@@ -29,19 +30,6 @@
 
 constexpr std::size_t bufferBytes = 16 * 1024;
 
-// A process that the test starts later would hold an inherited socket open past its end here.
-template <typename SocketType> void closeOnExec(SocketType& socket)
-{
-    ::fcntl(socket.native_handle(), F_SETFD, FD_CLOEXEC);
-}
-
-void reset(tcp::socket& socket)
-{
-    boost::system::error_code ec;
-    socket.set_option(asio::socket_base::linger(true, 0), ec);
-    socket.close(ec);
-}
-
 // The inode of the socket at the other end of an accepted connection over 127.0.0.1; empty where that is closed. The
 // kernel looks up this one socket: its table of all sockets takes 0.2 s to read while it holds 120,000 closed
 // connections of other tests, and the relay forwards nothing meanwhile.
@@ -127,8 +115,8 @@
         for (const auto& it : m_connections) {
             const auto connection = it.lock();
             if (fault == Fault::Reset && isCut(*connection)) {
-                reset(connection->near);
-                reset(connection->far);
+                resetConnection(connection->near);
+                resetConnection(connection->far);
             }
         }
         m_changed.cancel();
@@ -167,7 +155,7 @@
     co_await waitWhileHung(connection);
     const auto target = m_targets.find(connection->to);
     if (target == m_targets.end() || isCut(*connection)) {
-        reset(connection->near);
+        resetConnection(connection->near);
         co_return;
     }
     const tcp::endpoint endpoint(asio::ip::address_v4::loopback(), target->second.address.port);
@@ -175,7 +163,7 @@
     closeOnExec(connection->far);
     auto [ec] = co_await connection->far.async_connect(endpoint, useTuple);
     if (ec) {
-        reset(connection->near);
+        resetConnection(connection->near);
         co_return;
     }
     asio::co_spawn(m_io, pump(connection, &Connection::far, &Connection::near), asio::detached);
@@ -196,8 +184,8 @@
             std::tie(ec, n) = co_await asio::async_write((*connection).*to, asio::buffer(buf.data(), n), useTuple);
         if (!ec)
             continue;
-        reset(connection->near);
-        reset(connection->far);
+        resetConnection(connection->near);
+        resetConnection(connection->far);
         co_return;
     }
 }
