--- a/review/stand-ins/StandIns.h
+++ b/review/stand-ins/StandIns.h
@@ -332,7 +332,8 @@
     return result;
 }
 
-// The platform's store: kv-range and kv-watch over all keys.
+// The platform's store: kv-range and kv-watch over all keys. While it is silent, a call that arrives never gets an
+// answer, and one that waits gets none until the silence is over.
 class Store {
 public:
     explicit Store(const std::string& ip)
@@ -356,6 +357,20 @@
         m_changed.notify_all();
     }
 
+    void setSilent(bool isSilent)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isSilent = isSilent;
+        m_changed.notify_all();
+    }
+
+    // Calls that arrived during a silence.
+    int callsUnanswered()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_callsUnanswered;
+    }
+
 private:
     struct Item {
         std::string value;
@@ -394,6 +409,10 @@
     void serve(Connection& connection)
     {
         while (const auto request = connection.read(3600)) {
+            if (isUnanswered()) {
+                connection.waitForEnd();
+                return;
+            }
             const auto target = request->target();
             const auto body = target.starts_with("/api/kv-range") ? range(target) : watch(target);
             if (!connection.send(answer(200, body, "Content-Type: application/json\r\n")))
@@ -401,6 +420,13 @@
         }
     }
 
+    bool isUnanswered()
+    {
+        const std::lock_guard lock(m_mutex);
+        m_callsUnanswered += m_isSilent ? 1 : 0;
+        return m_isSilent;
+    }
+
     std::string range(const std::string& target)
     {
         constexpr std::size_t maxItems = 500;
@@ -426,7 +452,7 @@
         std::unique_lock lock(m_mutex);
         const auto after = std::stoull("0" + parameter(target, "after"));
         const auto wait = Milliseconds(std::stoull("0" + parameter(target, "wait_ms")));
-        m_changed.wait_for(lock, wait, [&] { return m_revision > after; });
+        m_changed.wait_for(lock, wait, [&] { return m_revision > after && !m_isSilent; });
         std::map<std::uint64_t, std::string> events;
         for (const auto& [key, item] : m_items) {
             if (item.revision > after)
@@ -442,6 +468,8 @@
     std::condition_variable m_changed;
     std::map<std::string, Item> m_items;
     std::uint64_t m_revision = 1;
+    bool m_isSilent = false;
+    int m_callsUnanswered = 0;
     Server m_server; // Last, since it serves as soon as it exists.
 };
 
