Show that open connections keep the limits of an older configuration

Cause: a session copies the limits of callers when its connection is accepted; a change applies to connections accepted later only.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for name in ForcedStop HeadLength SilentStore; do
+for name in ForcedStop HeadLength KeptLimits SilentStore; do
   "${CXX:-g++}" -std=c++20 -O1 -g -Wall -Wextra -pthread -o "target/review/$name" "review/stand-ins/$name.cpp"
 done
