Replace watches whose response the store has lost

Cause: a watch waits 25 s and its client 27 s. One that is sent into a silence, or whose response is lost, gets no response later, while the store's kernel goes on acknowledging the keep-alive probes. All members send their next watch 150 ms after a change, so that one silence can take the watches of all of them.

Change: while a watch waits, PlatformWatcher asks the source whether it has records that the watch should have returned. At the store this is a serializable read of an empty range, once a second; the product's own configuration service has the same watch and is asked every 4 s. No response fails the read, and the next read does not wait. Newer records without a response replace the watch at once. An interrupted read no longer counts as a failure of the service.

Evidence: RegistryTest followsAStoreThatWasSilent fails before the change with a silence of 3.5 s and with one of 0.4 s that only the request of the watch meets; a watch that waits before the silence is answered after it, before the change too.

--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -38,6 +38,8 @@
     Counter& publicationMicroseconds; // Processor time of the control thread for publications.
     Counter& platformReads;
     Counter& platformFailures;
+    Counter& platformChecks;
+    Counter& watchesLost;
     Counter& membersAlive;
     Counter& gossipExchanges;
     Counter& gossipFailures;
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformClient.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformClient.h
@@ -12,6 +12,8 @@
 
     // Long poll: the service waits for up to `wait` if no record is newer than `since`.
     ExchangeResult<RecordBatch> readRecords(Revision since, Duration wait);
+    // Returns whether the service has records that the watch in progress should have returned.
+    ExchangeResult<bool> hasNewerRecords();
     ExchangeResult<HostList> readHosts();
 
 private:
@@ -19,6 +21,7 @@
 
     UpstreamClient m_client;
     NetworkAddress m_address;
+    Revision m_since; // Of the last read.
 };
 
 // A record source that reads the product's own configuration service.
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -14,6 +14,9 @@
 // Reads the records and, if the platform has one, the host list on the control thread. Only watchers keep a watch open.
 // Other members read the records once at start, after a delay that depends on the first host list, and once after each
 // pause of the process.
+//
+// A watch waits on a connection that the service's kernel keeps open even if its response is lost. While it waits, the
+// service is asked periodically whether it responds and whether it has records that the watch should have returned.
 class PlatformWatcher {
 public:
     struct Hooks {
@@ -37,8 +40,15 @@
     void readNow();
 
 private:
+    using ReadResult = tl::expected<RecordBatch, ExchangeError>;
+
     asio::awaitable<void> awaitFirstRead();
     Duration startRetryDelay() const;
+    // Fails with ErrorKind::Cancelled if the watch's response is lost although the service responds.
+    ExchangeResult<RecordBatch> watch(Duration wait);
+    asio::awaitable<void> readInto(std::optional<ReadResult>&, Duration wait);
+    // Completes with an error when the response to the watch in progress is no longer to be expected.
+    asio::awaitable<void> detectLostWatch(std::optional<ReadResult>&);
     asio::awaitable<void> readRecords(Duration wait, std::optional<bool>& isRead);
     void handleFailedBatch(const std::exception_ptr&);
     asio::awaitable<void> pause(Duration);
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -27,11 +27,16 @@
 struct RecordSource {
     // Waits for up to `wait` if no record is newer than `since`.
     std::function<ExchangeResult<RecordBatch>(Revision since, Duration wait)> readRecords;
+    // Asks the service, without waiting, whether it has records that the watch in progress should have returned. Fails
+    // if the service does not respond. Must be callable while readRecords is in progress.
+    std::function<ExchangeResult<bool>()> hasNewerRecords {};
     // Makes the next read return all records, after a batch could not be processed. Empty if each read is by `since`.
     std::function<void()> restart {};
     // Empty if the platform has no host list.
     std::function<ExchangeResult<HostList>()> readHosts;
     Duration watchWait = std::chrono::seconds(20);
+    // How often a waiting watch is checked with hasNewerRecords.
+    Duration watchCheckPeriod = std::chrono::seconds(1);
     // How often a non-watcher checks whether it has become a watcher.
     Duration roleCheckPeriod = std::chrono::seconds(1);
     Duration retryDelay = std::chrono::milliseconds(500); // After a failure.
--- a/packages/daemon/src/control/PlatformClient.cpp
+++ b/packages/daemon/src/control/PlatformClient.cpp
@@ -86,6 +86,7 @@
 
 ExchangeResult<RecordBatch> PlatformClient::readRecords(Revision since, Duration wait)
 {
+    m_since = since;
     const auto waitMs = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
     auto body
         = co_await get("/v1/records?since=" + std::to_string(since.value()) + "&wait_ms=" + std::to_string(waitMs),
@@ -93,6 +94,15 @@
     co_return parseAnswer(body, toBatch);
 }
 
+ExchangeResult<bool> PlatformClient::hasNewerRecords()
+{
+    auto body = co_await get("/v1/records?since=" + std::to_string(m_since.value()) + "&wait_ms=0", readTimeout);
+    const auto batch = parseAnswer(body, toBatch);
+    if (!batch)
+        co_return tl::unexpected(batch.error());
+    co_return !batch->records.empty();
+}
+
 ExchangeResult<HostList> PlatformClient::readHosts()
 {
     auto body = co_await get("/v1/hosts", readTimeout);
@@ -118,6 +128,9 @@
     auto hosts = std::make_shared<PlatformClient>(executor, address);
     RecordSource source;
     source.readRecords = [records](Revision since, Duration wait) { return records->readRecords(since, wait); };
+    source.hasNewerRecords = [records] { return records->hasNewerRecords(); };
+    // Changes must be in force within 14 s.
+    source.watchCheckPeriod = std::chrono::seconds(4);
     source.readHosts = [hosts] { return hosts->readHosts(); };
     return source;
 }
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -19,6 +19,8 @@
 // How long the first read of the records waits for the host list, from which the fleet size is known. The host list
 // service normally responds within milliseconds.
 constexpr Duration firstHostListTimeout = std::chrono::seconds(1);
+// How long the response to a watch may take after its records are visible to other reads.
+constexpr Duration maxWatchDelay = std::chrono::milliseconds(500);
 // Interval between reads by a non-watcher whose last read failed. Every call has a cost, even a refused one, and
 // outages last several seconds.
 constexpr std::chrono::seconds recheckPeriod { 5 };
@@ -52,7 +54,8 @@
         }
         m_mustReadNow = m_mustReadNow || isRecheckDue;
         const bool isImmediate = std::exchange(m_mustReadNow, false);
-        const Duration wait = isImmediate ? Duration::zero() : m_source.watchWait;
+        // After a failure, a read without waiting shows whether the service responds before a watch relies on it.
+        const Duration wait = isImmediate || !m_isReachable ? Duration::zero() : m_source.watchWait;
         std::optional<bool> isRead; // Empty if the read was interrupted.
         std::exception_ptr failure;
         co_await (captureException(readRecords(wait, isRead), failure) || m_interrupt.async_wait(useTuple));
@@ -98,12 +101,62 @@
     m_mustReadNow = true;
 }
 
+asio::awaitable<void> PlatformWatcher::readInto(std::optional<ReadResult>& result, Duration wait)
+{
+    auto batch = co_await m_source.readRecords(m_hooks.highestRevision(), wait);
+    // After detectLostWatch() has cancelled the read, its error stays.
+    if (!result)
+        result = std::move(batch);
+}
+
+asio::awaitable<void> PlatformWatcher::detectLostWatch(std::optional<ReadResult>& result)
+{
+    while (true) {
+        co_await pause(m_source.watchCheckPeriod);
+        m_metrics.platformChecks.add();
+        const auto hasNewer = co_await m_source.hasNewerRecords();
+        if (!hasNewer) {
+            result = tl::unexpected(hasNewer.error());
+            co_return;
+        }
+        if (!*hasNewer)
+            continue;
+        co_await pause(maxWatchDelay); // The response may be on its way.
+        m_metrics.watchesLost.add();
+        DOGWOODHALL_LOG(platform, warning) << "The response to a watch is lost; the records are read again.";
+        m_mustReadNow = true;
+        ExchangeError error { ErrorKind::Cancelled, true, "the response to a watch is lost" };
+        result = tl::unexpected(std::move(error));
+        co_return;
+    }
+}
+
+ExchangeResult<RecordBatch> PlatformWatcher::watch(Duration wait)
+{
+    std::optional<ReadResult> result;
+    std::exception_ptr failure;
+    co_await (captureException(readInto(result, wait), failure) || captureException(detectLostWatch(result), failure));
+    if (failure)
+        std::rethrow_exception(failure);
+    ExchangeError interrupted { ErrorKind::Cancelled, true, "interrupted" };
+    if (!result)
+        co_return tl::unexpected(std::move(interrupted));
+    co_return std::move(*result);
+}
+
 // Sets `isRead` at the end, to whether the read was successful.
 asio::awaitable<void> PlatformWatcher::readRecords(Duration wait, std::optional<bool>& isRead)
 {
     m_metrics.platformReads.add();
     const auto startedAt = std::chrono::steady_clock::now();
-    auto batch = co_await m_source.readRecords(m_hooks.highestRevision(), wait);
+    std::optional<ReadResult> result;
+    if (wait == Duration::zero() || !m_source.hasNewerRecords)
+        co_await readInto(result, wait);
+    else
+        result = co_await watch(wait);
+    auto& batch = *result;
+    if (!batch && batch.error().kind == ErrorKind::Cancelled)
+        co_return;
     const bool wasReachable = std::exchange(m_isReachable, batch.has_value());
     if (!batch) {
         m_metrics.platformFailures.add();
--- a/packages/daemon/tests/PlatformWatcherTest.cpp
+++ b/packages/daemon/tests/PlatformWatcherTest.cpp
@@ -4,6 +4,9 @@
 
 #include "dogwoodhall/exchange/EventLoop.h"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <stdexcept>
 
 using namespace dogwoodhall;
@@ -27,8 +30,82 @@
     return readOne(reads);
 }
 
+// A watch whose response never arrives.
+ExchangeResult<RecordBatch> neverRead(asio::io_context& io)
+{
+    asio::steady_timer never(io, asio::steady_timer::time_point::max());
+    co_await never.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_return tl::unexpected(ExchangeError { ErrorKind::Cancelled, false, {} });
+}
+
+enum class CheckResult { NothingNewer, Newer, NoResponse };
+
+ExchangeResult<bool> check(CheckResult result)
+{
+    if (result == CheckResult::NoResponse)
+        co_return tl::unexpected(ExchangeError { ErrorKind::DeadlineExceeded, false, {} });
+    co_return result == CheckResult::Newer;
+}
+
 } // namespace
 
+struct LostWatchRow {
+    const char* name;
+    CheckResult result; // Of each check.
+    bool isReadAgain;
+    int unreachable; // How often the records are reported as unreadable.
+};
+
+const LostWatchRow lostWatchRows[] = {
+    { "the service stops responding", CheckResult::NoResponse, true, 1 },
+    { "the service has newer records", CheckResult::Newer, true, 0 },
+    { "the service has nothing newer", CheckResult::NothingNewer, false, 0 },
+};
+
+// Guards against a member that waits for a response which the service has lost, and against reads while a watch is
+// sound.
+ParameterizedTestParameters(PlatformWatcher, replacesALostWatch) { return rowIndices(lostWatchRows); }
+
+ParameterizedTest(std::size_t* index, PlatformWatcher, replacesALostWatch, .timeout = 60)
+{
+    constexpr std::chrono::seconds observed { 2 };
+    const auto& row = lostWatchRows[*index];
+    asio::io_context io { 1 };
+    MetricsRegistry registry;
+    DaemonMetrics metrics(registry);
+    int reads = 0; // Without waiting.
+    int watches = 0;
+    int unreachable = 0;
+    int checks = 0;
+    RecordSource source;
+    source.readRecords = [&](Revision, Duration wait) {
+        if (wait == Duration::zero())
+            return readOne(reads);
+        ++watches;
+        return neverRead(io);
+    };
+    source.hasNewerRecords = [&] { return check(++checks == 1 ? row.result : CheckResult::NothingNewer); };
+    source.watchCheckPeriod = std::chrono::milliseconds(20);
+    source.retryDelay = std::chrono::milliseconds(1);
+    PlatformWatcher::Hooks hooks;
+    hooks.isWatcher = [] { return true; };
+    hooks.hasPeers = [] { return false; };
+    hooks.pauseAfterChanges = [] { return Duration(std::chrono::milliseconds(1)); };
+    hooks.highestRevision = [] { return Revision(); };
+    hooks.hostListPeriod = [] { return Duration(std::chrono::milliseconds(1)); };
+    hooks.firstReadDelay = [] { return Duration(); };
+    hooks.recordsRead = [](const RecordBatch&) {};
+    hooks.recordsUnreachable = [&] { ++unreachable; };
+    PlatformWatcher watcher(io, source, hooks, metrics);
+    spawnPermanent(io.get_executor(), [&] { return watcher.watchRecords(); });
+    io.run_for(observed);
+    const int expected = row.isReadAgain ? 2 : 1;
+    cr_expect_eq(reads, expected, "%s: %d reads", row.name, reads);
+    cr_expect_eq(watches, expected, "%s: %d watches", row.name, watches);
+    cr_expect_eq(unreachable, row.unreachable, "%s: unreachable %d times", row.name, unreachable);
+    cr_expect_geq(checks, 10, "%s: %d checks", row.name, checks);
+}
+
 struct FailedBatchRow {
     const char* name;
     ExchangeResult<RecordBatch> (*read)(int& reads);
--- a/tests/system/RegistryTest.cpp
+++ b/tests/system/RegistryTest.cpp
@@ -2,6 +2,7 @@
 #include "TableRows.h"
 
 #include <atomic>
+#include <chrono>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <csignal>
@@ -217,6 +218,50 @@
     cr_expect_eq(cluster.runs("slow"), 0);
 }
 
+struct SilenceRow {
+    const char* name;
+    useconds_t beforeSilence; // From the last change before the silence to its start.
+    useconds_t silence;
+};
+
+const SilenceRow silenceRows[] = {
+    { "watch sent into a long silence", 50'000, 3'500'000 },
+    { "watch sent into a short silence", 50'000, 400'000 },
+    { "watch waiting before the silence", 600'000, 3'500'000 },
+};
+
+// Guards against members that go on waiting for the response to a watch which the store lost while it was silent: they
+// kept the old configuration for up to 27 s.
+ParameterizedTestParameters(Registry, followsAStoreThatWasSilent) { return rowIndices(silenceRows); }
+
+ParameterizedTest(std::size_t* index, Registry, followsAStoreThatWasSilent, .timeout = 60)
+{
+    // From the end of the silence until the time limit for changes applies again, and that limit.
+    constexpr useconds_t stableWindow = 3'000'000;
+    constexpr std::chrono::seconds maxConfigurationDelay { 2 };
+    const auto& row = silenceRows[*index];
+    RegistryCluster cluster(1, 2);
+    ::usleep(2'500'000); // The pause after the first read.
+    cluster.publishRouting(2);
+    ::usleep(row.beforeSilence);
+    cluster.setRegistryMode("silent");
+    ::usleep(row.silence);
+    cluster.setRegistryMode("serving");
+    ::usleep(stableWindow);
+    cluster.publishRouting(3, "/finds/");
+    const auto end = std::chrono::steady_clock::now() + maxConfigurationDelay;
+    for (std::size_t daemon = 0; daemon < 2; ++daemon) {
+        unsigned status = 0;
+        while (status != 200 && std::chrono::steady_clock::now() < end)
+            status = cluster.request("GET", "/finds/1", "found", daemon).status;
+        cr_expect_eq(status, 200, "%s: daemon %zu answers %u", row.name, daemon, status);
+    }
+    const auto reads = cluster.registryReads();
+    ::usleep(3'000'000);
+    cr_expect_leq(
+        cluster.registryReads() - reads, 2, "%s: %zu calls in a calm time", row.name, cluster.registryReads() - reads);
+}
+
 // Guards against losing endpoints whose leases expire while the store is unavailable.
 Test(Registry, keepsEndpointsThatLapseInAnOutage, .timeout = 60)
 {
--- a/tools/src/RegistryStandIn.cpp
+++ b/tools/src/RegistryStandIn.cpp
@@ -15,7 +15,10 @@
 // /api/kv-watch. Tests make changes through /control, which daemons never call:
 //   PUT or DELETE /control/items/<key>   writes or deletes an item; the value is sent as base64 text
 //   PUT /control/raw-items/<key>         stores the text that the item is returned as, as another writer might leave it
-//   PUT /control/mode?state=serving|down|busy   down closes each connection without a response, busy responds with 503
+//   PUT /control/mode?state=serving|down|busy|silent   down closes each connection without a response, busy responds
+//   with
+//                                          503, silent never responds to the calls that arrive meanwhile; pending
+//                                          watches are answered afterwards
 //   PUT /control/compact                 discards the history: watches from an earlier revision are answered with 410
 //   GET /control/reads                   returns the number of calls by daemons
 
@@ -56,7 +59,8 @@
     asio::awaitable<void> handle(IncomingRequest, ResponseWriter);
     asio::awaitable<void> handleControl(const IncomingRequest&, const Target&, const ResponseWriter&);
     asio::awaitable<void> watch(const Target&, const ResponseWriter&);
-    std::string range(const std::string& after) const;
+    asio::awaitable<void> waitForDisconnect();
+    std::string range(const std::string& prefix, const std::string& after) const;
     std::string eventsAfter(std::uint64_t revision) const;
     bool hasEventAfter(std::uint64_t revision) const;
     static std::string toText(const std::string& key, const Item&);
@@ -77,13 +81,16 @@
         co_await handleControl(request, target, writer);
         co_return;
     }
-    ++m_reads;
+    // The store charges a serializable read a tenth of the price of another one and does not count it.
+    m_reads += target.number("serializable", 0) == 0 ? 1 : 0;
     if (m_mode == "down")
         co_return;
-    if (m_mode == "busy")
+    if (m_mode == "silent")
+        co_await waitForDisconnect();
+    else if (m_mode == "busy")
         co_await writeAnswer(writer, 503, "{\"error\":\"busy\"}");
     else if (target.path == "/api/kv-range")
-        co_await writeAnswer(writer, 200, range(target.text("after")));
+        co_await writeAnswer(writer, 200, range(target.text("prefix"), target.text("after")));
     else if (target.path == "/api/kv-watch")
         co_await watch(target, writer);
     else
@@ -115,12 +122,16 @@
 {
     const auto after = target.number("after", 0);
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(target.number("wait_ms", 0));
-    const auto canRespond = [&] { return m_mode != "serving" || after < m_compactedRevision || hasEventAfter(after); };
-    while (!canRespond() && std::chrono::steady_clock::now() < end) {
-        m_changed.expires_at(end);
+    const auto isUnavailable = [&] { return m_mode == "down" || m_mode == "busy"; };
+    const auto canRespond = [&] {
+        const bool hasAnswer = after < m_compactedRevision || hasEventAfter(after);
+        return m_mode == "serving" && (hasAnswer || std::chrono::steady_clock::now() >= end);
+    };
+    while (!isUnavailable() && !canRespond()) {
+        m_changed.expires_at(m_mode == "silent" ? std::chrono::steady_clock::time_point::max() : end);
         co_await m_changed.async_wait(asio::as_tuple(asio::use_awaitable));
     }
-    if (m_mode != "serving")
+    if (isUnavailable())
         co_return;
     if (after < m_compactedRevision)
         co_await writeAnswer(writer, 410, "{\"error\":\"history is gone\"}");
@@ -144,12 +155,19 @@
         m_items.begin(), m_items.end(), [&](const auto& item) { return item.second.revision > revision; });
 }
 
-std::string RegistryStandIn::range(const std::string& after) const
+// The handler is cancelled when the caller closes its connection.
+asio::awaitable<void> RegistryStandIn::waitForDisconnect()
+{
+    asio::steady_timer never(m_server.io(), asio::steady_timer::time_point::max());
+    co_await never.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+std::string RegistryStandIn::range(const std::string& prefix, const std::string& after) const
 {
     std::vector<std::string> items;
     bool hasMore = false;
     for (const auto& [key, item] : m_items) {
-        if (key <= after || item.isDeleted)
+        if (key <= after || item.isDeleted || !key.starts_with(prefix))
             continue;
         hasMore = items.size() == maxPageItems;
         if (hasMore)
