Read heads correctly however their bytes arrive

Cause: the session dropped empty lines in each turn of its read loop, not only before the first byte of a head. When only the CR of the empty line that ends the head was left unparsed, the completed line was taken for one before a request.

Found on related paths: the check of line ends ran on into the body when the empty line was all that was left of the head, so that a body with a line feed got 400; and Beast's parser limits only the part of a head that it has not consumed, so that a head whose parts end in the first byte of a line had no limit.

Change: empty lines are dropped before the first byte of the request line only, the check ends with the head, and parseHead() counts the bytes of a head over all its parts, for callers and for endpoints.

Evidence: before the change 7 of the 10 rows of CallerSessionsTest serveRequestsInAnyParts fail, and the rows "header fields at the ends of reads" of endEndlessRequests and endEndlessResponses; all pass now.

--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -17,6 +17,7 @@
 #include <boost/beast/http.hpp>
 #include <exception>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace dogwoodhall {
@@ -33,6 +34,9 @@
 // Limits the processor time that a caller which never stops sending takes in that time.
 constexpr std::size_t maxLingerBytes = 8 * 1024 * 1024;
 
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
+
 using RequestParser = http::request_parser<http::buffer_body>;
 
 ErrorKind errorKindFor(beast::error_code ec)
@@ -92,6 +96,9 @@
 private:
     asio::awaitable<bool> serveRequest();
     asio::awaitable<beast::error_code> readHead();
+    asio::awaitable<beast::error_code> skipEmptyLines();
+    std::string_view bufferedText() const;
+    std::string_view unparsedHead() const;
     asio::awaitable<beast::error_code> readMore();
     asio::awaitable<void> linger();
     // Makes reads fail with a time-out after `wait`. The timer of tcp_stream would close the socket instead, so that no
@@ -173,24 +180,19 @@
     }
     m_isIdle = false;
     armReadTimer(m_limits.headerTimeout);
+    if (auto ec = co_await skipEmptyLines())
+        co_return ec;
     auto& parser = *m_current->parser;
-    beast::error_code ec;
-    while (!parser.is_header_done()) {
-        std::string_view text(static_cast<const char*>(m_buffer.cdata().data()), m_buffer.size());
-        // Empty lines before a request line are allowed.
-        while (text.starts_with("\r\n")) {
-            m_buffer.consume(2);
-            text.remove_prefix(2);
-        }
-        if (!hasValidLineEndings(text.substr(0, text.find("\r\n\r\n"))))
+    std::size_t bytesLeft = m_limits.headerBytes.count();
+    while (true) {
+        if (!hasValidLineEndings(unparsedHead()))
             co_return http::error::bad_line_ending;
-        m_buffer.consume(parser.put(m_buffer.cdata(), ec));
-        if (ec && ec != http::error::need_more)
+        if (auto ec = parseHead(parser, m_buffer, bytesLeft); ec && ec != http::error::need_more)
             co_return ec;
         if (parser.is_header_done())
             break;
-        if (auto readError = co_await readMore())
-            co_return readError;
+        if (auto ec = co_await readMore())
+            co_return ec;
     }
     disarmReadTimer();
     if (!isSupportedRequest(parser.get()) || !hasUnambiguousLength(parser.get()))
@@ -198,6 +200,36 @@
     co_return beast::error_code {};
 }
 
+// Empty lines before a request line are allowed. Returns when the first byte of the request line has arrived.
+asio::awaitable<beast::error_code> CallerSession::Impl::skipEmptyLines()
+{
+    while (true) {
+        auto text = bufferedText();
+        while (text.starts_with(lineEnd)) {
+            m_buffer.consume(lineEnd.size());
+            text.remove_prefix(lineEnd.size());
+        }
+        const bool isIncomplete = lineEnd.starts_with(text);
+        if (!isIncomplete)
+            co_return beast::error_code {};
+        if (auto ec = co_await readMore())
+            co_return ec;
+    }
+}
+
+// The parser consumes complete lines, so that its unparsed rest begins at the start of a line. An empty line ends the
+// head; what follows it belongs to the body.
+std::string_view CallerSession::Impl::unparsedHead() const
+{
+    const auto text = bufferedText();
+    return text.substr(0, text.starts_with(lineEnd) ? 0 : text.find(headEnd));
+}
+
+std::string_view CallerSession::Impl::bufferedText() const
+{
+    return { static_cast<const char*>(m_buffer.cdata().data()), m_buffer.size() };
+}
+
 // Appends received bytes to the buffer.
 asio::awaitable<beast::error_code> CallerSession::Impl::readMore()
 {
--- a/packages/http/src/MessageRules.h
+++ b/packages/http/src/MessageRules.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/fields.hpp>
 #include <boost/beast/http/message.hpp>
 #include <cstddef>
@@ -39,6 +43,23 @@
     std::size_t m_left = maxChunkExtensionBytes;
 };
 
+// Passes the buffered bytes of a head to the parser and removes those that it consumed. `bytesLeft` is what the head
+// may still take. Beast's parser limits only the part of a head that it has not consumed yet, and so does not limit a
+// head whose lines arrive one after another. Fails with need_more if the head is incomplete.
+template <bool isRequest>
+boost::beast::error_code parseHead(
+    boost::beast::http::basic_parser<isRequest>& parser, boost::beast::flat_buffer& buffer, std::size_t& bytesLeft)
+{
+    namespace http = boost::beast::http;
+    boost::beast::error_code ec;
+    const auto n = parser.put(buffer.cdata(), ec);
+    buffer.consume(n);
+    bytesLeft -= std::min(bytesLeft, n);
+    if (ec == http::error::need_more && buffer.size() >= bytesLeft)
+        return http::error::header_limit;
+    return ec;
+}
+
 // A request target and its host.
 struct RequestTarget {
     std::string originForm; // "/path?query", or "*".
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -169,6 +169,21 @@
         parser->on_chunk_header(chunkExtensions);
     }
 
+    // Reads until the parser has a complete head, interim or final.
+    asio::awaitable<beast::error_code> readOneHead()
+    {
+        std::size_t bytesLeft = responseHeaderLimit;
+        while (true) {
+            auto ec = parseHead(*parser, buffer, bytesLeft);
+            if (parser->is_header_done() || (ec && ec != http::error::need_more))
+                co_return ec;
+            auto [readError, n] = co_await stream.async_read_some(buffer.prepare(relayBufferBytes), useTuple);
+            if (readError)
+                co_return readError;
+            buffer.commit(n);
+        }
+    }
+
     beast::tcp_stream stream;
     NetworkAddress address;
     beast::flat_buffer buffer { maxUnparsedBytes };
@@ -334,9 +349,7 @@
 ExchangeResult<ResponseHead> UpstreamClient::readHead(Connection& connection)
 {
     for (unsigned heads = 0; heads <= maxInterimHeads; ++heads) {
-        auto [ec, n]
-            = co_await http::async_read_header(connection.stream, connection.buffer, *connection.parser, useTuple);
-        if (ec)
+        if (auto ec = co_await connection.readOneHead())
             co_return failure(ErrorKind::UpstreamFailed, false, ec);
         const auto& message = connection.parser->get();
         if (!hasUnambiguousLength(message))
--- a/packages/http/tests/CallerSessionsTest.cpp
+++ b/packages/http/tests/CallerSessionsTest.cpp
@@ -4,6 +4,7 @@
 #include "dogwoodhall/exchange/WholeBody.h"
 #include "dogwoodhall/http/CallerSessions.h"
 
+#include <array>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read.hpp>
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <vector>
 
@@ -168,6 +170,183 @@
     cr_expect(sessions.empty() && ended == 2, "%s: %d sessions ended", row.name, ended);
 }
 
+namespace {
+
+// One caller's connection to a server that responds to each request with the size of its body. Everything runs on the
+// thread of the test.
+class EchoFixture {
+public:
+    explicit EchoFixture(const CallerLimits& limits = {})
+        : m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , m_caller(m_io)
+        , sessions(m_io.get_executor(), limits, [](IncomingRequest request, const ResponseWriter& writer) {
+            return respondWithSize(std::move(request), writer);
+        })
+    {
+        m_caller.connect(m_acceptor.local_endpoint());
+        m_caller.set_option(tcp::no_delay(true));
+        sessions.serve(m_acceptor.accept());
+        run();
+    }
+
+    // Returns after the session has read the bytes.
+    void send(std::string_view bytes)
+    {
+        boost::system::error_code ec;
+        asio::write(m_caller, asio::buffer(bytes), ec);
+        run();
+    }
+    void runFor(std::chrono::milliseconds time)
+    {
+        m_io.restart();
+        m_io.run_for(time);
+    }
+    // What the session has sent since the last call.
+    std::string received()
+    {
+        run();
+        std::string text;
+        while (m_caller.available() > 0) {
+            std::array<char, 4096> buf;
+            text.append(buf.data(), m_caller.read_some(asio::buffer(buf)));
+        }
+        return text;
+    }
+
+private:
+    static asio::awaitable<void> respondWithSize(IncomingRequest request, const ResponseWriter& writer)
+    {
+        const auto body = co_await readFullBody(request.readBody, ByteCount(1'000'000));
+        if (!body) {
+            co_await writeError(writer, body.error().kind, Outcome::NotRun);
+            co_return;
+        }
+        ResponseHead head;
+        head.status = 200;
+        const std::string text = request.head.method + " " + std::to_string(body->size()) + "\n";
+        co_await writeFullResponse(writer, head, text);
+    }
+
+    void run()
+    {
+        m_io.restart();
+        while (m_io.poll() > 0)
+            m_io.restart();
+    }
+
+    asio::io_context m_io;
+    tcp::acceptor m_acceptor;
+    tcp::socket m_caller;
+
+public:
+    CallerSessions sessions;
+};
+
+// A request whose head has this size, or is as short as possible if it is 0.
+std::string postOf(std::size_t headBytes, const std::string& body)
+{
+    std::string head = "POST / HTTP/1.1\r\nHost: shop\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+    if (headBytes > 0) {
+        head += "X-Field: ";
+        head += std::string(headBytes - head.size() - 4, 'v') + "\r\n";
+    }
+    return head + "\r\n" + body;
+}
+
+std::size_t count(const std::string& text, std::string_view part)
+{
+    std::size_t n = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size()))
+        ++n;
+    return n;
+}
+
+} // namespace
+
+struct SegmentRow {
+    const char* name;
+    const char* before; // Sent before the request.
+    std::size_t headBytes;
+    const char* body;
+    bool isPipelined; // The request is followed by another one.
+};
+
+// Longer than the head's last line, so that a search beyond the head would find line ends in it.
+#define BODY_WITH_LINES "one\ntwo\r\n\r\n three\n"
+
+const SegmentRow segmentRows[] = {
+    { "no body", "", 0, "", false },
+    { "body", "", 0, "body", false },
+    { "body with line feeds", "", 0, BODY_WITH_LINES, false },
+    { "pipelined", "", 0, BODY_WITH_LINES, true },
+    { "after empty lines", "\r\n\r\n", 0, "body", false },
+    { "head of one read", "", 4096, BODY_WITH_LINES, false },
+    { "head of one read and a byte", "", 4097, BODY_WITH_LINES, false },
+    { "head of one read and two bytes", "", 4098, BODY_WITH_LINES, false },
+    { "head of one read and four bytes", "", 4100, BODY_WITH_LINES, false },
+    { "head of two reads and a byte", "", 8193, BODY_WITH_LINES, true },
+};
+
+// Guards against a head that is read wrongly if its bytes arrive in several parts: the empty line at its end was taken
+// for one before a request.
+ParameterizedTestParameters(CallerSessions, serveRequestsInAnyParts) { return rowIndices(segmentRows); }
+
+ParameterizedTest(std::size_t* index, CallerSessions, serveRequestsInAnyParts, .timeout = 60)
+{
+    // The borders near these positions are tried: all of a short request, and those around each read of a long one.
+    constexpr std::size_t readBytes = 4096;
+    constexpr std::size_t distance = 8;
+    const auto& row = segmentRows[*index];
+    const auto request = row.before + postOf(row.headBytes, row.body);
+    const auto text = request + (row.isPipelined ? postOf(0, "next") : "");
+    const std::size_t requests = row.isPipelined ? 2 : 1;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const auto isNear = [&](std::size_t border) { return at + distance > border && at < border + distance; };
+        const bool isTried = row.headBytes == 0 || at == 0 || isNear(readBytes) || isNear(2 * readBytes)
+            || isNear(row.headBytes) || isNear(request.size());
+        if (!isTried)
+            continue;
+        EchoFixture fixture;
+        fixture.send(std::string_view(text).substr(0, at));
+        fixture.send(std::string_view(text).substr(at));
+        const auto response = fixture.received();
+        cr_assert_eq(
+            count(response, "HTTP/1.1 200"), requests, "%s, in two parts at %zu: %s", row.name, at, response.c_str());
+        const auto body = "POST " + std::to_string(std::string_view(row.body).size()) + "\n";
+        cr_assert_eq(count(response, body), 1, "%s, in two parts at %zu: %s", row.name, at, response.c_str());
+    }
+}
+
+struct SmuggledRow {
+    const char* name;
+    const char* text;
+};
+
+const SmuggledRow smuggledRows[] = {
+    { "line feed alone", "GET / HTTP/1.1\nHost: shop\r\n\r\n" },
+    { "line feed alone in a field", "GET / HTTP/1.1\r\nHost: shop\nX: y\r\n\r\n" },
+    { "line feed alone at the end", "GET / HTTP/1.1\r\nHost: shop\r\nX: y\r\n\n" },
+    { "continued line", "GET / HTTP/1.1\r\nHost: shop\r\nX: y\r\n z\r\n\r\n" },
+    { "continued line with a tab", "GET / HTTP/1.1\r\nHost: shop\r\nX: y\r\n\tz\r\n\r\n" },
+    { "empty line that ends in a line feed", "\nGET / HTTP/1.1\r\nHost: shop\r\n\r\n" },
+};
+
+// Guards against a malformed line end that is accepted because the parts of the head arrive one after another.
+ParameterizedTestParameters(CallerSessions, rejectBadLineEndsInAnyParts) { return rowIndices(smuggledRows); }
+
+ParameterizedTest(std::size_t* index, CallerSessions, rejectBadLineEndsInAnyParts, .timeout = 60)
+{
+    const auto& row = smuggledRows[*index];
+    const std::string_view text = row.text;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        EchoFixture fixture;
+        fixture.send(text.substr(0, at));
+        fixture.send(text.substr(at));
+        const auto response = fixture.received();
+        cr_assert(response.starts_with("HTTP/1.1 400"), "%s, in two parts at %zu: %s", row.name, at, response.c_str());
+    }
+}
+
 struct EndlessRequestRow {
     const char* name;
     const char* start;
@@ -178,6 +357,9 @@
 
 const EndlessRequestRow endlessRequestRows[] = {
     { "header fields", "GET / HTTP/1.1\r\nHost: shop\r\n", "X-Field: value\r\n" },
+    // Each read of 4,096 bytes ends in the first byte of a line, so that the parser has consumed all lines before it.
+    { "header fields at the ends of reads", "GET / HTTP/1.1\r\nHost: shop\r\nY: 34567890\r\nZ: 3\r\nX",
+        "-Field: value\r\nX" },
     { "one header field", "GET / HTTP/1.1\r\nHost: shop\r\nX-Field: ", "value" },
     { "target", "GET /", "path" },
     { "chunk extension", POST_CHUNKED "5;", "extension" },
--- a/packages/http/tests/UpstreamLimitsTest.cpp
+++ b/packages/http/tests/UpstreamLimitsTest.cpp
@@ -55,6 +55,8 @@
 const EndlessRow endlessRows[] = {
     { "status line", "HTTP/1.1 200 O", "K" },
     { "header fields", OK, "X-Field: value\r\n" },
+    // A read that ends in the first byte of a line lets the parser consume all lines before it.
+    { "header fields at the ends of reads", OK "Server: abcd\r\nX", "-Field: value\r\nX" },
     { "one header field", OK "X-Field: ", "value" },
     { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
     { "interim responses with fields", "", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" },
