Answer all requests before a stopping process ends

Cause: nothing bound a request to the time that its process still had. The forced stop ended the control thread and the process without telling the sessions, and requests that came late in the grace were passed on although their endpoints could not finish.

Change: a StopSchedule gives the Dispatcher the time by which all requests must be answered, 300 ms before the platform's kill, as their time limit. After half of the grace, or when the port closes, a request is taken only if its own time limit ends before that, and gets 503 with Retry-After: 0 otherwise; so does one whose latency goal lies beyond the stop. 250 ms before the kill, sessions whose response has not begun cancel their request and answer 504. The port closes before that, whatever drainGraceMs says. Responses that have begun go on until the forced stop.

--- a/packages/daemon/include/dogwoodhall/daemon/Daemon.h
+++ b/packages/daemon/include/dogwoodhall/daemon/Daemon.h
@@ -9,6 +9,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,7 +31,10 @@
     void waitForReloadSignal();
     void reload();
     asio::awaitable<void> writeEvents();
-    void armForcedStop();
+    // Returns nothing if the settings give no grace period.
+    std::optional<StopSchedule> scheduleStop();
+    void endRequestsAt(TimePoint);
+    void forceStopAt(TimePoint);
     void logLifecycle(EventLine);
     void beginDrain();
     void threadDrained();
@@ -51,7 +55,7 @@
     ControlThread m_control;
     asio::signal_set m_signals;
     asio::signal_set m_reloads;
-    asio::steady_timer m_forcedStopTimer; // Used if the settings give the platform's grace period.
+    asio::steady_timer m_stopTimer; // Used if the settings give the platform's grace period.
     std::unique_ptr<SharedTicketLedger> m_ticketLedger; // Owned by the first traffic thread.
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     bool m_isDraining = false;
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -38,6 +38,7 @@
     Counter& publicationMicroseconds; // Processor time of the control thread for publications.
     Counter& platformReads;
     Counter& platformFailures;
+    Counter& requestsEndedByStop;
     Counter& platformChecks;
     Counter& watchesLost;
     Counter& membersAlive;
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/RequestPath.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/RequestPath.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dogwoodhall/daemon/Snapshot.h"
+#include "dogwoodhall/dispatch/StopSchedule.h"
 #include "dogwoodhall/exchange/Exchange.h"
 
 #include <cstddef>
@@ -12,6 +13,7 @@
 struct RequestPath {
     std::function<asio::awaitable<void>(IncomingRequest, const ResponseWriter&)> run;
     std::function<void(const SnapshotPointer&)> apply;
+    std::function<void(const StopSchedule&)> stop; // The process ends as scheduled. Empty if the path has no schedule.
     std::function<std::size_t()> running; // Number of requests in progress.
     std::function<void()> tick; // Called several times a second.
 };
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
@@ -73,8 +73,10 @@
 
     // Closes each caller connection after its next response. After a grace period, in which the platform's load
     // balancer notices that the readiness check fails, stops accepting connections, closes idle ones, and calls `done`
-    // when the last request has been answered.
-    void drain(std::function<void()> done);
+    // when the last request has been answered. With a schedule, requests that cannot be answered in time are refused.
+    void drain(const std::optional<StopSchedule>&, std::function<void()> done);
+    // Answers the requests in flight that have no response yet.
+    void endRequests();
     // Aborts all requests in flight.
     void stop();
 
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -27,6 +27,9 @@
 constexpr auto eventWritePeriod = std::chrono::milliseconds(100);
 // Safety margin before the platform kills a process that has not ended.
 constexpr Duration forcedStopMargin = std::chrono::milliseconds(200);
+// Before the forced stop: time in which the requests that reach their time limit are answered, and then the others.
+constexpr Duration answerMargin = std::chrono::milliseconds(100);
+constexpr Duration endRequestsMargin = std::chrono::milliseconds(50);
 
 // Wall-clock milliseconds at start, so that a later run of the daemon on the same host has a higher incarnation. If the
 // clock is set back between two runs, the peers suspect the new run until it refutes the suspicion, which takes
@@ -37,6 +40,12 @@
     return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count()));
 }
 
+// From SIGTERM until all requests must have been answered.
+Duration timeToAnswer(const RegistrySettings& registry)
+{
+    return std::max<Duration>(registry.stopGrace - forcedStopMargin - answerMargin, Duration::zero());
+}
+
 } // namespace
 
 Daemon::Daemon(const Settings& settings, PlatformAdapter adapter, std::string settingsPath)
@@ -57,7 +66,7 @@
               [this](const std::vector<PoolLoadSummary>& loads) { observeLoads(loads); } })
     , m_signals(m_control.io(), SIGTERM, SIGINT)
     , m_reloads(m_control.io(), SIGHUP)
-    , m_forcedStopTimer(m_control.io())
+    , m_stopTimer(m_control.io())
 {
     m_metrics.measuringBytesBudget.set(settings.measuringBytesPerSecond.count());
     m_metrics.measuringCallsBudget.set(settings.measuringCallsPerSecond.count());
@@ -123,7 +132,7 @@
         limits.probesPerEndpointAndSecond = m_settings.registry->healthCallsPerEndpoint;
         limits.trafficThreads = m_settings.trafficThreads;
         options.dispatch = DispatchRunner::Options { limits, *m_adapter.codec };
-        options.drainGrace = m_settings.registry->drainGrace;
+        options.drainGrace = std::min(m_settings.registry->drainGrace, timeToAnswer(*m_settings.registry));
     }
     options.answerGossip = [this](std::string request) {
         using Answer = tl::expected<std::optional<std::string>, std::string>;
@@ -206,15 +215,35 @@
 
 void Daemon::logLifecycle(EventLine line) { m_events.add(std::move(line), monotonicNow()); }
 
-// The platform kills the process after the grace period. Requests that cannot finish by then are aborted here shortly
-// before, with a log line and a distinct exit status.
-void Daemon::armForcedStop()
+// The platform kills the process after the grace period. Requests that cannot finish by then get an answer of the
+// process's own; those whose responses have begun are aborted, with a log line and a distinct exit status.
+std::optional<StopSchedule> Daemon::scheduleStop()
 {
     if (!m_settings.registry)
-        return;
-    const Duration grace = std::max<Duration>(m_settings.registry->stopGrace - forcedStopMargin, Duration::zero());
-    m_forcedStopTimer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(grace));
-    m_forcedStopTimer.async_wait([this](boost::system::error_code ec) {
+        return std::nullopt;
+    const TimePoint now = monotonicNow();
+    const auto& registry = *m_settings.registry;
+    const TimePoint answerBy = now + timeToAnswer(registry);
+    endRequestsAt(answerBy + answerMargin - endRequestsMargin);
+    return StopSchedule { now + std::min(registry.drainGrace, registry.stopGrace / 2), answerBy };
+}
+
+void Daemon::endRequestsAt(TimePoint time)
+{
+    m_stopTimer.expires_at(toSteadyClock(time));
+    m_stopTimer.async_wait([this, time](boost::system::error_code ec) {
+        if (ec)
+            return;
+        for (auto& thread : m_traffic)
+            thread->post([](TrafficThread& target) { target.endRequests(); });
+        forceStopAt(time + endRequestsMargin);
+    });
+}
+
+void Daemon::forceStopAt(TimePoint time)
+{
+    m_stopTimer.expires_at(toSteadyClock(time));
+    m_stopTimer.async_wait([this](boost::system::error_code ec) {
         if (!ec)
             stopNow();
     });
@@ -227,12 +256,12 @@
     EventLine line(EventKind::Lifecycle, "draining");
     line.add("requests", std::uint64_t(requestsRunning()));
     logLifecycle(std::move(line));
-    armForcedStop();
+    const auto schedule = scheduleStop();
     DOGWOODHALL_LOG(daemon, info) << "Draining; " << requestsRunning() << " requests in flight.";
     m_control.setDraining();
     for (auto& thread : m_traffic) {
-        thread->post([this](TrafficThread& target) {
-            target.drain([this] { asio::post(m_control.io(), [this] { threadDrained(); }); });
+        thread->post([this, schedule](TrafficThread& target) {
+            target.drain(schedule, [this] { asio::post(m_control.io(), [this] { threadDrained(); }); });
         });
     }
 }
--- a/packages/daemon/src/DaemonMetrics.cpp
+++ b/packages/daemon/src/DaemonMetrics.cpp
@@ -33,6 +33,8 @@
           "dogwoodhall_publication_processor_microseconds_total", "Processor time spent on publications."))
     , platformReads(registry.counter("dogwoodhall_platform_reads_total", "Reads of the platform's services."))
     , platformFailures(registry.counter("dogwoodhall_platform_failures_total", "Failed reads of the platform."))
+    , requestsEndedByStop(registry.counter(
+          "dogwoodhall_requests_ended_by_stop_total", "Requests answered unfinished at the end of the grace period."))
     , platformChecks(registry.counter("dogwoodhall_platform_checks_total", "Checks of waiting watches."))
     , watchesLost(registry.counter("dogwoodhall_watches_lost_total", "Watches whose response was lost."))
     , membersAlive(registry.gauge("dogwoodhall_members_alive", "Members taken for alive, this one included."))
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -23,6 +23,8 @@
 constexpr ByteCount answerPrefetch { 128 * 1024 };
 // Retry delay sent before the first configuration has been read. Members are ready within 1 s of their start.
 constexpr Duration notReadyRetry = std::chrono::milliseconds(200);
+// Retry delay sent while the process stops: the next attempt reaches another member.
+constexpr Duration drainingRetry = Duration::zero();
 // The fleet as a whole keeps at most half of an endpoint's connections idle; the other half is for requests in flight.
 constexpr std::size_t idleShareDivisor = 2;
 
@@ -135,6 +137,7 @@
             fewest = std::min<std::size_t>(fewest, service.declaration.maxConnections);
         m_idleLimit = std::max<std::size_t>(fewest / idleShareDivisor / snapshot->fleetSize, 1);
     };
+    path.stop = [this](const StopSchedule& schedule) { m_dispatcher.stop(schedule); };
     path.running = [this] { return m_running; };
     path.tick = [this] {
         m_upstreams.closeIdleConnections();
@@ -158,7 +161,8 @@
     const RouteQuery query { hostNameOf(request.head), pathOf(request.head.target), request.head.method };
     auto plan = m_dispatcher.admit(query, call.timeLeft, monotonicNow());
     if (!plan) {
-        const RefuseRequest refusal { plan.error(), Outcome::NotRun, std::nullopt };
+        const auto retryAfter = plan.error() == ErrorKind::Draining ? std::optional(drainingRetry) : std::nullopt;
+        const RefuseRequest refusal { plan.error(), Outcome::NotRun, retryAfter };
         co_return co_await refuse(writer, call.id, refusal, nullptr);
     }
     ReplayableBody body(std::move(request.readBody), replayLimit);
--- a/packages/daemon/src/traffic/TrafficThread.cpp
+++ b/packages/daemon/src/traffic/TrafficThread.cpp
@@ -259,8 +259,10 @@
     co_await writeFullResponse(writer, head, text);
 }
 
-void TrafficThread::drain(std::function<void()> done)
+void TrafficThread::drain(const std::optional<StopSchedule>& schedule, std::function<void()> done)
 {
+    if (schedule && m_path.stop)
+        m_path.stop(*schedule);
     m_drainDone = std::move(done);
     asio::co_spawn(m_io, finishDrain(), rethrowToLoop);
 }
@@ -280,6 +282,15 @@
     checkDrained();
 }
 
+void TrafficThread::endRequests()
+{
+    const auto ended = m_sessions.endRequestsInProgress();
+    if (ended == 0)
+        return;
+    m_metrics.requestsEndedByStop.add(ended);
+    DOGWOODHALL_LOG(daemon, warning) << "The grace period ends; " << ended << " requests are answered unfinished.";
+}
+
 void TrafficThread::checkDrained()
 {
     const bool isDrained = m_peersDrained && m_sessions.empty() && m_tickets.running() == 0;
--- a/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
@@ -5,9 +5,11 @@
 #include "dogwoodhall/core/DecisionContext.h"
 #include "dogwoodhall/dispatch/RefusalPolicy.h"
 #include "dogwoodhall/dispatch/RequestPlan.h"
+#include "dogwoodhall/dispatch/StopSchedule.h"
 #include "dogwoodhall/dispatch/WeightedRoundRobin.h"
 
 #include <map>
+#include <optional>
 #include <tl/expected.hpp>
 #include <unordered_map>
 
@@ -47,6 +49,8 @@
 
     // `members` is the number of members that may be alive, including this one.
     void apply(std::shared_ptr<const Directory>, std::size_t members, TimePoint now);
+    // Limits the requests that are admitted from now on to what can be answered before the process ends.
+    void stop(const StopSchedule& schedule) { m_stop = schedule; }
     bool hasDirectory() const { return m_directory != nullptr; }
 
     // Starts the plan of a request that arrived. `timeLeft` is the caller's remaining time, if stated.
@@ -85,9 +89,12 @@
     SendRequest send(const RequestPlan&, EndpointChoice, TimePoint now) const;
     void updateProbeRate(TimePoint now);
     RetryAllowance& retriesOf(const ServiceId&);
+    // Returns false if the request must not be taken.
+    bool applyStop(RequestPlan&, TimePoint now) const;
     Duration elapsedAtCaller(const RouteDeclaration&, std::optional<Duration> timeLeft);
 
     DispatchLimits m_limits;
+    std::optional<StopSchedule> m_stop; // While the process is stopping.
     std::shared_ptr<const Directory> m_directory;
     std::size_t m_members = 1;
     EndpointTracker m_tracker;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -84,10 +84,23 @@
     plan.m_isRepeat = plan.m_elapsedAtCaller > Duration::zero();
     plan.m_query.goalDeadline = now + route->latencyGoal - plan.m_elapsedAtCaller;
     plan.m_query.deadline = now + std::min(route->timeout, timeLeft.value_or(route->timeout));
+    if (!applyStop(plan, now))
+        return tl::unexpected(ErrorKind::Draining);
     retriesOf(plan.service()).requestArrived(now);
     return plan;
 }
 
+// Another member can serve the callers of the requests that are refused here at once.
+bool Dispatcher::applyStop(RequestPlan& plan, TimePoint now) const
+{
+    if (!m_stop || plan.m_query.deadline <= m_stop->answerBy)
+        return true;
+    if (now > m_stop->openEndedUntil || m_stop->answerBy - now < plan.route().latencyGoal)
+        return false;
+    plan.m_query.deadline = m_stop->answerBy;
+    return true;
+}
+
 // Callers state their remaining time. The longest seen on a route is taken as that of a first attempt; a time shorter
 // by more than first attempts vary indicates a retry by the caller.
 Duration Dispatcher::elapsedAtCaller(const RouteDeclaration& route, std::optional<Duration> timeLeft)
--- a/packages/dispatch/tests/DispatcherTest.cpp
+++ b/packages/dispatch/tests/DispatcherTest.cpp
@@ -5,6 +5,7 @@
 
 #include <cstring>
 #include <map>
+#include <optional>
 
 using namespace dogwoodhall;
 using namespace std::chrono_literals;
@@ -114,6 +115,42 @@
 
 } // namespace
 
+struct StopRow {
+    const char* name;
+    Duration sinceStop;
+    Duration timeLeft; // Of the caller.
+    std::optional<Duration> limit; // Time limit of the plan; empty if the request is refused.
+};
+
+// The process takes requests with later time limits for 400 ms and must have answered all after 800 ms. The route's
+// timeout is 1 s, its latency goal 300 ms.
+const StopRow stopRows[] = {
+    { "ends before the stop", 100ms, 500ms, 500ms },
+    { "would end after the stop", 100ms, 1000ms, 700ms },
+    { "route would end after the stop", 300ms, 5000ms, 500ms },
+    { "late, ends before the stop", 450ms, 350ms, 350ms },
+    { "late, would end after the stop", 450ms, 500ms, std::nullopt },
+    { "too late for its goal, ends before the stop", 700ms, 90ms, 90ms },
+};
+
+// Guards against a request that a stopping process takes although it may end before the response: the caller could not
+// know whether it had run.
+ParameterizedTestParameters(Dispatcher, takesOnlyWhatItCanAnswer) { return rowIndices(stopRows); }
+
+ParameterizedTest(std::size_t* index, Dispatcher, takesOnlyWhatItCanAnswer)
+{
+    const auto& row = stopRows[*index];
+    DispatcherFixture fixture(threeDataCentres);
+    fixture.dispatcher().stop({ fixture.now() + 400ms, fixture.now() + 800ms });
+    fixture.advance(row.sinceStop);
+    const auto plan = fixture.dispatcher().admit({ "shop", "/orders/1", "POST" }, row.timeLeft, fixture.now());
+    cr_assert_eq(plan.has_value(), row.limit.has_value(), "%s", row.name);
+    if (plan)
+        cr_expect(plan->deadline() - fixture.now() == *row.limit, "%s", row.name);
+    else
+        cr_expect(plan.error() == ErrorKind::Draining, "%s", row.name);
+}
+
 struct ChoiceRow {
     const char* name;
     const char* path;
--- a/packages/http/include/dogwoodhall/http/CallerSession.h
+++ b/packages/http/include/dogwoodhall/http/CallerSession.h
@@ -39,6 +39,10 @@
     // until then.
     void closeAfterNextResponse();
 
+    // Cancels the request in progress if its response has not begun, and responds that its deadline has passed. Returns
+    // whether there was such a request. Closes the connection then.
+    bool endRequestInProgress();
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/packages/http/include/dogwoodhall/http/CallerSessions.h
+++ b/packages/http/include/dogwoodhall/http/CallerSessions.h
@@ -4,6 +4,7 @@
 #include "dogwoodhall/http/CallerSession.h"
 
 #include <boost/asio/any_io_executor.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <unordered_map>
@@ -24,6 +25,8 @@
     void stopAfterCurrentRequests();
     // Closes each connection, including those accepted later, after its next response; see CallerSession.
     void closeAfterNextResponses();
+    // Responds to the requests in progress whose responses have not begun, and returns their number; see CallerSession.
+    std::size_t endRequestsInProgress();
     // Applies to connections accepted later.
     void setLimits(const CallerLimits& limits) { m_limits = limits; }
     bool empty() const { return m_sessions.empty(); }
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -67,6 +67,8 @@
     bool expectsContinue = false;
     bool keepAlive = false;
     bool isHead = false;
+    bool isHandled = false; // The handler has been called.
+    bool isEnded = false; // By endRequestInProgress().
     bool isResponseComplete = false; // The response has been written completely.
     // Remaining bytes of the response body. Empty before the head is written or if the length is not declared.
     std::optional<std::uint64_t> bytesLeft;
@@ -85,17 +87,22 @@
         , m_rejected(std::move(rejected))
         , m_buffer(m_limits.headerBytes.count() + 2 * readChunkBytes)
         , m_readTimer(m_stream.get_executor())
+        , m_monitorEnd(m_stream.get_executor(), asio::steady_timer::time_point::max())
         , m_bodyFinished(m_stream.get_executor(), asio::steady_timer::time_point::max())
     {
     }
 
     asio::awaitable<void> run();
+    void setLimits(const CallerLimits&);
     void stopAfterCurrentRequest();
     void closeAfterNextResponse() { m_closesAfterNextResponse = true; }
+    bool endRequestInProgress();
 
 private:
     asio::awaitable<bool> serveRequest();
     asio::awaitable<beast::error_code> readHead();
+    asio::awaitable<beast::error_code> waitForFirstByte();
+    void applyLimits();
     asio::awaitable<beast::error_code> skipEmptyLines();
     std::string_view bufferedText() const;
     std::string_view unparsedHead() const;
@@ -123,6 +130,7 @@
     // Identifies the armed timer; the handler of an earlier one may still be queued.
     std::uint64_t m_readTimerGeneration = 0;
     bool m_timedOut = false;
+    asio::steady_timer m_monitorEnd; // Cancelled to complete waitForDisconnect().
     asio::steady_timer m_bodyFinished; // Cancelled when the request body has been read completely.
     bool m_isIdle = true;
     bool m_isStopping = false;
@@ -290,10 +298,16 @@
     request.head.fields.set("Host", target->host);
     request.head.bodyLength = bodyLengthOf(*m_current->parser);
     request.readBody = [this](asio::mutable_buffer buf) { return readBody(buf); };
+    m_current->isHandled = true;
     std::exception_ptr failure;
     co_await (captureException(m_handler(std::move(request), writer()), failure) || waitForDisconnect());
     if (failure)
         std::rethrow_exception(failure);
+    if (std::exchange(m_current->isEnded, false)) {
+        m_current->keepAlive = false;
+        // An upstream may have received the request.
+        co_await writeError(writer(), ErrorKind::DeadlineExceeded, Outcome::Unknown);
+    }
     co_return m_current->isResponseComplete && m_current->keepAlive && m_current->parser->is_done() && !m_isStopping;
 }
 
@@ -306,12 +320,12 @@
     while (!m_current->parser->is_done()) {
         co_await m_bodyFinished.async_wait(useTuple);
         const auto state = co_await asio::this_coro::cancellation_state;
-        if (state.cancelled() != asio::cancellation_type::none)
+        if (state.cancelled() != asio::cancellation_type::none || m_current->isEnded)
             co_return;
     }
     auto [ec] = co_await m_stream.socket().async_wait(asio::ip::tcp::socket::wait_read, useTuple);
     const auto state = co_await asio::this_coro::cancellation_state;
-    if (state.cancelled() != asio::cancellation_type::none)
+    if (state.cancelled() != asio::cancellation_type::none || m_current->isEnded)
         co_return;
     if (!ec) {
         std::array<char, 1> byte;
@@ -321,8 +335,23 @@
         if (n == 0 && m_current->bytesLeft != 0)
             co_return;
     }
-    asio::steady_timer never(m_stream.get_executor(), asio::steady_timer::time_point::max());
-    co_await never.async_wait(useTuple);
+    co_await m_monitorEnd.async_wait(useTuple);
+}
+
+// While the body is being read, the socket is in use by the handler; afterwards only waitForDisconnect() waits for it.
+bool CallerSession::Impl::endRequestInProgress()
+{
+    const bool canEnd = m_current && m_current->isHandled && !m_current->response && !m_current->isEnded;
+    if (!canEnd)
+        return false;
+    m_current->isEnded = true;
+    if (m_current->parser->is_done()) {
+        m_stream.cancel();
+        m_monitorEnd.cancel();
+    } else {
+        m_bodyFinished.cancel();
+    }
+    return true;
 }
 
 asio::awaitable<void> CallerSession::Impl::respondToParseError(beast::error_code ec)
@@ -375,6 +404,8 @@
 
 ExchangeResult<void> CallerSession::Impl::writeHead(const ResponseHead& head)
 {
+    if (m_current->isEnded)
+        co_return tl::unexpected(ExchangeError { ErrorKind::Cancelled, false, "the request was ended" });
     auto& response = m_current->response.emplace();
     response.version(11);
     response.result(head.status);
@@ -440,6 +471,8 @@
 
 void CallerSession::stopAfterCurrentRequest() { m_impl->stopAfterCurrentRequest(); }
 
+bool CallerSession::endRequestInProgress() { return m_impl->endRequestInProgress(); }
+
 void CallerSession::closeAfterNextResponse() { m_impl->closeAfterNextResponse(); }
 
 } // namespace dogwoodhall
--- a/packages/http/src/CallerSessions.cpp
+++ b/packages/http/src/CallerSessions.cpp
@@ -60,4 +60,12 @@
         session->stopAfterCurrentRequest();
 }
 
+std::size_t CallerSessions::endRequestsInProgress()
+{
+    std::size_t ended = 0;
+    for (auto& [id, session] : m_sessions)
+        ended += session->endRequestInProgress() ? 1 : 0;
+    return ended;
+}
+
 } // namespace dogwoodhall
--- a/tests/system/RegistryTest.cpp
+++ b/tests/system/RegistryTest.cpp
@@ -7,6 +7,8 @@
 #include <criterion/parameterized.h>
 #include <csignal>
 #include <iterator>
+#include <memory>
+#include <string>
 #include <thread>
 
 using namespace dogwoodhall;
@@ -276,6 +278,115 @@
     cr_expect(eventually([&] { return cluster.request("GET", "/lookups/1", "b").status == 503; }), "never removed");
 }
 
+struct EndOfGraceRow {
+    const char* name;
+    const char* method;
+    const char* fault; // Of the endpoint.
+    bool isSentBeforeStop; // Otherwise half a second after SIGTERM, on a connection that is open already.
+    bool hasSecondSignal;
+    std::size_t bodyBytesMissing; // Of the request; never sent.
+    unsigned status;
+    std::size_t maxRuns;
+};
+
+const EndOfGraceRow endOfGraceRows[] = {
+    { "in flight", "POST", "hang", true, false, 0, 504, 1 },
+    { "in flight, may be repeated", "GET", "hang", true, false, 0, 504, 1 },
+    { "in flight, second SIGTERM", "POST", "hang", true, true, 0, 504, 1 },
+    { "taken after SIGTERM", "POST", "hang", false, false, 0, 504, 1 },
+    { "taken after SIGTERM, may be repeated", "GET", "hang", false, false, 0, 504, 1 },
+    { "body half sent before SIGTERM", "POST", "", true, false, 100, 504, 0 },
+    { "body half sent after SIGTERM", "POST", "", false, false, 100, 408, 0 },
+    { "long body half sent", "POST", "", true, false, 100'000, 504, 1 },
+};
+
+// Guards against the end of a planned stop that closes the connections of requests which were taken, without an answer
+// and before their time limit.
+ParameterizedTestParameters(Registry, stopsWithAnAnswerToEachRequest) { return rowIndices(endOfGraceRows); }
+
+ParameterizedTest(std::size_t* index, Registry, stopsWithAnAnswerToEachRequest, .timeout = 60)
+{
+    const auto& row = endOfGraceRows[*index];
+    constexpr unsigned stopGraceMs = 2500;
+    RegistryCluster cluster(1, 1, { .drainGraceMs = 1200, .stopGraceMs = stopGraceMs, .routeTimeoutMs = 10'000 });
+    cluster.setMode(0, std::string("fault=") + row.fault);
+    auto& daemon = cluster.daemon();
+    TestClient client(daemon.caller);
+    const std::size_t bodyBytes = row.bodyBytesMissing * 2;
+    const auto request = std::string(row.method) + (*row.method == 'G' ? " /lookups/1" : " /orders/1")
+        + " HTTP/1.1\r\nHost: shop\r\nDogwoodhall-Attempt-Id: last\r\nDogwoodhall-Deadline-Ms: 8000\r\n"
+        + (bodyBytes > 0 ? "Content-Length: " + std::to_string(bodyBytes) + "\r\n" : "") + "\r\n"
+        + std::string(bodyBytes - row.bodyBytesMissing, 'b');
+    if (row.isSentBeforeStop) {
+        client.send(request);
+        cr_assert(row.bodyBytesMissing > 0 || eventually([&] { return cluster.runs("last") == 1; }), "%s", row.name);
+        ::usleep(200'000);
+    }
+    const auto stoppedAt = std::chrono::steady_clock::now();
+    daemon.process.signal(SIGTERM);
+    ::usleep(500'000);
+    if (!row.isSentBeforeStop)
+        client.send(request);
+    if (row.hasSecondSignal)
+        daemon.process.signal(SIGTERM);
+    const auto response = client.readResponse();
+    const auto time = std::chrono::steady_clock::now() - stoppedAt;
+    cr_expect_eq(response.status, row.status, "%s: status %u", row.name, response.status);
+    cr_expect(response.isComplete, "%s: cut", row.name);
+    cr_expect(response.closesConnection, "%s: the caller is not told that the connection ends", row.name);
+    // The last sixth of the grace is for requests whose endpoints are still at work.
+    const auto toMs = [](auto duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration); };
+    cr_expect(row.bodyBytesMissing > 0 || toMs(time).count() >= stopGraceMs * 5 / 6, "%s: ended after %d ms", row.name,
+        static_cast<int>(toMs(time).count()));
+    cr_expect_leq(cluster.runs("last"), row.maxRuns, "%s: %zu runs", row.name, cluster.runs("last"));
+    cr_expect(daemon.process.waitForExit().has_value(), "%s", row.name);
+    cr_expect(std::chrono::steady_clock::now() - stoppedAt < std::chrono::milliseconds(stopGraceMs), "%s", row.name);
+}
+
+struct LateRow {
+    const char* name;
+    const char* method;
+    unsigned timeLimitMs; // Of the request, which is complete 1.4 s after SIGTERM; the process ends before 2.5 s.
+    bool isNewConnection;
+    unsigned status;
+    std::size_t runs;
+};
+
+const LateRow lateRows[] = {
+    { "may not be repeated", "POST", 8000, false, 503, 0 },
+    { "may be repeated", "GET", 8000, false, 503, 0 },
+    { "new connection", "POST", 8000, true, 503, 0 },
+    { "ends before the stop", "POST", 600, false, 200, 1 },
+};
+
+// Guards against requests that come late in the grace of a planned stop and are passed on although their endpoints may
+// still be at work when the process ends: their callers could not know whether they had run.
+ParameterizedTestParameters(Registry, passesOnNoRequestItCannotFinish) { return rowIndices(lateRows); }
+
+ParameterizedTest(std::size_t* index, Registry, passesOnNoRequestItCannotFinish, .timeout = 60)
+{
+    const auto& row = lateRows[*index];
+    RegistryCluster cluster(1, 1, { .drainGraceMs = 2000, .stopGraceMs = 2500, .routeTimeoutMs = 10'000 });
+    cluster.setMode(0, row.timeLimitMs < 1000 ? "delay_ms=300" : "delay_ms=3000");
+    auto& daemon = cluster.daemon();
+    const auto request = std::string(row.method) + (*row.method == 'G' ? " /lookups/1" : " /orders/1")
+        + " HTTP/1.1\r\nHost: shop\r\nDogwoodhall-Attempt-Id: late\r\nDogwoodhall-Deadline-Ms: "
+        + std::to_string(row.timeLimitMs) + "\r\n\r\n";
+    auto client = std::make_unique<TestClient>(daemon.caller);
+    daemon.process.signal(SIGTERM);
+    ::usleep(1'400'000);
+    if (row.isNewConnection)
+        client = std::make_unique<TestClient>(daemon.caller);
+    client->send(request);
+    const auto response = client->readResponse();
+    cr_expect_eq(response.status, row.status, "%s: status %u", row.name, response.status);
+    cr_expect(response.isComplete && response.closesConnection, "%s", row.name);
+    if (row.runs == 0)
+        cr_expect_eq(response.field("Dogwoodhall-Outcome"), "not-run", "%s", row.name);
+    cr_expect(daemon.process.waitForExit().has_value(), "%s", row.name);
+    cr_expect_eq(cluster.runs("late"), row.runs, "%s: %zu runs", row.name, cluster.runs("late"));
+}
+
 // Guards against a graceful stop or a reload that aborts a request.
 Test(Registry, stopsAndReloadsWithoutLoss, .timeout = 60)
 {
--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -16,9 +16,9 @@
 // A member's share of the retry slack grows during its first window; the constructor waits for two windows.
 constexpr unsigned retryWindowMs = 100;
 
-json::object route(const std::string& prefix, const char* kind)
+json::object route(const std::string& prefix, const char* kind, unsigned timeoutMs)
 {
-    return { { "host", "shop" }, { "prefix", prefix }, { "kind", kind }, { "timeout_ms", 1000 },
+    return { { "host", "shop" }, { "prefix", prefix }, { "kind", kind }, { "timeout_ms", timeoutMs },
         { "target_latency_ms", 300 }, { "priority", 1 }, { "service", "catalogue" }, { "max_attempts", 2 } };
 }
 
@@ -34,7 +34,13 @@
 } // namespace
 
 RegistryCluster::RegistryCluster(std::size_t endpoints, std::size_t daemons)
-    : m_registry({ REGISTRY_BINARY })
+    : RegistryCluster(endpoints, daemons, Options {})
+{
+}
+
+RegistryCluster::RegistryCluster(std::size_t endpoints, std::size_t daemons, Options options)
+    : m_options(options)
+    , m_registry({ REGISTRY_BINARY })
     , m_registryAddress(m_registry.readListening().at("address"))
 {
     for (std::size_t n = 0; n < endpoints; ++n)
@@ -70,7 +76,8 @@
         { "platformAddress", toString(m_registryAddress) }, { "trafficThreads", 1 },
         { "registry",
             json::object { { "regions", json::object { { "dc0", "r0" } } }, { "retrySlack", 1000 },
-                { "retryWindowMs", retryWindowMs }, { "drainGraceMs", 500 }, { "stopGraceMs", 5000 } } } };
+                { "retryWindowMs", retryWindowMs }, { "drainGraceMs", m_options.drainGraceMs },
+                { "stopGraceMs", m_options.stopGraceMs } } } };
     std::ofstream(file) << json::serialize(settings);
     Process process({ DAEMON_BINARY, "--settings", file.string() });
     auto addresses = process.readListening();
@@ -140,8 +147,8 @@
     publishText("op/config",
         json::serialize(json::object { { "version", digits },
             { "routes",
-                json::object {
-                    { "lookups", route(prefix, "idempotent") }, { "orders", route("/orders/", "non_idempotent") } } },
+                json::object { { "lookups", route(prefix, "idempotent", m_options.routeTimeoutMs) },
+                    { "orders", route("/orders/", "non_idempotent", m_options.routeTimeoutMs) } } },
             { "services",
                 json::object { { "catalogue",
                     json::object { { "health_path", "/health" }, { "max_connections", 100 }, { "protocol", "h1" },
--- a/tests/system/support/RegistryCluster.h
+++ b/tests/system/support/RegistryCluster.h
@@ -11,7 +11,7 @@
 namespace dogwoodhall {
 
 // The registry stand-in, endpoints that are registered in it, and daemons, on ports that the kernel chooses. Routes of
-// host "shop": /lookups/ is idempotent, /orders/ is not; their timeouts are 1 s.
+// host "shop": /lookups/ is idempotent, /orders/ is not.
 class RegistryCluster {
 public:
     struct Endpoint {
@@ -25,7 +25,14 @@
         NetworkAddress admin;
     };
 
+    struct Options {
+        unsigned drainGraceMs = 500; // Of each daemon.
+        unsigned stopGraceMs = 5000;
+        unsigned routeTimeoutMs = 1000;
+    };
+
     RegistryCluster(std::size_t endpoints, std::size_t daemons = 1);
+    RegistryCluster(std::size_t endpoints, std::size_t daemons, Options);
 
     Endpoint& endpoint(std::size_t n = 0) { return m_endpoints.at(n); }
     Daemon& daemon(std::size_t n = 0) { return m_daemons.at(n); }
@@ -57,6 +64,7 @@
     void startEndpoint();
     Response callRegistry(const std::string& method, const std::string& target, const std::string& body = {}) const;
 
+    const Options m_options;
     TemporaryFolder m_folder;
     Process m_registry;
     NetworkAddress m_registryAddress;
