Apply changed limits of callers to open connections

Cause: CallerSessions::setLimits() applied to connections that are accepted later, and each session used the copy that it made at its start. The limit for heads and both time-outs were copied alike.

Change: changed limits are passed to the open sessions. A request is bound by the limits in force at its first byte; an idle connection gets the new idle time, counted from its last response.

Evidence: all six rows of CallerSessionsTest applyChangedLimitsToOpenConnections fail before the change, for lower limits as for higher ones, and pass now.

--- a/packages/http/include/dogwoodhall/http/CallerSession.h
+++ b/packages/http/include/dogwoodhall/http/CallerSession.h
@@ -16,6 +16,8 @@
     ByteCount bodyBytes { 64ULL * 1024 * 1024 };
     Duration headerTimeout = std::chrono::seconds(10); // For a complete head, and for each part of a body.
     Duration idleTimeout = std::chrono::seconds(60); // Between requests on a connection.
+
+    bool operator==(const CallerLimits&) const = default;
 };
 
 // Called for each request that the session rejects without calling the handler.
@@ -32,6 +34,9 @@
     // Serves requests until the connection ends.
     asio::awaitable<void> run();
 
+    // Applies to requests whose first byte arrives later, and to an idle time in progress.
+    void setLimits(const CallerLimits&);
+
     // Closes the connection after the request in progress, or immediately if it is idle.
     void stopAfterCurrentRequest();
 
--- a/packages/http/include/dogwoodhall/http/CallerSessions.h
+++ b/packages/http/include/dogwoodhall/http/CallerSessions.h
@@ -27,8 +27,8 @@
     void closeAfterNextResponses();
     // Responds to the requests in progress whose responses have not begun, and returns their number; see CallerSession.
     std::size_t endRequestsInProgress();
-    // Applies to connections accepted later.
-    void setLimits(const CallerLimits& limits) { m_limits = limits; }
+    // Applies to open connections too; see CallerSession.
+    void setLimits(const CallerLimits&);
     bool empty() const { return m_sessions.empty(); }
 
 private:
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -85,7 +85,6 @@
         , m_limits(limits)
         , m_handler(std::move(handler))
         , m_rejected(std::move(rejected))
-        , m_buffer(m_limits.headerBytes.count() + 2 * readChunkBytes)
         , m_readTimer(m_stream.get_executor())
         , m_monitorEnd(m_stream.get_executor(), asio::steady_timer::time_point::max())
         , m_bodyFinished(m_stream.get_executor(), asio::steady_timer::time_point::max())
@@ -124,7 +123,7 @@
     CallerLimits m_limits;
     RequestHandler m_handler;
     RequestRejected m_rejected;
-    beast::flat_buffer m_buffer; // Has space for the largest head and one more read.
+    beast::flat_buffer m_buffer;
     std::optional<CurrentRequest> m_current;
     asio::steady_timer m_readTimer;
     // Identifies the armed timer; the handler of an earlier one may still be queued.
@@ -133,6 +132,7 @@
     asio::steady_timer m_monitorEnd; // Cancelled to complete waitForDisconnect().
     asio::steady_timer m_bodyFinished; // Cancelled when the request body has been read completely.
     bool m_isIdle = true;
+    std::optional<std::chrono::steady_clock::time_point> m_idleSince; // While the idle time-out is armed.
     bool m_isStopping = false;
     bool m_closesAfterNextResponse = false;
 };
@@ -179,14 +179,42 @@
         m_stream.cancel();
 }
 
+void CallerSession::Impl::setLimits(const CallerLimits& limits)
+{
+    m_limits = limits;
+    if (!m_idleSince)
+        return;
+    const auto idle = std::chrono::steady_clock::now() - *m_idleSince;
+    armReadTimer(std::max<Duration>(m_limits.idleTimeout - idle, Duration::zero()));
+}
+
+asio::awaitable<beast::error_code> CallerSession::Impl::waitForFirstByte()
+{
+    if (m_buffer.size() > 0)
+        co_return beast::error_code {};
+    m_idleSince = std::chrono::steady_clock::now();
+    armReadTimer(m_limits.idleTimeout);
+    const auto ec = co_await readMore();
+    m_idleSince.reset();
+    co_return ec == beast::error::timeout ? asio::error::eof : ec;
+}
+
+// A request is bound by the limits in force at its first byte.
+void CallerSession::Impl::applyLimits()
+{
+    m_current->parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes.count()));
+    m_current->parser->body_limit(m_limits.bodyBytes.count());
+    // Has space for the largest head and one more read, also after bytes that arrived under higher limits.
+    const auto headBytes = std::max<std::size_t>(m_limits.headerBytes.count(), m_buffer.size());
+    m_buffer.max_size(headBytes + 2 * readChunkBytes);
+}
+
 asio::awaitable<beast::error_code> CallerSession::Impl::readHead()
 {
-    if (m_buffer.size() == 0) {
-        armReadTimer(m_limits.idleTimeout);
-        if (auto ec = co_await readMore())
-            co_return ec == beast::error::timeout ? asio::error::eof : ec;
-    }
+    if (auto ec = co_await waitForFirstByte())
+        co_return ec;
     m_isIdle = false;
+    applyLimits();
     armReadTimer(m_limits.headerTimeout);
     if (auto ec = co_await skipEmptyLines())
         co_return ec;
@@ -271,8 +299,6 @@
     m_current.emplace();
     m_isIdle = true;
     m_current->parser.emplace();
-    m_current->parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes.count()));
-    m_current->parser->body_limit(m_limits.bodyBytes.count());
     m_current->parser->on_chunk_header(m_current->chunkExtensions);
     if (auto ec = co_await readHead()) {
         const bool connectionEnded
@@ -469,6 +495,8 @@
 
 asio::awaitable<void> CallerSession::run() { return m_impl->run(); }
 
+void CallerSession::setLimits(const CallerLimits& limits) { m_impl->setLimits(limits); }
+
 void CallerSession::stopAfterCurrentRequest() { m_impl->stopAfterCurrentRequest(); }
 
 bool CallerSession::endRequestInProgress() { return m_impl->endRequestInProgress(); }
--- a/packages/http/src/CallerSessions.cpp
+++ b/packages/http/src/CallerSessions.cpp
@@ -47,6 +47,15 @@
         m_sessionEnded();
 }
 
+void CallerSessions::setLimits(const CallerLimits& limits)
+{
+    if (limits == m_limits)
+        return;
+    m_limits = limits;
+    for (auto& [id, session] : m_sessions)
+        session->setLimits(limits);
+}
+
 void CallerSessions::closeAfterNextResponses()
 {
     m_closesAfterNextResponse = true;
--- a/packages/http/tests/CallerSessionsTest.cpp
+++ b/packages/http/tests/CallerSessionsTest.cpp
@@ -347,6 +347,66 @@
     }
 }
 
+struct ChangedLimitsRow {
+    const char* name;
+    CallerLimits before;
+    CallerLimits after;
+    std::size_t headBytes;
+    std::size_t bodyBytes;
+    std::chrono::milliseconds idle; // Between the change and the request.
+    const char* response; // Empty: the connection is closed.
+};
+
+CallerLimits limitsOf(std::uint64_t headerBytes, std::uint64_t bodyBytes, std::chrono::milliseconds idleTimeout)
+{
+    CallerLimits limits;
+    limits.headerBytes = ByteCount(headerBytes);
+    limits.bodyBytes = ByteCount(bodyBytes);
+    limits.idleTimeout = idleTimeout;
+    return limits;
+}
+
+constexpr std::chrono::milliseconds shortIdle { 200 };
+constexpr std::chrono::milliseconds longIdle { 20'000 };
+constexpr std::chrono::milliseconds pastShortIdle { 400 };
+
+const ChangedLimitsRow changedLimitsRows[] = {
+    { "larger bodies", limitsOf(16'384, 1'000, longIdle), limitsOf(16'384, 50'000, longIdle), 0, 20'000, {},
+        "HTTP/1.1 200" },
+    { "smaller bodies", limitsOf(16'384, 50'000, longIdle), limitsOf(16'384, 1'000, longIdle), 0, 20'000, {},
+        "HTTP/1.1 413" },
+    { "longer heads", limitsOf(1'000, 50'000, longIdle), limitsOf(40'000, 50'000, longIdle), 30'000, 4, {},
+        "HTTP/1.1 200" },
+    { "shorter heads", limitsOf(40'000, 50'000, longIdle), limitsOf(1'000, 50'000, longIdle), 3'000, 4, {},
+        "HTTP/1.1 431" },
+    { "longer idle time", limitsOf(16'384, 50'000, shortIdle), limitsOf(16'384, 50'000, longIdle), 0, 4, pastShortIdle,
+        "HTTP/1.1 200" },
+    { "shorter idle time", limitsOf(16'384, 50'000, longIdle), limitsOf(16'384, 50'000, shortIdle), 0, 4, pastShortIdle,
+        "" },
+};
+
+// Guards against connections that keep the limits of the time at which they were opened: a request that the
+// configuration in force allows was refused for as long as its caller kept its connection.
+ParameterizedTestParameters(CallerSessions, applyChangedLimitsToOpenConnections)
+{
+    return rowIndices(changedLimitsRows);
+}
+
+ParameterizedTest(std::size_t* index, CallerSessions, applyChangedLimitsToOpenConnections, .timeout = 60)
+{
+    const auto& row = changedLimitsRows[*index];
+    EchoFixture fixture(row.before);
+    fixture.send(postOf(0, "first"));
+    const auto first = fixture.received();
+    cr_assert(first.starts_with("HTTP/1.1 200"), "%s: %s", row.name, first.c_str());
+    fixture.sessions.setLimits(row.after);
+    fixture.runFor(row.idle);
+    fixture.send(postOf(row.headBytes, std::string(row.bodyBytes, 'b')));
+    const auto second = fixture.received();
+    const std::string expected = row.response;
+    cr_expect(second.starts_with(expected) && second.empty() == expected.empty(), "%s: %s", row.name, second.c_str());
+}
+
 struct EndlessRequestRow {
     const char* name;
     const char* start;
