--- a/tests/system/MemoryTest.cpp
+++ b/tests/system/MemoryTest.cpp
@@ -3,11 +3,14 @@
 #include "RegistryCluster.h"
 #include "TableRows.h"
 
+#include <atomic>
 #include <chrono>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <csignal>
+#include <functional>
 #include <thread>
+#include <utility>
 
 using namespace dogwoodhall;
 
@@ -121,12 +124,44 @@
 
 const EndlessRow endlessRows[] = {
     { "header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n" },
+    { "header fields at the ends of reads", "HTTP/1.1 200 OK\r\nServer: abcd\r\nX", "-Field: value\r\nX" },
     { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
     { "chunk extension", CHUNKED "5;", "extension" },
     { "trailers", CHUNKED "5\r\nhello\r\n0\r\n", "X-Field: value\r\n" },
+    { "body", "HTTP/1.1 200 OK\r\nDogwoodhall-Attempt-Id: endless\r\n\r\n", "no answer " },
     { "bytes that are no answer", "", "no answer " },
 };
 
+// Sends idempotent requests one after another until it is destroyed, and counts those that are not served.
+class OtherCaller {
+public:
+    explicit OtherCaller(std::function<Response()> request)
+        : m_thread([this, request = std::move(request)] {
+            while (!m_isStopping) {
+                ++m_sent;
+                m_failed += request().status == 200 ? 0 : 1;
+            }
+        })
+    {
+    }
+    ~OtherCaller() { stop(); }
+
+    void stop()
+    {
+        m_isStopping = true;
+        if (m_thread.joinable())
+            m_thread.join();
+    }
+    std::size_t sent() const { return m_sent; }
+    std::size_t failed() const { return m_failed; }
+
+private:
+    std::atomic<bool> m_isStopping = false;
+    std::atomic<std::size_t> m_sent = 0;
+    std::atomic<std::size_t> m_failed = 0;
+    std::thread m_thread;
+};
+
 // Guards against an endpoint whose answer never ends: it filled the memory of the process, and with the process all of
 // its requests were lost.
 ParameterizedTestParameters(Memory, endlessAnswerIsBounded) { return rowIndices(endlessRows); }
@@ -134,10 +169,11 @@
 ParameterizedTest(std::size_t* index, Memory, endlessAnswerIsBounded, .timeout = 90)
 {
     const auto& row = endlessRows[*index];
-    RegistryCluster cluster(1);
+    // Outlives the daemon, whose kept connections its threads read.
     EndlessServer endless(row.start, row.piece,
         "HTTP/1.1 200 OK\r\nDogwoodhall-Instance-Id: i-endless\r\nDogwoodhall-Backend-Load: 0,0,3\r\n"
         "Content-Length: 0\r\n\r\n");
+    RegistryCluster cluster(1);
     const auto& process = cluster.daemon().process;
     const auto before = process.residentKilobytes();
     // Busy, so that the endless endpoint is preferred.
@@ -156,3 +192,82 @@
     cr_assert(after <= before + growthLimitKilobytes, "%s: %zu kB, then %zu kB", row.name, before, after);
     cr_expect_eq(cluster.request("GET", "/lookups/1", "other").status, 200, "%s", row.name);
 }
+
+// Guards against the requests of other callers that fail or wait while an endpoint's answer never ends. Their requests
+// reach that endpoint too, so that two answers without an end are read at the same time.
+ParameterizedTestParameters(Memory, endlessAnswerLeavesOtherCallersAlone) { return rowIndices(endlessRows); }
+
+ParameterizedTest(std::size_t* index, Memory, endlessAnswerLeavesOtherCallersAlone, .timeout = 90)
+{
+    constexpr std::size_t answersAtOnce = 2;
+    constexpr int requests = 10;
+    const auto& row = endlessRows[*index];
+    EndlessServer endless(row.start, row.piece,
+        "HTTP/1.1 200 OK\r\nDogwoodhall-Instance-Id: i-endless\r\nDogwoodhall-Backend-Load: 0,0,3\r\n"
+        "Content-Length: 0\r\n\r\n");
+    RegistryCluster cluster(1);
+    const auto& process = cluster.daemon().process;
+    const auto before = process.residentKilobytes();
+    cluster.setMode(0, "running=1");
+    cluster.publishAddress("i-endless", { IpAddress::loopback(), endless.port() });
+    OtherCaller other([&] { return cluster.request("GET", "/lookups/1", "other"); });
+    cr_expect(eventually([&] { return endless.answers() > 0; }), "%s: the endpoint is not asked", row.name);
+    for (int n = 0; n < requests; ++n) {
+        const auto response = cluster.request("POST", "/orders/1", "endless");
+        const bool isAnswered = response.status == 200 || response.status == 502 || response.status == 504;
+        cr_expect(response.isComplete && isAnswered, "%s: status %u", row.name, response.status);
+    }
+    other.stop();
+    const auto after = process.residentKilobytes();
+    cr_log_info(
+        "%s: %zu answers to other callers, %zu kB before, %zu kB after\n", row.name, other.sent(), before, after);
+    cr_expect(other.sent() > 0 && other.failed() == 0, "%s: %zu of %zu requests of others failed", row.name,
+        other.failed(), other.sent());
+    cr_assert(
+        after <= before + answersAtOnce * growthLimitKilobytes, "%s: %zu kB, then %zu kB", row.name, before, after);
+}
+
+const EndlessRow endlessAtHomeRows[] = {
+    { "header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n" },
+    { "header fields at the ends of reads", "HTTP/1.1 200 OK\r\nServer: abcd\r\nX", "-Field: value\r\nX" },
+    { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n" },
+    { "chunk extension", CHUNKED "5;", "extension" },
+    { "trailers", CHUNKED "5\r\nhello\r\n0\r\n", "X-Field: value\r\n" },
+    { "bytes that are no answer", "", "no answer " },
+};
+
+// Guards against the same where requests are placed by the homes of their pools.
+ParameterizedTestParameters(Memory, endlessAnswerToAHomeIsBounded) { return rowIndices(endlessAtHomeRows); }
+
+ParameterizedTest(std::size_t* index, Memory, endlessAnswerToAHomeIsBounded, .timeout = 90)
+{
+    const auto& row = endlessAtHomeRows[*index];
+    EndlessServer endless(row.start, row.piece, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    auto cluster = Cluster::Builder().start();
+    auto record = cluster.recordOf("endless", 0, 2);
+    const auto address = toString(cluster.upstream().address);
+    record.replace(record.find(address), address.size(), "127.0.0.1:" + std::to_string(endless.port()));
+    cluster.publishRecord("endless", record);
+    const auto requestEndless = [&] {
+        return call(cluster.caller(), { "POST", "/endless/" + cluster.upstream().name, {}, {}, "endless" });
+    };
+    warmUp(cluster);
+    const auto& process = cluster.daemon().process;
+    const auto before = process.residentKilobytes();
+    OtherCaller other([&] { return call(cluster.caller(), { "GET", "/other", {}, {}, {} }); });
+    Response response;
+    const auto isEndlessAsked = [&] {
+        response = requestEndless();
+        return endless.answers() > 0;
+    };
+    cr_assert(eventually(isEndlessAsked), "%s: the endpoint is not asked", row.name);
+    cr_expect(response.status == 502 || response.status == 504 || !response.isComplete, "%s: status %u", row.name,
+        response.status);
+    other.stop();
+    const auto after = process.residentKilobytes();
+    cr_log_info(
+        "%s: %zu answers to other callers, %zu kB before, %zu kB after\n", row.name, other.sent(), before, after);
+    cr_expect(other.sent() > 0 && other.failed() == 0, "%s: %zu of %zu requests of others failed", row.name,
+        other.failed(), other.sent());
+    cr_assert(after <= before + growthLimitKilobytes, "%s: %zu kB, then %zu kB", row.name, before, after);
+}
--- a/tests/system/RegistryTest.cpp
+++ b/tests/system/RegistryTest.cpp
@@ -10,6 +10,8 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace dogwoodhall;
 
@@ -96,6 +98,54 @@
     }
 }
 
+struct CopiedRefusalRow {
+    const char* fault;
+    std::size_t endpoints;
+    bool mayServe; // Some requests are answered by the endpoint.
+};
+
+const CopiedRefusalRow copiedRefusalRows[] = {
+    { "refuse-late-extra", 1, false },
+    { "refuse-late-extra", 2, true },
+    { "refuse-before", 1, true },
+    { "refuse-before", 2, true },
+    { "refuse-other", 1, false },
+    { "refuse-other", 2, false },
+};
+
+// Guards against a refusal that an endpoint sends once more on a kept connection, or with the id of another request:
+// callers were told "not run" for a request that ran, or it ran at a second endpoint.
+ParameterizedTestParameters(Registry, takesNoRefusalOfAnotherRequest) { return rowIndices(copiedRefusalRows); }
+
+ParameterizedTest(std::size_t* index, Registry, takesNoRefusalOfAnotherRequest, .timeout = 60)
+{
+    const auto& row = copiedRefusalRows[*index];
+    constexpr int requests = 24;
+    // The refusal comes again 100 ms after the first, so that it arrives before, during and after later requests.
+    constexpr useconds_t pauseStep = 6'000;
+    RegistryCluster cluster(row.endpoints);
+    for (std::size_t n = 0; n < row.endpoints; ++n)
+        cluster.setMode(n, std::string("delay_ms=30&fault=") + row.fault);
+    int served = 0;
+    std::vector<std::pair<std::string, unsigned>> answers;
+    for (int n = 0; n < requests; ++n) {
+        const auto id = "refused-" + std::to_string(n);
+        const auto response = cluster.request("POST", "/orders/1", id);
+        cr_expect(response.isComplete, "%s, %s", row.fault, id.c_str());
+        answers.emplace_back(id, response.status);
+        const bool isOwn = response.body.ends_with(" served " + id + "\n");
+        cr_expect(response.status != 200 || isOwn, "%s, %s: %s", row.fault, id.c_str(), response.body.c_str());
+        served += response.status == 200 ? 1 : 0;
+        ::usleep(static_cast<useconds_t>(n) * pauseStep);
+    }
+    cr_expect(served == 0 || row.mayServe, "%s: %d served", row.fault, served);
+    for (const auto& [id, status] : answers) {
+        const auto runs = cluster.runs(id);
+        const bool promisesNotRun = status == 503 || status == 429 || status == 421 || status == 408;
+        cr_expect_leq(runs, promisesNotRun ? 0 : 1, "%s, %s: %u, %zu runs", row.fault, id.c_str(), status, runs);
+    }
+}
+
 struct RefusalRow {
     const char* name;
     const char* mode; // Of all endpoints.
--- a/tools/src/RegisteredUpstreamStandIn.cpp
+++ b/tools/src/RegisteredUpstreamStandIn.cpp
@@ -8,17 +8,21 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <fcntl.h>
 #include <unistd.h>
+#include <utility>
 
 // Stand-in for an endpoint of the users' platform, written from the platform's published page. Each execution of a
 // request is appended to --runs-file as a line with the attempt id. GET /health reports the load. GET /control/received
 // returns the number of requests.
 //
 // PUT /control/mode?name=value&... sets how requests are answered until the next such call:
-//   fault=refuse|misdirected|cut|cut-unrun|truncate|extra|late-extra|other|unsigned|unframed|error|hang|early
+//   fault=refuse|refuse-late-extra|refuse-before|refuse-other|misdirected|cut|cut-unrun|truncate|extra|late-extra|other|
+//         unsigned|unframed|error|hang|early
 //       refuse and misdirected do not execute the request, and the response proves it; cut closes the connection after
-//       the execution, cut-unrun before it; extra sends a second response, late-extra sends it when the connection may
-//       be in use again; other responds with the id of another request; hang does not respond for a minute; early
-//       responds with an error before it reads the body
+//       the execution, cut-unrun before it; refuse-late-extra refuses and sends the refusal again when the connection
+//       may be in use again; refuse-before refuses every other request and sends the refusal again before the response
+//       to the next one; refuse-other executes the request and refuses it with the id of another one; extra sends a
+//       second response, late-extra sends it when the connection may be in use again; other responds with the id of
+//       another request; hang does not respond for a minute; early responds with an error before it reads the body
 //   delay_ms=<n>   delay before the response
 //   running=<n>, slowdown=<percent>   load that /health reports; health=<status> sets its status
 
@@ -56,6 +60,8 @@
     asio::awaitable<void> handle(IncomingRequest, ResponseWriter);
     asio::awaitable<void> handleHealth(const ResponseWriter&);
     asio::awaitable<void> serve(IncomingRequest, const ResponseWriter&);
+    asio::awaitable<void> refuse(const ResponseWriter&, const std::string& id, bool isSentAgain);
+    asio::awaitable<void> refuseBefore(const ResponseWriter&, const std::string& id);
     asio::awaitable<void> answer(const ResponseWriter&, const std::string& id);
     asio::awaitable<void> pause(std::uint64_t milliseconds);
     void recordRun(const std::string& id) const;
@@ -66,6 +72,7 @@
     int m_runsFile;
     Target m_mode;
     std::uint64_t m_received = 0;
+    std::string m_refusedId; // Of the last request that refuse-before refused; empty after its refusal was sent again.
 };
 
 asio::awaitable<void> RegisteredUpstream::pause(std::uint64_t milliseconds)
@@ -118,10 +125,11 @@
         co_await writeAnswer(writer, 421, "", fields);
         co_return;
     }
-    if (isFault("refuse")) {
-        fields.add("Dogwoodhall-Not-Executed", "1");
-        co_await writeAnswer(writer, 503, "", fields);
-        co_return;
+    if (isFault("refuse") || isFault("refuse-late-extra"))
+        co_return co_await refuse(writer, id, isFault("refuse-late-extra"));
+    if (isFault("refuse-before") && m_refusedId.empty()) {
+        m_refusedId = id;
+        co_return co_await refuse(writer, id, false);
     }
     if (isFault("early")) {
         co_await writeAnswer(writer, 500, "", fields);
@@ -134,10 +142,52 @@
     co_await pause(m_mode.number("delay_ms", 0));
     if (isFault("hang"))
         co_await pause(60'000);
-    if (!isFault("cut"))
+    if (isFault("refuse-other"))
+        co_await refuse(writer, "another", false);
+    else if (isFault("refuse-before"))
+        co_await refuseBefore(writer, id);
+    else if (!isFault("cut"))
         co_await answer(writer, id);
 }
 
+std::string refusalText(const std::string& id)
+{
+    return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + std::string(attemptIdField) + ": " + id
+        + "\r\nDogwoodhall-Not-Executed: 1\r\n\r\n";
+}
+
+asio::awaitable<void> RegisteredUpstream::refuse(const ResponseWriter& writer, const std::string& id, bool isSentAgain)
+{
+    ResponseHead head;
+    head.status = 503;
+    head.fields.add(std::string(attemptIdField), id);
+    head.fields.add("Dogwoodhall-Not-Executed", "1");
+    co_await writer.writeHead(head);
+    if (isSentAgain) {
+        co_await pause(lateExtraMs);
+        const auto text = refusalText(id);
+        co_await writer.writeBody(asio::buffer(text));
+    }
+    co_await writer.finish();
+}
+
+// The refusal of an earlier request, followed by the response to this one.
+asio::awaitable<void> RegisteredUpstream::refuseBefore(const ResponseWriter& writer, const std::string& id)
+{
+    const std::string text = m_options.id + " served " + id + "\n";
+    const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(text.size()) + "\r\n"
+        + std::string(attemptIdField) + ": " + id + "\r\nDogwoodhall-Response-Signature: signed-" + id + "\r\n\r\n"
+        + text;
+    const auto refusedId = std::exchange(m_refusedId, {});
+    ResponseHead head;
+    head.status = 503;
+    head.fields.add(std::string(attemptIdField), refusedId);
+    head.fields.add("Dogwoodhall-Not-Executed", "1");
+    co_await writer.writeHead(head);
+    co_await writer.writeBody(asio::buffer(response));
+    co_await writer.finish();
+}
+
 asio::awaitable<void> RegisteredUpstream::answer(const ResponseWriter& writer, const std::string& id)
 {
     const std::string text = m_options.id + " served " + id + "\n";
