Keep a batch that arrives as its watch is given up

The source has moved its position past such a batch and does not return it again: its records would have been missed until their next change. Found by reading; PlatformWatcherTest replacesALostWatch has two rows for it. The hooks of that test and the health answer of MemoryTest are written once.

--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -104,8 +104,8 @@
 asio::awaitable<void> PlatformWatcher::readInto(std::optional<ReadResult>& result, Duration wait)
 {
     auto batch = co_await m_source.readRecords(m_hooks.highestRevision(), wait);
-    // After detectLostWatch() has cancelled the read, its error stays.
-    if (!result)
+    // The source does not return a batch again, so that one which arrives late replaces the error of detectLostWatch().
+    if (!result || batch)
         result = std::move(batch);
 }
 
--- a/packages/daemon/tests/PlatformWatcherTest.cpp
+++ b/packages/daemon/tests/PlatformWatcherTest.cpp
@@ -30,11 +30,13 @@
     return readOne(reads);
 }
 
-// A watch whose response never arrives.
-ExchangeResult<RecordBatch> neverRead(asio::io_context& io)
+// A watch whose response does not arrive before it is cancelled, if at all.
+ExchangeResult<RecordBatch> neverRead(asio::io_context& io, bool isLate)
 {
     asio::steady_timer never(io, asio::steady_timer::time_point::max());
     co_await never.async_wait(asio::as_tuple(asio::use_awaitable));
+    if (isLate)
+        co_return RecordBatch {};
     co_return tl::unexpected(ExchangeError { ErrorKind::Cancelled, false, {} });
 }
 
@@ -47,6 +49,18 @@
     co_return result == CheckResult::Newer;
 }
 
+PlatformWatcher::Hooks hooksOfASingleWatcher()
+{
+    PlatformWatcher::Hooks hooks;
+    hooks.isWatcher = [] { return true; };
+    hooks.hasPeers = [] { return false; };
+    hooks.pauseAfterChanges = [] { return Duration(std::chrono::milliseconds(1)); };
+    hooks.highestRevision = [] { return Revision(); };
+    hooks.hostListPeriod = [] { return Duration(std::chrono::milliseconds(1)); };
+    hooks.firstReadDelay = [] { return Duration(); };
+    return hooks;
+}
+
 } // namespace
 
 struct LostWatchRow {
@@ -54,16 +68,19 @@
     CheckResult result; // Of each check.
     bool isReadAgain;
     int unreachable; // How often the records are reported as unreadable.
+    bool isLate = false; // The response arrives as the watch is given up.
 };
 
 const LostWatchRow lostWatchRows[] = {
     { "the service stops responding", CheckResult::NoResponse, true, 1 },
     { "the service has newer records", CheckResult::Newer, true, 0 },
+    { "the service has newer records, the response is late", CheckResult::Newer, true, 0, true },
+    { "the service stops responding, the response is late", CheckResult::NoResponse, true, 0, true },
     { "the service has nothing newer", CheckResult::NothingNewer, false, 0 },
 };
 
-// Guards against a member that waits for a response which the service has lost, and against reads while a watch is
-// sound.
+// Guards against a member that waits for a response which the service has lost, that drops a late one, and that reads
+// while a watch is sound.
 ParameterizedTestParameters(PlatformWatcher, replacesALostWatch) { return rowIndices(lostWatchRows); }
 
 ParameterizedTest(std::size_t* index, PlatformWatcher, replacesALostWatch, .timeout = 60)
@@ -77,31 +94,27 @@
     int watches = 0;
     int unreachable = 0;
     int checks = 0;
+    int batches = 0;
     RecordSource source;
     source.readRecords = [&](Revision, Duration wait) {
         if (wait == Duration::zero())
             return readOne(reads);
-        ++watches;
-        return neverRead(io);
+        return neverRead(io, ++watches == 1 && row.isLate);
     };
     source.hasNewerRecords = [&] { return check(++checks == 1 ? row.result : CheckResult::NothingNewer); };
     source.watchCheckPeriod = std::chrono::milliseconds(20);
     source.retryDelay = std::chrono::milliseconds(1);
-    PlatformWatcher::Hooks hooks;
-    hooks.isWatcher = [] { return true; };
-    hooks.hasPeers = [] { return false; };
-    hooks.pauseAfterChanges = [] { return Duration(std::chrono::milliseconds(1)); };
-    hooks.highestRevision = [] { return Revision(); };
-    hooks.hostListPeriod = [] { return Duration(std::chrono::milliseconds(1)); };
-    hooks.firstReadDelay = [] { return Duration(); };
-    hooks.recordsRead = [](const RecordBatch&) {};
+    auto hooks = hooksOfASingleWatcher();
+    hooks.recordsRead = [&](const RecordBatch&) { ++batches; };
     hooks.recordsUnreachable = [&] { ++unreachable; };
     PlatformWatcher watcher(io, source, hooks, metrics);
     spawnPermanent(io.get_executor(), [&] { return watcher.watchRecords(); });
     io.run_for(observed);
-    const int expected = row.isReadAgain ? 2 : 1;
-    cr_expect_eq(reads, expected, "%s: %d reads", row.name, reads);
-    cr_expect_eq(watches, expected, "%s: %d watches", row.name, watches);
+    const bool hasResponse = row.isLate && row.result == CheckResult::NoResponse; // So that no read follows it.
+    const int expectedReads = row.isReadAgain && !hasResponse ? 2 : 1;
+    cr_expect_eq(reads, expectedReads, "%s: %d reads", row.name, reads);
+    cr_expect_eq(watches, row.isReadAgain ? 2 : 1, "%s: %d watches", row.name, watches);
+    cr_expect_eq(batches, expectedReads + (row.isLate ? 1 : 0), "%s: %d batches", row.name, batches);
     cr_expect_eq(unreachable, row.unreachable, "%s: unreachable %d times", row.name, unreachable);
     cr_expect_geq(checks, 10, "%s: %d checks", row.name, checks);
 }
@@ -133,13 +146,7 @@
     source.readRecords = [&](Revision, Duration) { return row.read(reads); };
     source.restart = [&] { ++restarts; };
     source.retryDelay = std::chrono::milliseconds(1);
-    PlatformWatcher::Hooks hooks;
-    hooks.isWatcher = [] { return true; };
-    hooks.hasPeers = [] { return false; };
-    hooks.pauseAfterChanges = [] { return Duration(std::chrono::milliseconds(1)); };
-    hooks.highestRevision = [] { return Revision(); };
-    hooks.hostListPeriod = [] { return Duration(std::chrono::milliseconds(1)); };
-    hooks.firstReadDelay = [] { return Duration(); };
+    auto hooks = hooksOfASingleWatcher();
     hooks.recordsRead = [&](const RecordBatch&) {
         if (row.isRejectedAtFirst && batches == 0 && restarts == 0)
             throw std::runtime_error("bad batch");
--- a/tests/system/MemoryTest.cpp
+++ b/tests/system/MemoryTest.cpp
@@ -132,6 +132,9 @@
     { "bytes that are no answer", "", "no answer " },
 };
 
+constexpr const char* healthAnswer = "HTTP/1.1 200 OK\r\nDogwoodhall-Instance-Id: i-endless\r\n"
+                                     "Dogwoodhall-Backend-Load: 0,0,3\r\nContent-Length: 0\r\n\r\n";
+
 // Sends idempotent requests one after another until it is destroyed, and counts those that are not served.
 class OtherCaller {
 public:
@@ -170,9 +173,7 @@
 {
     const auto& row = endlessRows[*index];
     // Outlives the daemon, whose kept connections its threads read.
-    EndlessServer endless(row.start, row.piece,
-        "HTTP/1.1 200 OK\r\nDogwoodhall-Instance-Id: i-endless\r\nDogwoodhall-Backend-Load: 0,0,3\r\n"
-        "Content-Length: 0\r\n\r\n");
+    EndlessServer endless(row.start, row.piece, healthAnswer);
     RegistryCluster cluster(1);
     const auto& process = cluster.daemon().process;
     const auto before = process.residentKilobytes();
@@ -202,9 +203,7 @@
     constexpr std::size_t answersAtOnce = 2;
     constexpr int requests = 10;
     const auto& row = endlessRows[*index];
-    EndlessServer endless(row.start, row.piece,
-        "HTTP/1.1 200 OK\r\nDogwoodhall-Instance-Id: i-endless\r\nDogwoodhall-Backend-Load: 0,0,3\r\n"
-        "Content-Length: 0\r\n\r\n");
+    EndlessServer endless(row.start, row.piece, healthAnswer);
     RegistryCluster cluster(1);
     const auto& process = cluster.daemon().process;
     const auto before = process.residentKilobytes();
