Let traffic threads write their last responses before a forced stop

Its log has "Forced stop" and "The grace period ends; 1 requests are answered unfinished" in the same millisecond: after a pause of the control thread the timers of both steps had expired, and the process ended before the response was written.

Change: the forced stop follows 50 ms after each traffic thread has ended its requests, measured on that thread, and 100 ms before the platform's kill at the latest.

--- a/packages/daemon/include/dogwoodhall/daemon/Daemon.h
+++ b/packages/daemon/include/dogwoodhall/daemon/Daemon.h
@@ -34,6 +34,7 @@
     // Returns nothing if the settings give no grace period.
     std::optional<StopSchedule> scheduleStop();
     void endRequestsAt(TimePoint);
+    void threadEndedRequests();
     void forceStopAt(TimePoint);
     void logLifecycle(EventLine);
     void beginDrain();
@@ -60,6 +61,7 @@
     std::vector<std::unique_ptr<TrafficThread>> m_traffic;
     bool m_isDraining = false;
     std::size_t m_drainedThreads = 0;
+    std::size_t m_threadsWithoutRequests = 0; // That have completed endRequests().
     int m_exitStatus = 0;
 };
 
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
@@ -12,6 +12,7 @@
 #include "dogwoodhall/peer/PeerServer.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <thread>
 
@@ -75,8 +76,9 @@
     // balancer notices that the readiness check fails, stops accepting connections, closes idle ones, and calls `done`
     // when the last request has been answered. With a schedule, requests that cannot be answered in time are refused.
     void drain(const std::optional<StopSchedule>&, std::function<void()> done);
-    // Answers the requests in flight that have no response yet.
-    void endRequests();
+    // Answers the requests in flight that have no response yet. Calls `done` after `writeTime` of this thread, in which
+    // the responses are written.
+    void endRequests(Duration writeTime, std::function<void()> done);
     // Aborts all requests in flight.
     void stop();
 
@@ -117,6 +119,7 @@
     PeerServer m_peerServer;
     bool m_peersDrained = false;
     std::function<void()> m_drainDone;
+    asio::steady_timer m_endRequestsTimer;
     std::atomic<std::size_t> m_requestsRunning { 0 };
     std::thread m_thread;
 };
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -30,6 +30,8 @@
 // Before the forced stop: time in which the requests that reach their time limit are answered, and then the others.
 constexpr Duration answerMargin = std::chrono::milliseconds(100);
 constexpr Duration endRequestsMargin = std::chrono::milliseconds(50);
+// By how much the forced stop may be late if the traffic threads are.
+constexpr Duration maxForcedStopDelay = std::chrono::milliseconds(100);
 
 // Wall-clock milliseconds at start, so that a later run of the daemon on the same host has a higher incarnation. If the
 // clock is set back between two runs, the peers suspect the new run until it refutes the suspicion, which takes
@@ -234,12 +236,22 @@
     m_stopTimer.async_wait([this, time](boost::system::error_code ec) {
         if (ec)
             return;
-        for (auto& thread : m_traffic)
-            thread->post([](TrafficThread& target) { target.endRequests(); });
-        forceStopAt(time + endRequestsMargin);
+        for (auto& thread : m_traffic) {
+            thread->post([this](TrafficThread& target) {
+                target.endRequests(
+                    endRequestsMargin, [this] { asio::post(m_control.io(), [this] { threadEndedRequests(); }); });
+            });
+        }
+        forceStopAt(time + endRequestsMargin + maxForcedStopDelay);
     });
 }
 
+void Daemon::threadEndedRequests()
+{
+    if (++m_threadsWithoutRequests == m_traffic.size())
+        stopNow();
+}
+
 void Daemon::forceStopAt(TimePoint time)
 {
     m_stopTimer.expires_at(toSteadyClock(time));
--- a/packages/daemon/src/traffic/TrafficThread.cpp
+++ b/packages/daemon/src/traffic/TrafficThread.cpp
@@ -67,6 +67,7 @@
           [this](const asio::ip::address& address) {
               return m_snapshot->acceptsAnyPeer || m_snapshot->memberIps.contains(fromAsio(address));
           })
+    , m_endRequestsTimer(m_io)
 {
     if (m_options.dispatch) {
         m_dispatch.emplace(m_io, *m_options.dispatch, metrics, m_random, events);
@@ -282,13 +283,18 @@
     checkDrained();
 }
 
-void TrafficThread::endRequests()
+void TrafficThread::endRequests(Duration writeTime, std::function<void()> done)
 {
     const auto ended = m_sessions.endRequestsInProgress();
-    if (ended == 0)
-        return;
-    m_metrics.requestsEndedByStop.add(ended);
-    DOGWOODHALL_LOG(daemon, warning) << "The grace period ends; " << ended << " requests are answered unfinished.";
+    if (ended > 0) {
+        m_metrics.requestsEndedByStop.add(ended);
+        DOGWOODHALL_LOG(daemon, warning) << "The grace period ends; " << ended << " requests are answered unfinished.";
+    }
+    m_endRequestsTimer.expires_after(std::chrono::duration_cast<std::chrono::steady_clock::duration>(writeTime));
+    m_endRequestsTimer.async_wait([done = std::move(done)](boost::system::error_code ec) {
+        if (!ec)
+            done();
+    });
 }
 
 void TrafficThread::checkDrained()
