Let the soak disturb many daemons at once and judge repeats by window

The promises on the sum over all members were judged over a whole run and with faults of single daemons, which cannot show what a fleet does together. Endpoints now note each arrival, and the ledger compares the repeats that arrive in any window of 10 s with the requests of that window, the one before it or the one between, as the rule does. The new group `fleet` kills most daemons at once, lets a third of them have the processor a fifth of the time, resets the store's connections of a third, and faults half of the endpoints.

--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -42,6 +42,7 @@
     checkColdEndpoints(violations);
     checkRoutingVersions(violations);
     checkRetryBudget(violations);
+    checkRetryWindows(violations);
     checkRecovery(violations);
     return violations;
 }
@@ -200,6 +201,44 @@
                 + " requests" });
 }
 
+// Repeats count when they arrive, requests when clients sent them. The rule takes the most requests of the window, the
+// one before it and the one between.
+void Ledger::checkRetryWindows(Violations& violations) const
+{
+    std::vector<TimePoint> sent;
+    for (const auto& [id, call] : m_calls)
+        sent.push_back(call.sentAt);
+    std::vector<TimePoint> repeats;
+    for (const auto& [id, arrivals] : m_arrivals) {
+        auto times = arrivals;
+        std::sort(times.begin(), times.end());
+        repeats.insert(repeats.end(), times.begin() + 1, times.end());
+    }
+    std::sort(sent.begin(), sent.end());
+    std::sort(repeats.begin(), repeats.end());
+    const auto countUntil = [&](const std::vector<TimePoint>& times, TimePoint end) {
+        const auto first = std::upper_bound(times.begin(), times.end(), end - m_limits.retryWindow);
+        return static_cast<double>(std::upper_bound(first, times.end(), end) - first);
+    };
+    std::optional<Violation> worst;
+    double worstExcess = 0;
+    for (const auto end : repeats) {
+        const double requests = std::max({ countUntil(sent, end), countUntil(sent, end - m_limits.retryWindow / 2),
+            countUntil(sent, end - m_limits.retryWindow) });
+        const double allowed = m_limits.maxRetryRatio * requests + m_limits.retryBurstPerWindow;
+        const double count = countUntil(repeats, end);
+        if (count - allowed <= worstExcess)
+            continue;
+        worstExcess = count - allowed;
+        worst = Violation { "retry budget",
+            std::to_string(count) + " repeats arrived in a window with " + std::to_string(requests)
+                + " requests, allowed " + std::to_string(allowed) + ", at "
+                + std::to_string(toSeconds(end - sent.front())) + " s" };
+    }
+    if (worst)
+        violations.push_back(*worst);
+}
+
 void Ledger::checkRecovery(Violations& violations) const
 {
     if (!m_faultsEndedAt)
@@ -227,7 +266,7 @@
 {
     TimePoint deadline = changedAt + bound;
     for (const auto& window : m_faultWindows) {
-        const bool applies = !window.daemon || *window.daemon == call.daemon;
+        const bool applies = window.delaysChanges && (!window.daemon || *window.daemon == call.daemon);
         if (applies && window.begin <= call.sentAt && window.end >= changedAt)
             deadline = std::max(deadline, std::min(window.end, call.sentAt) + m_limits.recoveryTime);
     }
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -32,6 +32,7 @@
     TimePoint end;
     std::optional<std::size_t> daemon; // The only daemon affected; empty if all may be affected.
     bool isStoreFault = false; // Delays changes of configuration and endpoints, but must not interrupt requests.
+    bool delaysChanges = true;
 };
 
 // From the store's acknowledgement of an evacuation to the call that ended it.
@@ -54,7 +55,8 @@
     Duration recoveryTime = std::chrono::seconds(4); // Guarantees hold again 3 s after a fault; margin 1 s.
     Duration reorderingTolerance = std::chrono::milliseconds(500); // Bound 250 ms; margin for reordered requests.
     double maxRetryRatio = 0.2;
-    double retryBurstPerWindow = 20; // In each window of 10 s.
+    double retryBurstPerWindow = 20; // In each window.
+    Duration retryWindow = std::chrono::seconds(10);
     std::size_t maxColdRequestsPerSecond = 14; // At each cold endpoint, of all daemons together.
     double minRecoveredShare = 0.9;
 };
@@ -69,6 +71,8 @@
 
     void add(const std::string& id, const CallRecord& call) { m_calls[id] = call; }
     void addExecution(const std::string& id, const std::string& endpoint) { m_executions[id].push_back(endpoint); }
+    // A request, run or not, that reached an endpoint.
+    void addArrival(const std::string& id, TimePoint at) { m_arrivals[id].push_back(at); }
     void addFaultWindow(const FaultWindow& window) { m_faultWindows.push_back(window); }
     void addDrainingEndpoint(const std::string& endpoint, TimePoint at) { m_drainStartedAt.emplace(endpoint, at); }
     void addPublishedVersion(std::uint64_t version, TimePoint at) { m_publishedAt.emplace(version, at); }
@@ -100,6 +104,7 @@
     void checkColdEndpoints(Violations&) const;
     void checkRoutingVersions(Violations&) const;
     void checkRetryBudget(Violations&) const;
+    void checkRetryWindows(Violations&) const;
     void checkRecovery(Violations&) const;
     std::size_t executionCount(const std::string& id) const;
     // Latest time by which the call's daemon must have applied a change made at `changedAt`. Fault windows between the
@@ -110,6 +115,7 @@
     LedgerLimits m_limits;
     std::map<std::string, CallRecord> m_calls; // By request id.
     std::map<std::string, std::vector<std::string>> m_executions; // Endpoints that executed a request, by request id.
+    std::map<std::string, std::vector<TimePoint>> m_arrivals; // By request id.
     std::vector<FaultWindow> m_faultWindows;
     std::map<std::string, TimePoint> m_drainStartedAt; // By endpoint.
     std::vector<Evacuation> m_evacuations;
--- a/tests/soak/Scenario.cpp
+++ b/tests/soak/Scenario.cpp
@@ -5,6 +5,7 @@
 #include <iterator>
 #include <random>
 #include <span>
+#include <string_view>
 
 namespace dogwoodhall::soak {
 
@@ -13,6 +14,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds evacuationDuration { 7000 };
+const std::string_view fleetGroup = "fleet";
 
 struct FaultKindInfo {
     FaultKind kind;
@@ -37,6 +39,11 @@
     { FaultKind::KillEndpoint, "kill-endpoint", "endpoints", false, milliseconds(3000) },
     { FaultKind::CoolEndpoint, "cool-endpoint", "planned", true, milliseconds(4000) },
     { FaultKind::ChangeRouting, "change-routing", "planned", true, milliseconds(0) },
+    { FaultKind::KillManyDaemons, "kill-many-daemons", "fleet", false, milliseconds(2000) },
+    { FaultKind::StarveDaemons, "starve-daemons", "fleet", false, milliseconds(6000) },
+    { FaultKind::RefuseDaemons, "refuse-daemons", "fleet", false, milliseconds(5000) },
+    { FaultKind::FaultManyEndpoints, "fault-many-endpoints", "fleet", false, milliseconds(6000) },
+    { FaultKind::ChangeRouting, "change-routing", "fleet", true, milliseconds(0) },
     { FaultKind::Evacuate, "evacuate", "planned", true, milliseconds(0) },
 };
 
@@ -63,7 +70,9 @@
 {
     std::vector<FaultKindInfo> candidates;
     std::copy_if(std::begin(faultKinds), std::end(faultKinds), std::back_inserter(candidates),
-        [&](const FaultKindInfo& row) { return selection == "all" || selection == row.group; });
+        [&](const FaultKindInfo& row) {
+            return selection == row.group || (selection == "all" && row.group != fleetGroup);
+        });
     std::vector<Fault> faults;
     if (candidates.empty())
         return faults;
--- a/tests/soak/Scenario.h
+++ b/tests/soak/Scenario.h
@@ -23,6 +23,10 @@
     KillEndpoint,
     CoolEndpoint, // Becomes cold for some seconds.
     ChangeRouting,
+    KillManyDaemons, // More than half of them at the same moment.
+    StarveDaemons, // A third of them get the processor for a fifth of the time.
+    RefuseDaemons, // The store resets the connections of a third of the daemons and serves the others.
+    FaultManyEndpoints, // The fault mode on half of the endpoints.
     Evacuate, // A data centre, for longer than the delay after which nothing new may be sent to it.
 };
 
@@ -48,7 +52,8 @@
 };
 
 // The faults of a run, determined by the seed; they may overlap. `selection` is "all" or one group of faults:
-// "signals", "links", "store", "endpoints" or "planned". Returns no faults for an unknown group.
+// "signals", "links", "store", "endpoints", "planned" or "fleet". The last needs many daemons and is not part of "all".
+// Returns no faults for an unknown group.
 std::vector<Fault> makeScenario(std::uint64_t seed, const std::string& selection, const ScenarioLimits&);
 
 } // namespace dogwoodhall::soak
--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -177,6 +177,18 @@
     return executions;
 }
 
+std::vector<std::pair<std::string, TimePoint>> SoakCluster::arrivals() const
+{
+    std::vector<std::pair<std::string, TimePoint>> arrivals;
+    for (const auto& endpoint : m_endpointIds) {
+        std::ifstream file((m_folder / (endpoint + ".arrivals")).string());
+        std::string id;
+        for (std::int64_t ms = 0; file >> id >> ms;)
+            arrivals.emplace_back(id, TimePoint(std::chrono::milliseconds(ms)));
+    }
+    return arrivals;
+}
+
 void SoakCluster::callStore(const std::string& method, const std::string& target, const std::string& body)
 {
     call(m_storeAddress, { method, target, {}, body, {} });
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -55,6 +55,8 @@
     std::uint64_t publishRouting(); // Returns the new version.
     // Executed requests: pairs of request id and endpoint id.
     std::vector<std::pair<std::string, std::string>> executions() const;
+    // Requests that reached endpoints, run or not: pairs of request id and time.
+    std::vector<std::pair<std::string, TimePoint>> arrivals() const;
 
 private:
     void addDaemon();
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -73,6 +73,8 @@
     m_ledger.setAllowedDataCentre(SoakCluster::dataCentreOf(0));
     for (const auto& [id, endpoint] : m_cluster.executions())
         m_ledger.addExecution(id, endpoint);
+    for (const auto& [id, at] : m_cluster.arrivals())
+        m_ledger.addArrival(id, at);
     const auto violations = m_ledger.findViolations();
     m_report.violations.insert(m_report.violations.end(), violations.begin(), violations.end());
     m_report.calls = m_ledger.calls();
@@ -119,6 +121,12 @@
     case FaultKind::Evacuate:
         evacuate(fault);
         return;
+    case FaultKind::KillManyDaemons:
+    case FaultKind::StarveDaemons:
+    case FaultKind::RefuseDaemons:
+    case FaultKind::FaultManyEndpoints:
+        injectFleetFault(fault);
+        return;
     case FaultKind::ChangeRouting:
         break;
     }
@@ -288,10 +296,11 @@
     runOnEventLoop([&] { m_clients.setTarget(n, { daemon.callerAddress, daemon.incarnation }); });
 }
 
-void SoakRun::recordFaultWindow(std::optional<std::size_t> daemon, bool isStoreFault, Duration duration)
+void SoakRun::recordFaultWindow(
+    std::optional<std::size_t> daemon, bool isStoreFault, Duration duration, bool delaysChanges)
 {
     const TimePoint now = monotonicNow();
-    runOnEventLoop([&] { m_ledger.addFaultWindow({ now, now + duration, daemon, isStoreFault }); });
+    runOnEventLoop([&] { m_ledger.addFaultWindow({ now, now + duration, daemon, isStoreFault, delaysChanges }); });
 }
 
 void SoakRun::runOnEventLoop(const std::function<void()>& task)
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -51,10 +51,18 @@
     void injectStoreFault(const Fault&);
     void replaceEndpoint(const Fault&);
     void evacuate(const Fault&);
+    void injectFleetFault(const Fault&);
+    void killManyDaemons(const Fault&);
+    void starveDaemons(const Fault&);
+    void refuseDaemons(const Fault&);
+    void faultManyEndpoints(const Fault&);
+    // Stops the daemon's process, or lets it go on, by turns until `end`.
+    void starve(std::size_t daemon, bool runs, TimePoint end);
     void pollForExit(std::size_t daemon, TimePoint since);
     void restartDaemon(std::size_t daemon);
     // Must be called before the fault is injected, so that the window contains all requests that it interrupts.
-    void recordFaultWindow(std::optional<std::size_t> daemon, bool isStoreFault, Duration duration);
+    void recordFaultWindow(
+        std::optional<std::size_t> daemon, bool isStoreFault, Duration duration, bool delaysChanges = true);
     void scheduleAt(TimePoint when, Task task) { m_tasks.emplace(when, std::move(task)); }
     void runTasksUntil(TimePoint end);
     void runOnEventLoop(const std::function<void()>&); // Waits until the function has run on the event loop's thread.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -55,7 +55,7 @@
     add("endpoints", options::value<std::size_t>()->default_value(6), "number of endpoints");
     add("clients", options::value<std::size_t>()->default_value(24), "number of clients");
     add("scenario", options::value<std::string>()->default_value("all"),
-        "faults: all, signals, links, store, endpoints or planned");
+        "faults: all, signals, links, store, endpoints, planned or fleet");
     add("json", "print one JSON object per run");
     options::variables_map values;
     try {
--- a/tools/src/RegisteredUpstreamStandIn.cpp
+++ b/tools/src/RegisteredUpstreamStandIn.cpp
@@ -14,7 +14,9 @@
 #include <vector>
 
 // Stand-in for an endpoint of the users' platform, written from the platform's published page. Each execution of a
-// request is appended to --runs-file as a line with the attempt id. GET /health reports the load. GET /control/received
+// request is appended to --runs-file as a line with the attempt id. Each request that arrives, run or not, is appended to
+// the file of that name with the ending ".arrivals", as the attempt id and the arrival in milliseconds of the monotonic
+// clock. GET /health reports the load. GET /control/received
 // returns the number of requests, GET /control/health-calls that of health calls, GET /control/busiest-second the most
 // requests that arrived within any second, GET /control/busiest-cold-second the same while the endpoint was cold, both
 // by the times at which the kernel received them.
@@ -87,7 +89,8 @@
               [this](IncomingRequest request, ResponseWriter writer, Clock::time_point arrivedAt) {
                   return handle(std::move(request), std::move(writer), arrivedAt);
               })
-        , m_runsFile(::open(m_options.runsFile.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600))
+        , m_runsFile(openToAppend(m_options.runsFile))
+        , m_arrivalsFile(openToAppend(m_options.runsFile + ".arrivals"))
     {
     }
 
@@ -105,13 +108,20 @@
     // Adds what the mode says to answers of this kind, "request" or "health".
     void addWithdrawal(HeaderFields&, std::string_view kind, unsigned status) const;
     asio::awaitable<void> pause(std::uint64_t milliseconds);
-    void recordRun(const std::string& id) const;
+    static int openToAppend(const std::string& path)
+    {
+        return ::open(path.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, 0600);
+    }
+    static void append(int file, const std::string& line);
+    void recordRun(const std::string& id) const { append(m_runsFile, id + "\n"); }
+    void recordArrival(const std::string& id, Clock::time_point at) const;
     std::uint64_t warmUpLeftMs() const;
     bool isFault(std::string_view name) const { return m_mode.text("fault") == name; }
 
     EndpointOptions m_options;
     StandInServer m_server;
     int m_runsFile;
+    int m_arrivalsFile;
     Target m_mode;
     Clock::time_point m_modeSince;
     std::uint64_t m_received = 0;
@@ -127,13 +137,18 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-void RegisteredUpstream::recordRun(const std::string& id) const
+void RegisteredUpstream::append(int file, const std::string& line)
 {
-    const std::string line = id + "\n";
-    if (::write(m_runsFile, line.data(), line.size()) < 0)
+    if (::write(file, line.data(), line.size()) < 0)
         std::perror("registered-upstream-standin: cannot write the runs");
 }
 
+void RegisteredUpstream::recordArrival(const std::string& id, Clock::time_point at) const
+{
+    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count();
+    append(m_arrivalsFile, id + " " + std::to_string(ms) + "\n");
+}
+
 std::uint64_t RegisteredUpstream::warmUpLeftMs() const
 {
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - m_modeSince).count();
@@ -164,6 +179,7 @@
     } else {
         ++m_received;
         m_arrivals.add(arrivedAt);
+        recordArrival(std::string(request.head.fields.find(attemptIdField).value_or("")), arrivedAt);
         if (warmUpLeftMs() > 0 && arrivedAt >= m_modeSince)
             m_coldArrivals.add(arrivedAt);
         co_await serve(std::move(request), writer);
