Track how old the configuration of each member may be

An age is counted from when this member sent its request, so that clocks and links do not matter. A watching member asks the store for its revision when the confirmation is half as old as `registry.maxConfigurationAgeMs`, by a linearizable read; another one reads what it may have missed. Refusals name the age, and `dogwoodhall_configuration_age_milliseconds` shows it. Requests are not refused by it yet.

RecordSource::hasNewerRecords has a parameter now, which PlatformWatcherTest takes.

--- /dev/null
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "dogwoodhall/core/Units.h"
+
+#include <optional>
+
+namespace dogwoodhall {
+
+// What a traffic thread needs to know of a ConfigurationLease.
+struct LeaseTerm {
+    // The records include every change that the store had acknowledged by then; empty if that was never confirmed.
+    std::optional<TimePoint> confirmedAt;
+    TimePoint validUntil; // max() without a limit.
+
+    friend bool operator==(const LeaseTerm&, const LeaseTerm&) = default;
+};
+
+// How long this member may decide by the records that it holds. A change must be in force a certain time after the
+// store has acknowledged it, but a member that hears nothing cannot tell whether there were changes. So the records are
+// confirmed again and again, by reads of the store or by peers that have read it, and the lease lasts for that time
+// from the last confirmation. It has no limit while the store does not answer this member: then no member can know.
+class ConfigurationLease {
+public:
+    // Without `maxAge` the lease has no limit.
+    explicit ConfigurationLease(std::optional<Duration> maxAge)
+        : m_maxAge(maxAge)
+    {
+    }
+
+    // The records held include every change that the store had acknowledged at `at`.
+    void confirm(TimePoint at);
+    // A read that began at `at` got no answer from the store.
+    void storeUnreachable(TimePoint at);
+
+    // Half of the time has passed, so that the member should confirm its records by a read.
+    bool needsConfirmation(TimePoint now) const;
+    bool isConfirmed() const { return m_confirmedAt.has_value(); }
+    LeaseTerm term() const;
+
+private:
+    bool hasLimit() const;
+
+    std::optional<Duration> m_maxAge;
+    std::optional<TimePoint> m_confirmedAt;
+    std::optional<TimePoint> m_unreachableAt;
+};
+
+} // namespace dogwoodhall
--- /dev/null
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -0,0 +1,71 @@
+#include "TableRows.h"
+
+#include "dogwoodhall/configuration/ConfigurationLease.h"
+
+#include <vector>
+
+using namespace dogwoodhall;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint start { 100s };
+
+struct Evidence {
+    enum class Kind { Confirmed, Unreachable } kind;
+    Duration at; // Since the start.
+};
+constexpr auto Confirmed = Evidence::Kind::Confirmed;
+constexpr auto Unreachable = Evidence::Kind::Unreachable;
+
+struct LeaseRow {
+    const char* name;
+    std::optional<Duration> maxAge;
+    std::vector<Evidence> evidence;
+    std::optional<Duration> validUntil; // Since the start; empty: no limit.
+    std::optional<Duration> needsConfirmationAt; // Since the start; empty: never.
+};
+
+const LeaseRow rows[] = {
+    { "confirmed once", 3s, { { Confirmed, 1s } }, 4s, 2500ms },
+    { "confirmed again", 3s, { { Confirmed, 1s }, { Confirmed, 2s } }, 5s, 3500ms },
+    { "an older confirmation arrives later", 3s, { { Confirmed, 2s }, { Confirmed, 1s } }, 5s, 3500ms },
+    { "store unreachable", 3s, { { Confirmed, 1s }, { Unreachable, 2s } }, std::nullopt, std::nullopt },
+    { "store unreachable from the start", 3s, { { Unreachable, 2s } }, std::nullopt, std::nullopt },
+    { "a peer reads the store that this member cannot", 3s, { { Unreachable, 2s }, { Confirmed, 3s } }, 6s, 4500ms },
+    { "a read that failed after a later confirmation", 3s, { { Confirmed, 3s }, { Unreachable, 2s } }, 6s, 4500ms },
+    { "the store answers again", 3s, { { Confirmed, 1s }, { Unreachable, 2s }, { Confirmed, 8s } }, 11s, 9500ms },
+    { "no limit", std::nullopt, { { Confirmed, 1s } }, std::nullopt, std::nullopt },
+};
+
+} // namespace
+
+// Guards against members that decide by records of unknown age while the store answers, and against members that
+// refuse requests while it does not.
+ParameterizedTestParameters(ConfigurationLease, lastsFromTheLastConfirmation) { return rowIndices(rows); }
+
+ParameterizedTest(std::size_t* index, ConfigurationLease, lastsFromTheLastConfirmation)
+{
+    const auto& row = rows[*index];
+    ConfigurationLease lease(row.maxAge);
+    for (const auto& [kind, at] : row.evidence) {
+        if (kind == Confirmed)
+            lease.confirm(start + at);
+        else
+            lease.storeUnreachable(start + at);
+    }
+    const auto expected = row.validUntil ? start + *row.validUntil : TimePoint::max();
+    cr_expect(lease.term().validUntil == expected, "%s: valid until %f s", row.name,
+        toSeconds(lease.term().validUntil - start));
+    const TimePoint due = start + row.needsConfirmationAt.value_or(1h);
+    cr_expect_eq(lease.needsConfirmation(due), row.needsConfirmationAt.has_value(), "%s", row.name);
+    cr_expect_not(lease.needsConfirmation(due - 1ms), "%s", row.name);
+}
+
+// Guards against a member that decides before its records were ever confirmed.
+Test(ConfigurationLease, isInvalidBeforeTheFirstConfirmation)
+{
+    const ConfigurationLease lease(3s);
+    cr_expect(lease.term().validUntil == TimePoint());
+    cr_expect(lease.needsConfirmation(start));
+}
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -45,6 +45,7 @@
     Counter& ticketsIssued;
     Counter& ticketReplays;
     Counter& configurationRevision;
+    Counter& configurationAge; // Milliseconds since the configuration in use was known to be the newest.
     Counter& recordsRejected;
     Counter& evacuatedDataCentres;
     Counter& publications; // Snapshots published to the traffic threads.
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -4,6 +4,7 @@
 #include "dogwoodhall/budget/PublicationPacer.h"
 #include "dogwoodhall/budget/TokenBucket.h"
 #include "dogwoodhall/configuration/ConfigurationInForce.h"
+#include "dogwoodhall/configuration/ConfigurationLease.h"
 #include "dogwoodhall/configuration/JoinBarrier.h"
 #include "dogwoodhall/configuration/LapsedEndpoints.h"
 #include "dogwoodhall/daemon/DaemonMetrics.h"
@@ -35,6 +36,8 @@
 public:
     struct Hooks {
         std::function<void(SnapshotPointer)> publish;
+        // How long the records published last may be used.
+        std::function<void(const LeaseTerm&)> renewLease;
         std::function<void()> beginDrain; // Starts the graceful stop.
         std::function<void()> stopNow; // Forces the stop.
         std::function<std::string()> metricsText;
@@ -73,6 +76,10 @@
     // Accepts the records and forwards new ones within the own data centre. Returns true if there were new ones.
     bool acceptAndForward(const std::vector<Record>&);
     void recordsUnreachable();
+    void handlePeerAnswer(const GossipMessage& reply, TimePoint sentAt);
+    void confirmRecords(TimePoint at);
+    void renewLease();
+    std::optional<Duration> confirmedAge() const;
     void trackLapsedEndpoints(const std::vector<Record>&);
     void armLapseTimer();
     void applySeeds();
@@ -108,6 +115,8 @@
     RandomEngine m_random { std::random_device {}() };
     RecordSource m_source;
     JoinBarrier m_joinBarrier;
+    ConfigurationLease m_lease;
+    LeaseTerm m_publishedTerm; // Given to the traffic threads.
     LapsedEndpoints m_lapsed;
     TimePoint m_lastRead; // Time of this member's own last read of the records.
     asio::steady_timer m_lapseTimer { m_io };
--- a/packages/daemon/include/dogwoodhall/daemon/control/GossipDriver.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/GossipDriver.h
@@ -30,8 +30,10 @@
         std::function<void(Duration gap)> stateExpired;
         // Charges a message to the measuring budget before it is sent. Returns false if the budget is exhausted.
         std::function<bool(const GossipMessage&, ByteCount encoded)> chargeBudget;
-        // Called when a peer's reply to this member's request arrives.
-        std::function<void(const GossipMessage&)> peerAnswered;
+        // Called when a peer's reply to a request that this member sent at this time arrives.
+        std::function<void(const GossipMessage&, TimePoint sentAt)> peerAnswered;
+        // The time since this member's records were known to be complete, for replies.
+        std::function<std::optional<Duration>()> confirmedAge;
         // Called once per gossip period.
         std::function<void()> periodElapsed;
     };
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -12,8 +12,8 @@
 namespace dogwoodhall {
 
 // Reads the records and, if the platform has one, the host list on the control thread. Only watchers keep a watch open.
-// Other members read the records once at start, after a delay that depends on the first host list, and once after each
-// pause of the process.
+// Other members read the records once at start, after a delay that depends on the first host list, once after each pause
+// of the process, and whenever they must be confirmed.
 //
 // A watch waits on a connection that the service's kernel keeps open even if its response is lost. While it waits, the
 // service is asked periodically whether it responds and whether it has records that the watch should have returned.
@@ -30,6 +30,12 @@
         std::function<void(const RecordBatch&)> recordsRead;
         std::function<void(const HostList&)> hostsRead;
         std::function<void()> recordsUnreachable; // Called when the records become unreadable.
+        // The records must be confirmed by a read. Empty if they never must; the next two are then not called.
+        std::function<bool()> needsConfirmation {};
+        // The member holds every change that the service had acknowledged at this time.
+        std::function<void(TimePoint)> confirmed {};
+        // A read that began at this time got no answer.
+        std::function<void(TimePoint)> unanswered {};
     };
 
     PlatformWatcher(asio::io_context&, RecordSource, Hooks, DaemonMetrics&);
@@ -52,6 +58,10 @@
     // Completes with an error when the response to the watch in progress is no longer to be expected.
     asio::awaitable<void> detectLostWatch(std::optional<ReadResult>&);
     asio::awaitable<void> readRecords(Duration wait, std::optional<bool>& isRead);
+    bool needsConfirmation() const;
+    asio::awaitable<void> confirmByRead();
+    void reportConfirmed(TimePoint readBegan);
+    void reportUnanswered(TimePoint readBegan);
     void handleFailedBatch(const std::exception_ptr&);
     asio::awaitable<void> pause(Duration);
 
@@ -61,6 +71,7 @@
     RecordSource m_source;
     bool m_isReachable = true; // The last read succeeded.
     std::chrono::steady_clock::time_point m_recheckAt; // Next read after a failure, for non-watchers too.
+    TimePoint m_confirmAfter; // Next read to confirm the records, after one that failed.
     asio::steady_timer m_firstHostListTimer; // Expires when the host list has been read for the first time.
     asio::steady_timer m_interrupt; // Cancelled to interrupt a read.
     bool m_wasWatcher = false; // Result of the previous check.
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -23,13 +23,21 @@
     std::vector<PlatformHost> hosts;
 };
 
+enum class ReadConsistency {
+    MayBeStale, // Cheap; may miss changes of the last seconds.
+    Linearizable, // Includes every change acknowledged before the read began.
+};
+
 // Read-only source of records: the product's own configuration service or a platform's registry.
 struct RecordSource {
     // Waits for up to `wait` if no record is newer than `since`.
     std::function<ExchangeResult<RecordBatch>(Revision since, Duration wait)> readRecords;
     // Asks the service, without waiting, whether it has records that the watch in progress should have returned. Fails
-    // if the service does not respond. Must be callable while readRecords is in progress.
-    std::function<ExchangeResult<bool>()> hasNewerRecords {};
+    // if the service does not respond, with ErrorKind::UpstreamRefused if it refuses the question. Must be callable while readRecords is in progress.
+    std::function<ExchangeResult<bool>(ReadConsistency)> hasNewerRecords {};
+    // Makes the next read begin after this revision, since the member holds all records up to it. Empty if each read is
+    // by `since`.
+    std::function<void(Revision)> skipTo {};
     // Makes the next read return all records, after a batch could not be processed. Empty if each read is by `since`.
     std::function<void()> restart {};
     // Empty if the platform has no host list.
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/DispatchRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/DispatchRunner.h
@@ -74,6 +74,8 @@
     void addRetryBalance(EventLine&, const RequestPlan&) const;
     void logAnswer(const RequestState&, const Attempt&, RelayResult);
     void reportSpill();
+    // Time since the configuration in use was known to be the newest; empty if it never was.
+    std::optional<Duration> configurationAge() const;
     DecisionContext context();
 
     asio::io_context& m_io;
@@ -86,6 +88,7 @@
     UpstreamClient m_upstreams;
     LoadQuerier m_loadQuerier;
     SnapshotPointer m_snapshot;
+    LeaseTerm m_term;
     std::size_t m_running = 0;
     std::size_t m_idleLimit = 1; // Idle connections kept per endpoint.
 };
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/RequestPath.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/RequestPath.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dogwoodhall/configuration/ConfigurationLease.h"
 #include "dogwoodhall/daemon/Snapshot.h"
 #include "dogwoodhall/dispatch/PlacementExplanation.h"
 #include "dogwoodhall/dispatch/StopSchedule.h"
@@ -15,6 +16,8 @@
 struct RequestPath {
     std::function<asio::awaitable<void>(IncomingRequest, const ResponseWriter&)> run;
     std::function<void(const SnapshotPointer&)> apply;
+    // Empty if the path decides by the snapshot whatever its age.
+    std::function<void(const LeaseTerm&)> renewLease;
     std::function<void(const StopSchedule&)> stop; // The process ends as scheduled. Empty if the path has no schedule.
     std::function<std::size_t()> running; // Number of requests in progress.
     std::function<void()> tick; // Called several times a second.
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
@@ -71,6 +71,8 @@
     asio::io_context& io() { return m_io; }
 
     void apply(SnapshotPointer);
+    // How long the snapshot applied last may be used.
+    void renewLease(const LeaseTerm&);
     void observeLoads(const std::vector<PoolLoadSummary>&);
     void apply(const EndpointWithdrawal&);
 
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -90,6 +90,10 @@
                for (auto& thread : m_traffic)
                    thread->post([snapshot](TrafficThread& target) { target.apply(snapshot); });
            },
+              [this](const LeaseTerm& term) {
+                  for (auto& thread : m_traffic)
+                      thread->post([term](TrafficThread& target) { target.renewLease(term); });
+              },
               [this] { beginDrain(); }, [this] { stopNow(); }, [this] { return m_registry.toPrometheusText(); },
               [this] { return requestsRunning(); },
               [this](const ProbeTarget& target, const HealthReport& report) { reportHealth(target, report); },
--- a/packages/daemon/src/DaemonMetrics.cpp
+++ b/packages/daemon/src/DaemonMetrics.cpp
@@ -30,6 +30,8 @@
     , ticketsIssued(registry.counter("dogwoodhall_tickets_issued_total", "Tickets issued."))
     , ticketReplays(registry.counter("dogwoodhall_ticket_replays_total", "Repeats answered with a kept answer."))
     , configurationRevision(registry.gauge("dogwoodhall_configuration_revision", "Highest revision read."))
+    , configurationAge(registry.gauge("dogwoodhall_configuration_age_milliseconds",
+          "Time since the configuration in use was known to be the newest."))
     , recordsRejected(registry.counter("dogwoodhall_records_rejected_total", "Records that failed their checks."))
     , evacuatedDataCentres(registry.gauge("dogwoodhall_evacuated_data_centres", "Data centres being evacuated."))
     , publications(registry.counter("dogwoodhall_publications_total", "Snapshots given to the traffic threads."))
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -52,6 +52,7 @@
     , m_source(adapter.makeRecordSource(m_io.get_executor()))
     , m_joinBarrier(
           monotonicNow(), m_source.isLinearizable ? PlatformConsistency::Linearizable : PlatformConsistency::MayBeStale)
+    , m_lease(settings.registry ? settings.registry->maxConfigurationAge : std::nullopt)
     , m_lapsed(settings.registry ? settings.registry->lapseGrace : Duration::zero())
     , m_budget(splitMeasuringLimits(
           { settings.measuringCallsPerSecond, settings.measuringBytesPerSecond }, settings.trafficThreads)
@@ -64,7 +65,13 @@
               [this] { return m_gossip->fleet().hostListPeriod(); }, [this] { return drawFirstReadDelay(); },
               [this] { return isLargeFleet() && m_gossip->fleet().isWatcher(); },
               [this](const RecordBatch& batch) { acceptBatch(batch); },
-              [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { recordsUnreachable(); } },
+              [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { recordsUnreachable(); },
+              [this] { return m_lease.needsConfirmation(monotonicNow()); },
+              [this](TimePoint at) { confirmRecords(at); },
+              [this](TimePoint at) {
+                  m_lease.storeUnreachable(at);
+                  renewLease();
+              } },
           metrics)
     , m_operators(m_io,
           { [this] { return m_isReady && !m_isDraining; }, [this] { return m_hooks.metricsText(); },
@@ -109,11 +116,8 @@
                 requestPublication(PublicationReason::Readiness);
         },
         [this](const GossipMessage& message, ByteCount size) { return chargeGossip(message, size); },
-        [this](const GossipMessage& reply) {
-            m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest, reply.sender.isReady);
-            updateReadiness();
-        },
-        [this] { updateReadiness(); } };
+        [this](const GossipMessage& reply, TimePoint sentAt) { handlePeerAnswer(reply, sentAt); },
+        [this] { return confirmedAge(); }, [this] { updateReadiness(); } };
     m_gossip = std::make_unique<GossipDriver>(m_io, self, std::move(sources),
         m_settings.registry ? registryFleetLimits : FleetLimits {}, std::move(hooks), m_metrics);
     if (m_settings.registry)
@@ -233,6 +237,42 @@
         m_gossip->perform(m_gossip->fleet().setCanReadPlatform(false, monotonicNow()));
 }
 
+// The peer's records included every change that the store had acknowledged `confirmedAge` before it replied, which it
+// did after the request was sent. This member now holds what the peer held.
+void ControlThread::handlePeerAnswer(const GossipMessage& reply, TimePoint sentAt)
+{
+    m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest, reply.sender.isReady);
+    updateReadiness();
+    if (reply.confirmedAge && m_configuration.highestRevision() >= reply.configuration.highest)
+        confirmRecords(sentAt - *reply.confirmedAge);
+    // A member that has just started need not wait for its own read to fail.
+    if (!reply.sender.canReadPlatform && !m_lease.isConfirmed()) {
+        m_lease.storeUnreachable(sentAt);
+        renewLease();
+    }
+}
+
+void ControlThread::confirmRecords(TimePoint at)
+{
+    m_lease.confirm(at);
+    renewLease();
+}
+
+// A term must not reach the traffic threads before the records that it is about.
+void ControlThread::renewLease()
+{
+    if (m_pacer.hasPending() || m_lease.term() == m_publishedTerm)
+        return;
+    m_publishedTerm = m_lease.term();
+    m_hooks.renewLease(m_publishedTerm);
+}
+
+std::optional<Duration> ControlThread::confirmedAge() const
+{
+    const auto confirmedAt = m_lease.term().confirmedAt;
+    return confirmedAt ? std::optional(monotonicNow() - *confirmedAt) : std::nullopt;
+}
+
 void ControlThread::acceptBatch(RecordBatch batch)
 {
     m_lastRead = monotonicNow();
@@ -438,6 +478,8 @@
     snapshot->isDraining = m_isDraining;
     m_published = std::move(snapshot);
     m_hooks.publish(m_published);
+    m_publishedTerm = m_lease.term();
+    m_hooks.renewLease(m_publishedTerm);
     const Duration cost = threadProcessorTime() - start;
     m_metrics.publications.add();
     m_metrics.publicationMicroseconds.add(
--- a/packages/daemon/src/control/GossipDriver.cpp
+++ b/packages/daemon/src/control/GossipDriver.cpp
@@ -87,6 +87,7 @@
         co_return;
     }
     m_metrics.gossipExchanges.add();
+    const TimePoint sentAt = monotonicNow();
     auto reply = co_await send(request.address, std::move(*message));
     const bool isRefused = reply && !*reply;
     if (isRefused) {
@@ -101,7 +102,7 @@
         co_return;
     }
     perform(m_fleet.handle(*decoded, monotonicNow()).actions);
-    m_hooks.peerAnswered(*decoded);
+    m_hooks.peerAnswered(*decoded, sentAt);
 }
 
 ExchangeResult<std::optional<std::string>> GossipDriver::send(const NetworkAddress& address, std::string message)
@@ -135,6 +136,7 @@
     if (!handled.reply)
         return tl::unexpected(std::string("expected a request but received a reply"));
     m_fleet.updateDigest(*handled.reply);
+    handled.reply->confirmedAge = m_hooks.confirmedAge();
     return encodeWithinBudget(std::move(*handled.reply), message->sender.id, [] {});
 }
 
--- a/packages/daemon/src/control/PlatformClient.cpp
+++ b/packages/daemon/src/control/PlatformClient.cpp
@@ -128,7 +128,7 @@
     auto hosts = std::make_shared<PlatformClient>(executor, address);
     RecordSource source;
     source.readRecords = [records](Revision since, Duration wait) { return records->readRecords(since, wait); };
-    source.hasNewerRecords = [records] { return records->hasNewerRecords(); };
+    source.hasNewerRecords = [records](ReadConsistency) { return records->hasNewerRecords(); };
     // Changes must be in force within 14 s.
     source.watchCheckPeriod = std::chrono::seconds(4);
     source.readHosts = [hosts] { return hosts->readHosts(); };
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -1,5 +1,6 @@
 #include "dogwoodhall/daemon/control/PlatformWatcher.h"
 
+#include "dogwoodhall/daemon/Clock.h"
 #include "dogwoodhall/exchange/EventLoop.h"
 #include "dogwoodhall/telemetry/Logging.h"
 
@@ -24,6 +25,13 @@
 // Interval between reads by a non-watcher whose last read failed. Every call has a cost, even a refused one, and
 // outages last several seconds.
 constexpr std::chrono::seconds recheckPeriod { 5 };
+// How often a waiting watch looks whether the records must be confirmed.
+constexpr Duration confirmationPoll = std::chrono::milliseconds(250);
+// Between reads that fail to confirm the records.
+constexpr Duration confirmationRetryDelay = std::chrono::seconds(1);
+// Longer than the time-outs of a source. A failed read that took longer was held up by this process and says nothing
+// about the service.
+constexpr Duration maxReadTime = std::chrono::milliseconds(2500);
 
 } // namespace
 
@@ -49,13 +57,17 @@
         if (std::exchange(m_wasWatcher, isWatcher) != isWatcher)
             DOGWOODHALL_LOG(platform, info) << (isWatcher ? "Watches" : "No longer watches") << " the records.";
         if (!m_mustReadNow && !isRecheckDue && !isWatcher) {
-            co_await pause(m_source.roleCheckPeriod);
+            if (needsConfirmation())
+                co_await confirmByRead();
+            else
+                co_await pause(m_source.roleCheckPeriod);
             continue;
         }
         m_mustReadNow = m_mustReadNow || isRecheckDue;
         const bool isImmediate = std::exchange(m_mustReadNow, false);
         // After a failure, a read without waiting shows whether the service responds before a watch relies on it.
-        const Duration wait = isImmediate || !m_isReachable ? Duration::zero() : m_source.watchWait;
+        const bool waits = !isImmediate && m_isReachable && !needsConfirmation();
+        const Duration wait = waits ? m_source.watchWait : Duration::zero();
         std::optional<bool> isRead; // Empty if the read was interrupted.
         std::exception_ptr failure;
         co_await (captureException(readRecords(wait, isRead), failure) || m_interrupt.async_wait(useTuple));
@@ -123,13 +135,27 @@
 
 asio::awaitable<void> PlatformWatcher::detectLostWatch(std::optional<ReadResult>& result)
 {
+    TimePoint checkedAt = monotonicNow();
     while (true) {
-        co_await pause(m_source.watchCheckPeriod);
+        co_await pause(std::min(confirmationPoll, m_source.watchCheckPeriod));
+        const TimePoint now = monotonicNow();
+        const bool isConfirmation = needsConfirmation();
+        if (!isConfirmation && now - checkedAt < m_source.watchCheckPeriod)
+            continue;
+        checkedAt = now;
         m_metrics.platformChecks.add();
-        const auto hasNewer = co_await m_source.hasNewerRecords();
+        const auto hasNewer = co_await m_source.hasNewerRecords(
+            isConfirmation ? ReadConsistency::Linearizable : ReadConsistency::MayBeStale);
         // The response has arrived, which cancels the check.
         if (result)
             co_return;
+        if (!hasNewer && hasNewer.error().kind == ErrorKind::UpstreamRefused) {
+            if (isConfirmation)
+                reportUnanswered(now);
+            continue;
+        }
+        if (isConfirmation && hasNewer && !*hasNewer)
+            reportConfirmed(now);
         if (!hasNewer) {
             result = tl::unexpected(hasNewer.error());
             co_return;
@@ -165,7 +191,7 @@
 asio::awaitable<void> PlatformWatcher::readRecords(Duration wait, std::optional<bool>& isRead)
 {
     m_metrics.platformReads.add();
-    const auto startedAt = std::chrono::steady_clock::now();
+    const TimePoint startedAt = monotonicNow();
     std::optional<ReadResult> result;
     if (wait == Duration::zero() || !m_source.hasNewerRecords)
         co_await readInto(result, wait);
@@ -181,6 +207,7 @@
         DOGWOODHALL_LOG(platform, warning) << "Cannot read the configuration service: " << batch.error().detail << ".";
         if (wasReachable)
             m_hooks.recordsUnreachable();
+        reportUnanswered(startedAt);
         isRead = false;
         co_return;
     }
@@ -188,11 +215,12 @@
         DOGWOODHALL_LOG(platform, info) << "The configuration service answers again.";
     m_hooks.recordsRead(*batch);
     if (wait == Duration::zero()) {
+        reportConfirmed(startedAt);
         isRead = true;
         co_return;
     }
     // A service that responds early without new records is stale or faulty; pause to avoid a busy loop.
-    const bool isEarly = std::chrono::steady_clock::now() - startedAt < wait / 2;
+    const bool isEarly = monotonicNow() - startedAt < wait / 2;
     if (batch->records.empty() && isEarly)
         co_await pause(m_source.retryDelay);
     else if (!batch->records.empty())
@@ -200,6 +228,44 @@
     isRead = true;
 }
 
+bool PlatformWatcher::needsConfirmation() const
+{
+    return m_hooks.needsConfirmation && monotonicNow() >= m_confirmAfter && m_hooks.needsConfirmation();
+}
+
+void PlatformWatcher::reportConfirmed(TimePoint readBegan)
+{
+    if (m_hooks.confirmed)
+        m_hooks.confirmed(readBegan);
+}
+
+void PlatformWatcher::reportUnanswered(TimePoint readBegan)
+{
+    const TimePoint now = monotonicNow();
+    m_confirmAfter = now + confirmationRetryDelay;
+    if (m_hooks.unanswered && now - readBegan <= maxReadTime)
+        m_hooks.unanswered(readBegan);
+}
+
+// A member that does not watch reads what it may have missed since the last records that it holds. Its failure does not
+// make the records unreadable for the data centre, which does not depend on it.
+asio::awaitable<void> PlatformWatcher::confirmByRead()
+{
+    m_metrics.platformReads.add();
+    const TimePoint startedAt = monotonicNow();
+    const Revision held = m_hooks.highestRevision();
+    if (m_source.skipTo)
+        m_source.skipTo(held);
+    const auto batch = co_await m_source.readRecords(held, Duration::zero());
+    if (!batch) {
+        m_metrics.platformFailures.add();
+        reportUnanswered(startedAt);
+        co_return;
+    }
+    m_hooks.recordsRead(*batch);
+    reportConfirmed(startedAt);
+}
+
 asio::awaitable<void> PlatformWatcher::watchHosts()
 {
     if (!m_source.readHosts)
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -77,6 +77,7 @@
             fewest = std::min<std::size_t>(fewest, service.declaration.maxConnections);
         m_idleLimit = std::max<std::size_t>(fewest / idleShareDivisor / snapshot->fleet.size(), 1);
     };
+    path.renewLease = [this](const LeaseTerm& term) { m_term = term; };
     path.stop = [this](const StopSchedule& schedule) { m_dispatcher.stop(schedule); };
     path.running = [this] { return m_running; };
     path.tick = [this] {
@@ -85,6 +86,8 @@
         m_metrics.upstreamConnections.set(m_upstreams.connectionsOpened());
         m_metrics.retriesLeft.set(static_cast<std::uint64_t>(m_dispatcher.retriesLeft(monotonicNow())));
         m_metrics.retryHolders.set(m_dispatcher.retryHolders());
+        m_metrics.configurationAge.set(
+            static_cast<std::uint64_t>(toMilliseconds(configurationAge().value_or(Duration()))));
         reportSpill();
     };
     path.explain = [this](const RouteQuery& query, std::optional<Duration> timeLeft) {
@@ -111,6 +114,11 @@
     }
 }
 
+std::optional<Duration> DispatchRunner::configurationAge() const
+{
+    return m_term.confirmedAt ? std::optional(monotonicNow() - *m_term.confirmedAt) : std::nullopt;
+}
+
 DecisionContext DispatchRunner::context() { return { monotonicNow(), m_random }; }
 
 asio::awaitable<void> DispatchRunner::run(IncomingRequest request, const ResponseWriter& writer)
@@ -200,6 +208,8 @@
     line.add("id", id.value()).add("error", answer.name).add("status", std::uint64_t(answer.status));
     line.add("outcome", toString(refusal.outcome));
     line.add("revision", m_snapshot->revision.value());
+    if (const auto age = configurationAge())
+        line.addMilliseconds("configurationAgeMs", *age);
     if (!plan && m_snapshot->directory)
         line.add("version", m_snapshot->directory->version());
     if (plan) {
--- a/packages/daemon/src/traffic/TrafficThread.cpp
+++ b/packages/daemon/src/traffic/TrafficThread.cpp
@@ -160,6 +160,12 @@
     m_path.apply(m_snapshot);
 }
 
+void TrafficThread::renewLease(const LeaseTerm& term)
+{
+    if (m_path.renewLease)
+        m_path.renewLease(term);
+}
+
 void TrafficThread::observeLoads(const std::vector<PoolLoadSummary>& loads)
 {
     m_runner.loads().observe(loads, monotonicNow());
--- a/packages/daemon/tests/PlatformWatcherTest.cpp
+++ b/packages/daemon/tests/PlatformWatcherTest.cpp
@@ -118,7 +118,7 @@
         const bool isFirst = ++watches == 1;
         return respondAfter(io, isFirst ? row.responseAfter : never, isFirst && row.isLate);
     };
-    source.hasNewerRecords = [&] {
+    source.hasNewerRecords = [&](ReadConsistency) {
         const bool isFirst = ++checks == 1;
         return check(io, isFirst ? row.checkTime : 0ms, isFirst ? row.result : CheckResult::NothingNewer);
     };
--- a/packages/declarations/include/dogwoodhall/declarations/Settings.h
+++ b/packages/declarations/include/dogwoodhall/declarations/Settings.h
@@ -34,6 +34,8 @@
     // Entries that disappeared while the registry was unavailable are kept for this long after it recovers, so that
     // running upstreams have time to register again.
     Duration lapseGrace = std::chrono::seconds(2);
+    // A change must be in force this long after the registry has acknowledged it; empty if there is no such bound.
+    std::optional<Duration> maxConfigurationAge;
     bool spill = false; // Requests leave the data centre by what is known of the room there and elsewhere.
     // Relative to the value of a response in time.
     double linkCostWithinRegion = 12; // Of a megabyte.
--- a/packages/declarations/src/SettingsSchema.cpp
+++ b/packages/declarations/src/SettingsSchema.cpp
@@ -41,6 +41,7 @@
 constexpr double bytesPerMegabit = 125'000;
 constexpr IntegerRange readPauseMsRange { 0, 10'000 };
 constexpr IntegerRange lapseGraceMsRange { 0, 60'000 };
+constexpr IntegerRange maxConfigurationAgeMsRange { 500, 600'000 };
 
 NetworkAddress readAddress(ObjectReader& reader, const std::string& name, Presence presence, const TextRule& rule)
 {
@@ -175,6 +176,8 @@
         registry.linkCapacityPerSecond = ByteCount(static_cast<std::uint64_t>(*megabits * bytesPerMegabit));
     registry.readPause = readMilliseconds(reader, "readPauseMs", readPauseMsRange, registry.readPause);
     registry.lapseGrace = readMilliseconds(reader, "lapseGraceMs", lapseGraceMsRange, registry.lapseGrace);
+    if (auto ms = reader.integer("maxConfigurationAgeMs", Presence::Optional, maxConfigurationAgeMsRange))
+        registry.maxConfigurationAge = std::chrono::milliseconds(*ms);
     readSpill(reader, registry);
     reader.finish();
     return registry;
--- a/packages/fleet/include/dogwoodhall/fleet/GossipMessage.h
+++ b/packages/fleet/include/dogwoodhall/fleet/GossipMessage.h
@@ -47,6 +47,9 @@
     // In a request with records: members of the receiver's data centre to which it forwards the records. It
     // may not know them yet.
     std::vector<Member> relayTo;
+    // In a reply: the sender's records included every change that the store had acknowledged so long before. Empty if
+    // that was never confirmed.
+    std::optional<Duration> confirmedAge;
     // The receiver reads compressed lists of records. Not sent.
     bool compressesRecords = false;
 
--- a/packages/wire/src/GossipCodec.cpp
+++ b/packages/wire/src/GossipCodec.cpp
@@ -34,6 +34,14 @@
     return Duration(static_cast<Duration::rep>(ns));
 }
 
+Duration toMilliseconds(std::uint64_t ms, const char* name, Rejection& rejection)
+{
+    constexpr auto most = std::chrono::duration_cast<std::chrono::milliseconds>(Duration::max()).count();
+    const bool isInRange = ms <= static_cast<std::uint64_t>(most);
+    rejection.require(isInRange, name, "out of range");
+    return isInRange ? Duration(std::chrono::milliseconds(ms)) : Duration();
+}
+
 const std::string& requiredName(const std::string& text, const char* name, Rejection& rejection)
 {
     rejection.require(!text.empty(), name, "missing");
@@ -243,6 +251,8 @@
     }
     for (const wire::PoolLoad& load : from.pool_loads())
         message.poolLoads.push_back(fromWire(load, rejection));
+    if (from.has_confirmed_age_ms())
+        message.confirmedAge = toMilliseconds(from.confirmed_age_ms(), "confirmed age", rejection);
     if (from.has_records_after())
         message.recordsAfter = Revision(from.records_after());
     for (const wire::Member& entry : from.relay_to()) {
@@ -312,6 +322,10 @@
         entry.set_free_slots(load.freeSlots.count());
         entry.set_age_ns(nanoseconds(load.age));
     }
+    // Rounded up: the records must not seem newer than they are.
+    if (message.confirmedAge)
+        to.set_confirmed_age_ms(static_cast<std::uint64_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(std::max(*message.confirmedAge, Duration::zero())).count()));
     if (message.recordsAfter)
         to.set_records_after(message.recordsAfter->value());
     for (const Member& member : message.relayTo)
--- a/packages/wire/tests/GossipCodecTest.cpp
+++ b/packages/wire/tests/GossipCodecTest.cpp
@@ -53,6 +53,7 @@
     message.records.push_back({ RecordKey("services/claims"), Revision(5), false, std::string("\xff\0{}", 4) });
     message.records.push_back({ RecordKey("topology"), Revision(6), true, "" });
     message.recordsAfter = Revision(4);
+    message.confirmedAge = std::chrono::milliseconds(1234);
     message.relayTo.push_back(makeMember("m9", MemberState::Alive));
     message.relayTo[0].relaysRecords = true;
     return message;
--- a/tests/soak/LedgerTest.cpp
+++ b/tests/soak/LedgerTest.cpp
@@ -191,6 +191,20 @@
                 ledger.addExecution("a", "i-1");
         },
         "retry budget" },
+    { "repeats that arrive in one window",
+        [](Ledger& ledger) {
+            ledger.add("a", successfulCall(CallKind::Lookup, 3s));
+            for (int n = 0; n < 30; ++n)
+                ledger.addArrival("a", start + 3s + n * 100ms);
+        },
+        "retry budget" },
+    { "as many repeats in two windows",
+        [](Ledger& ledger) {
+            ledger.add("a", successfulCall(CallKind::Lookup, 3s));
+            for (int n = 0; n < 30; ++n)
+                ledger.addArrival("a", start + 3s + n * 800ms);
+        },
+        "" },
     { "refusals after the recovery time",
         [](Ledger& ledger) {
             for (int n = 0; n < 20; ++n) {
