Let the soak's clients pause for longer

At 300 clients with pauses of up to 80 ms the slack of the retry budget is small beside its ratio, so that a run says little about how members divide the slack.

--- a/tests/soak/Clients.cpp
+++ b/tests/soak/Clients.cpp
@@ -27,7 +27,6 @@
 // Bounds the wait for a paused daemon, which does not answer within the deadline.
 constexpr std::chrono::milliseconds responseTimeout { deadlineMs + 1000 };
 constexpr std::chrono::milliseconds connectTimeout { 1000 };
-constexpr std::size_t maxPauseMs = 80;
 
 } // namespace
 
@@ -47,10 +46,11 @@
     bool isReusable = true;
 };
 
-Clients::Clients(asio::io_context& io, Ledger& ledger, std::uint64_t seed)
+Clients::Clients(asio::io_context& io, Ledger& ledger, std::uint64_t seed, std::size_t maxPauseMs)
     : m_io(io)
     , m_ledger(ledger)
     , m_random(seed)
+    , m_maxPauseMs(maxPauseMs)
 {
 }
 
@@ -81,7 +81,7 @@
     std::optional<Connection> connection;
     asio::steady_timer timer(m_io);
     for (std::uint64_t n = 0; !m_isStopping; ++n) {
-        timer.expires_after(std::chrono::milliseconds(1 + randomBelow(maxPauseMs)));
+        timer.expires_after(std::chrono::milliseconds(1 + randomBelow(m_maxPauseMs)));
         co_await timer.async_wait(useTuple);
         if (!connection || !connection->isReusable) {
             const auto target = m_targets[daemon];
--- a/tests/soak/Clients.h
+++ b/tests/soak/Clients.h
@@ -13,6 +13,8 @@
 
 namespace dogwoodhall::soak {
 
+inline constexpr std::size_t defaultMaxPauseMs = 80;
+
 // Clients that each send one request at a time over a persistent connection, and reconnect when the daemon closes it.
 // All methods run on the event loop's thread.
 class Clients {
@@ -22,7 +24,8 @@
         std::uint64_t incarnation = 0;
     };
 
-    Clients(boost::asio::io_context&, Ledger&, std::uint64_t seed);
+    // Each client waits for a random time up to `maxPauseMs` before a request.
+    Clients(boost::asio::io_context&, Ledger&, std::uint64_t seed, std::size_t maxPauseMs);
 
     // New connections to the daemon use this address.
     void setTarget(std::size_t daemon, Target);
@@ -41,6 +44,7 @@
     boost::asio::io_context& m_io;
     Ledger& m_ledger;
     std::mt19937_64 m_random;
+    std::size_t m_maxPauseMs;
     std::vector<Target> m_targets;
     std::uint64_t m_routingVersion = 0;
     std::size_t m_activeClients = 0;
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -40,7 +40,7 @@
     , m_work(boost::asio::make_work_guard(m_io))
     , m_eventLoopThread([this] { m_io.run(); })
     , m_cluster(m_io, m_options.limits.daemons, m_options.limits.endpoints)
-    , m_clients(m_io, m_ledger, m_options.seed)
+    , m_clients(m_io, m_ledger, m_options.seed, m_options.maxPauseMs)
 {
 }
 
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -17,6 +17,7 @@
     std::uint64_t seed = 1;
     std::string selection = "all";
     std::size_t clients = 24;
+    std::size_t maxPauseMs = defaultMaxPauseMs;
     ScenarioLimits limits;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -2,6 +2,7 @@
 // observed. Exit status: 0 if all guarantees held, 1 if one was violated, 2 for invalid arguments.
 #include "SoakRun.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
 #include <iostream>
@@ -54,6 +55,8 @@
     add("processes", options::value<std::size_t>()->default_value(3), "number of daemons");
     add("endpoints", options::value<std::size_t>()->default_value(6), "number of endpoints");
     add("clients", options::value<std::size_t>()->default_value(24), "number of clients");
+    add("pause-ms", options::value<std::size_t>()->default_value(defaultMaxPauseMs),
+        "most milliseconds between two requests of a client");
     add("scenario", options::value<std::string>()->default_value("all"),
         "faults: all, signals, links, store, endpoints, planned or fleet");
     add("json", "print one JSON object per run");
@@ -67,6 +70,7 @@
         SoakOptions soak;
         soak.selection = values["scenario"].as<std::string>();
         soak.clients = values["clients"].as<std::size_t>();
+        soak.maxPauseMs = std::max<std::size_t>(values["pause-ms"].as<std::size_t>(), 1);
         soak.limits.length = std::chrono::seconds(values["seconds"].as<int>());
         soak.limits.daemons = values["processes"].as<std::size_t>();
         soak.limits.endpoints = values["endpoints"].as<std::size_t>();
