Divide the slack of the retry limit by a fleet size that cannot be too low

Cause: each member spent the slack divided by the members that it took for alive. That number is too low after a start, while the network separates the members and while exchanges are late, and then the members spend the slack several times over. Each traffic thread of a process took its member's whole part. A repeat was counted when it was decided and its arrival up to a second later, so that two bursts met in one window.

FleetCensus keeps the largest size that the fleet may have: members gone for less than a minute count, all of them while fewer than half are alive, and data centres without a known member as many as the others have. The slack is spent only when no further member has become known for a window, and never while members must exist and none is known; the ratio of the own requests needs no knowledge of others. Repeats count for 11 s in a window of 10 s.

SpillSimulation states when its members started, as the slack no longer grows from the first request on.

--- a/packages/budget/include/dogwoodhall/budget/RetryAllowance.h
+++ b/packages/budget/include/dogwoodhall/budget/RetryAllowance.h
@@ -18,15 +18,25 @@
     friend bool operator==(const RetryLimits&, const RetryLimits&) = default;
 };
 
+// How a slack that the whole fleet may spend is divided.
+struct SlackShare {
+    std::size_t holders = 1; // Each may spend an equal part.
+    // Since when no further holder has become known; empty while the holders cannot be known. A holder spends nothing
+    // until one window later: its number of holders may be too low, or an earlier run of its process has spent the
+    // part.
+    std::optional<TimePoint> stableSince = TimePoint();
+
+    friend bool operator==(const SlackShare&, const SlackShare&) = default;
+};
+
 // This member's share of the limit for one service, computed without coordination: the ratio of its own requests in the
-// last window, and a part of the slack that depends on the number of members that may be alive. A member that has just
-// started does not know what its earlier run has spent, so its part of the slack grows over the first window.
+// last window, which holds whatever the members know of each other, and an equal part of the slack while the number of
+// members is known.
 class RetryAllowance {
 public:
     explicit RetryAllowance(RetryLimits);
 
-    // Number of members that share the slack, this one included.
-    void setMembers(std::size_t members) { m_members = members; }
+    void setSlackShare(const SlackShare& share) { m_share = share; }
 
     void requestArrived(TimePoint now);
     // Takes one retry; returns false if none is left.
@@ -40,6 +50,7 @@
     struct Balance {
         double allowed = 0;
         double taken = 0;
+        double slack = 0; // Part of `allowed`.
     };
     Balance balance(TimePoint now) const;
 
@@ -59,15 +70,18 @@
         std::uint32_t taken = 0;
     };
     static constexpr std::size_t slices = 50; // Per window; short steps relative to it.
+    // Retries count for a tenth longer than the window. Those that a slow process or link has delayed by up to that
+    // time arrive in one window with later ones.
+    static constexpr std::size_t delaySlices = slices / 10;
 
     Slice& sliceAt(TimePoint now);
     std::int64_t numberAt(TimePoint now) const;
+    double slackAt(TimePoint now) const;
 
     RetryLimits m_limits;
-    std::size_t m_members = 1;
-    std::optional<TimePoint> m_startedAt; // First use.
+    SlackShare m_share;
     std::optional<TimePoint> m_deniedAt; // Last retry that was denied.
-    std::array<Slice, slices> m_slices {};
+    std::array<Slice, slices + delaySlices> m_slices {};
 };
 
 } // namespace dogwoodhall
--- a/packages/budget/src/RetryAllowance.cpp
+++ b/packages/budget/src/RetryAllowance.cpp
@@ -18,23 +18,16 @@
 RetryAllowance::Slice& RetryAllowance::sliceAt(TimePoint now)
 {
     const auto number = numberAt(now);
-    auto& slice = m_slices[static_cast<std::size_t>(number) % slices];
+    auto& slice = m_slices[static_cast<std::size_t>(number) % m_slices.size()];
     if (slice.number != number)
         slice = Slice { number };
     return slice;
 }
 
-void RetryAllowance::requestArrived(TimePoint now)
-{
-    if (!m_startedAt)
-        m_startedAt = now;
-    ++sliceAt(now).requests;
-}
+void RetryAllowance::requestArrived(TimePoint now) { ++sliceAt(now).requests; }
 
 bool RetryAllowance::tryTake(TimePoint now)
 {
-    if (!m_startedAt)
-        m_startedAt = now;
     if (available(now) < 1) {
         m_deniedAt = now;
         return false;
@@ -47,7 +40,7 @@
 {
     if (m_deniedAt && now - *m_deniedAt < hedgePauseAfterDenial)
         return false;
-    const auto [allowed, taken] = balance(now);
+    const auto [allowed, taken, slack] = balance(now);
     return allowed - taken >= std::max(1.0, retryReserve * allowed);
 }
 
@@ -61,24 +54,31 @@
 
 double RetryAllowance::available(TimePoint now)
 {
-    const auto [allowed, taken] = balance(now);
+    const auto [allowed, taken, slack] = balance(now);
     return allowed - taken;
 }
 
+double RetryAllowance::slackAt(TimePoint now) const
+{
+    const bool isUsable = m_share.stableSince && now - *m_share.stableSince >= m_limits.window;
+    return isUsable ? m_limits.slack * usableSlack / static_cast<double>(std::max<std::size_t>(m_share.holders, 1)) : 0;
+}
+
 RetryAllowance::Balance RetryAllowance::balance(TimePoint now) const
 {
     const auto newest = numberAt(now);
     double requests = 0;
     double taken = 0;
     for (const auto& slice : m_slices) {
-        if (slice.number < 0 || slice.number <= newest - static_cast<std::int64_t>(slices))
+        const auto age = newest - slice.number;
+        if (slice.number < 0 || age >= static_cast<std::int64_t>(m_slices.size()))
             continue;
-        requests += slice.requests;
         taken += slice.taken;
+        if (age < static_cast<std::int64_t>(slices))
+            requests += slice.requests;
     }
-    const double age = std::min(toSeconds(now - m_startedAt.value_or(now)) / toSeconds(m_limits.window), 1.0);
-    const double slack = age * m_limits.slack * usableSlack / static_cast<double>(std::max<std::size_t>(m_members, 1));
-    return { requests * m_limits.ratio.value() * usableRatio + slack, taken };
+    const double slack = slackAt(now);
+    return { requests * m_limits.ratio.value() * usableRatio + slack, taken, slack };
 }
 
 } // namespace dogwoodhall
--- a/packages/budget/tests/RetryAllowanceTest.cpp
+++ b/packages/budget/tests/RetryAllowanceTest.cpp
@@ -2,6 +2,7 @@
 
 #include "dogwoodhall/budget/RetryAllowance.h"
 
+#include <algorithm>
 #include <deque>
 #include <random>
 
@@ -34,7 +35,7 @@
     const RetryLimits limits { Fraction(0.2), 10s, row.slack };
     std::vector<RetryAllowance> members(row.members, RetryAllowance(limits));
     for (auto& member : members)
-        member.setMembers(row.members);
+        member.setSlackShare({ row.members, TimePoint(100s) });
     std::mt19937 random(7);
     std::poisson_distribution<int> arrivals(row.requestsPerSecond * 0.1);
     std::deque<std::pair<double, double>> window; // Requests and retries per tenth of a second.
@@ -44,7 +45,7 @@
         for (auto& member : members) {
             if (row.restarts && tick % 40 == 39) {
                 member = RetryAllowance(limits);
-                member.setMembers(row.members);
+                member.setSlackShare({ row.members, now });
             }
             for (int n = arrivals(random); n > 0; --n) {
                 member.requestArrived(now);
@@ -66,6 +67,45 @@
     }
 }
 
+struct DelayRow {
+    const char* name;
+    Duration delay; // Of every other burst of retries, on its way to the endpoints.
+};
+
+const DelayRow delayRows[] = {
+    { "no delay", 0s },
+    { "half a second", 500ms },
+    { "nearly a second", 900ms },
+};
+
+// Guards against retries that a slow process or link delays, so that they arrive in one window with later ones.
+ParameterizedTestParameters(RetryAllowance, boundsDelayedRetries) { return rowIndices(delayRows); }
+
+ParameterizedTest(std::size_t* index, RetryAllowance, boundsDelayedRetries)
+{
+    const auto& row = delayRows[*index];
+    const RetryLimits limits { Fraction(0.2), 10s, 0 };
+    RetryAllowance allowance(limits);
+    std::vector<TimePoint> arrivals;
+    bool isDelayed = false;
+    // The allowance is spent in bursts, as when all endpoints of a service fail for a moment.
+    for (int n = 0; n < 6000; ++n) {
+        const TimePoint now(100s + n * 10ms);
+        allowance.requestArrived(now);
+        if (n < 1000 || allowance.available(now) < 100)
+            continue;
+        isDelayed = !isDelayed;
+        while (allowance.tryTake(now))
+            arrivals.push_back(now + (isDelayed ? row.delay : Duration()));
+    }
+    cr_assert_geq(arrivals.size(), 300);
+    for (const auto first : arrivals) {
+        const auto n = std::count_if(
+            arrivals.begin(), arrivals.end(), [&](TimePoint at) { return at >= first && at - first < limits.window; });
+        cr_assert_leq(n, 200, "%s: %td arrivals for 1,000 requests", row.name, n);
+    }
+}
+
 // Guards against an allowance that is not granted: a fifth of the requests can be retried, less the reserve.
 Test(RetryAllowance, allowsMostOfTheRatio)
 {
--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -75,7 +75,7 @@
     // Largest share of a service's requests that leave at once. Null for the own data centre.
     std::array<Counter*, distanceCount> leavingPercent {};
     Counter& retriesLeft; // Retries and hedges that this member may make now, over all services.
-    Counter& retryHolders; // Members among which the slack of the retry limit is divided.
+    Counter& retryHolders; // Traffic threads of all members that share the slack of the retry limit.
     Counter& coldSends; // Requests and hedges sent to cold endpoints.
     Counter& warmUpLimited; // Requests for which a cold endpoint was left out.
     Counter& endpointsLeaving; // Endpoints that have announced in a response that they leave.
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -108,6 +108,7 @@
     RecordKey m_lastRejectedKey; // Where the next recordsForRepair() resumes.
     HostList m_hosts;
     SnapshotBuilder m_builder;
+    FleetCensus m_census;
     AllowedRegionsLog m_allowedRegionsLog;
     PublicationPacer m_pacer;
     asio::steady_timer m_publicationTimer { m_io };
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -12,8 +12,8 @@
 namespace dogwoodhall {
 
 // Reads the records and, if the platform has one, the host list on the control thread. Only watchers keep a watch open.
-// Other members read the records once at start, after a delay that depends on the first host list, once after each pause
-// of the process, and whenever they must be confirmed.
+// Other members read the records once at start, after a delay that depends on the first host list, once after each
+// pause of the process, and whenever they must be confirmed.
 //
 // A watch waits on a connection that the service's kernel keeps open even if its response is lost. While it waits, the
 // service is asked periodically whether it responds and whether it has records that the watch should have returned.
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -33,7 +33,8 @@
     // Waits for up to `wait` if no record is newer than `since`.
     std::function<ExchangeResult<RecordBatch>(Revision since, Duration wait)> readRecords;
     // Asks the service, without waiting, whether it has records that the watch in progress should have returned. Fails
-    // if the service does not respond, with ErrorKind::UpstreamRefused if it refuses the question. Must be callable while readRecords is in progress.
+    // if the service does not respond, with ErrorKind::UpstreamRefused if it refuses the question. Must be callable
+    // while readRecords is in progress.
     std::function<ExchangeResult<bool>(ReadConsistency)> hasNewerRecords {};
     // Makes the next read begin after this revision, since the member holds all records up to it. Empty if each read is
     // by `since`.
--- a/packages/daemon/include/dogwoodhall/daemon/control/SnapshotBuilder.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/SnapshotBuilder.h
@@ -7,6 +7,7 @@
 #include "dogwoodhall/daemon/control/StatusReport.h"
 #include "dogwoodhall/declarations/Settings.h"
 #include "dogwoodhall/fleet/Fleet.h"
+#include "dogwoodhall/fleet/FleetCensus.h"
 
 #include <set>
 #include <vector>
@@ -23,7 +24,7 @@
     Snapshot build(const Fleet&) const;
     // Adds the directory of routes, services and endpoints, and the members that share budgets. Used if
     // upstreams register themselves.
-    void addDirectory(Snapshot&, const Fleet&, const LapsedEndpoints&, TimePoint now) const;
+    void addDirectory(Snapshot&, const Fleet&, FleetCensus&, const LapsedEndpoints&, TimePoint now) const;
 
     // Entry hosts in the host list, including this one.
     std::vector<ListedHost> listedEntryHosts() const;
--- a/packages/daemon/src/DaemonMetrics.cpp
+++ b/packages/daemon/src/DaemonMetrics.cpp
@@ -62,7 +62,8 @@
     , upstreamConnections(
           registry.gauge("dogwoodhall_upstream_connections", "Connections opened to registered endpoints."))
     , retriesLeft(registry.gauge("dogwoodhall_retries_left", "Retries and copies this member may make now."))
-    , retryHolders(registry.gauge("dogwoodhall_retry_holders", "Members that share the slack of the retry limit."))
+    , retryHolders(
+          registry.gauge("dogwoodhall_retry_holders", "Traffic threads that share the slack of the retry limit."))
     , coldSends(registry.counter("dogwoodhall_cold_sends_total", "Requests and copies sent to cold endpoints."))
     , warmUpLimited(registry.counter("dogwoodhall_warm_up_limited_total",
           "Requests for which a cold endpoint was left out, as this member's share was used up."))
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -31,6 +31,19 @@
 // Size of a pool's load in a gossip message, for ids of 15 characters.
 constexpr std::uint64_t loadBytes = 64;
 
+CensusLimits censusLimits(const Settings& settings)
+{
+    CensusLimits limits;
+    limits.dataCentre = settings.dataCentre;
+    if (!settings.registry)
+        return limits;
+    limits.dataCentres = std::max<std::size_t>(settings.registry->regions.size(), 1);
+    const auto& seeds = settings.registry->seeds;
+    limits.hasSeeds = std::any_of(
+        seeds.begin(), seeds.end(), [&](const NetworkAddress& seed) { return seed.ip != settings.peerAddress.ip; });
+    return limits;
+}
+
 Duration threadProcessorTime()
 {
     timespec time {};
@@ -48,6 +61,7 @@
     , m_hooks(std::move(hooks))
     , m_configuration(adapter.parseRecord)
     , m_builder(m_settings, m_configuration, m_hosts)
+    , m_census(censusLimits(m_settings), monotonicNow())
     , m_pacer(settings.registry ? registryPublications : PublicationLimits {})
     , m_source(adapter.makeRecordSource(m_io.get_executor()))
     , m_joinBarrier(
@@ -464,7 +478,7 @@
     const Duration start = threadProcessorTime();
     auto snapshot = std::make_shared<Snapshot>(m_builder.build(m_gossip->fleet()));
     if (m_settings.registry)
-        m_builder.addDirectory(*snapshot, m_gossip->fleet(), m_lapsed, monotonicNow());
+        m_builder.addDirectory(*snapshot, m_gossip->fleet(), m_census, m_lapsed, monotonicNow());
     const auto& evacuated = snapshot->eligibility.evacuated();
     logEvacuations(m_published ? m_published->eligibility.evacuated() : std::set<DataCentreId> {}, evacuated);
     m_metrics.evacuatedDataCentres.set(evacuated.size());
--- a/packages/daemon/src/control/SnapshotBuilder.cpp
+++ b/packages/daemon/src/control/SnapshotBuilder.cpp
@@ -33,14 +33,18 @@
 }
 
 void SnapshotBuilder::addDirectory(
-    Snapshot& snapshot, const Fleet& fleet, const LapsedEndpoints& lapsed, TimePoint now) const
+    Snapshot& snapshot, const Fleet& fleet, FleetCensus& census, const LapsedEndpoints& lapsed, TimePoint now) const
 {
     snapshot.acceptsAnyPeer = true;
     snapshot.fleet.self = { m_settings.member, m_settings.dataCentre };
-    for (const auto* member : fleet.others()) {
+    const auto others = fleet.others();
+    for (const auto* member : others) {
         if (member->state != MemberState::Gone)
             snapshot.fleet.others.push_back({ member->id, member->dataCentre });
     }
+    census.observe(others, now);
+    snapshot.fleet.largestSize = census.size();
+    snapshot.fleet.stableSince = census.stableSince();
     const auto routing = m_configuration.routing();
     if (!routing)
         return;
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -85,7 +85,7 @@
         m_dispatcher.endpoints().reportWarmEndpoints(monotonicNow());
         m_metrics.upstreamConnections.set(m_upstreams.connectionsOpened());
         m_metrics.retriesLeft.set(static_cast<std::uint64_t>(m_dispatcher.retriesLeft(monotonicNow())));
-        m_metrics.retryHolders.set(m_dispatcher.retryHolders());
+        m_metrics.retryHolders.set(m_dispatcher.retryShare().holders);
         m_metrics.configurationAge.set(
             static_cast<std::uint64_t>(toMilliseconds(configurationAge().value_or(Duration()))));
         reportSpill();
@@ -244,7 +244,8 @@
 {
     const auto balance = m_dispatcher.retryBalance(plan.service(), monotonicNow());
     line.add("service", plan.service().value()).addNumber("retriesAllowed", balance.allowed);
-    line.addNumber("retriesTaken", balance.taken).add("retryHolders", std::uint64_t(m_dispatcher.retryHolders()));
+    line.addNumber("retriesTaken", balance.taken).addNumber("retrySlack", balance.slack);
+    line.add("retryHolders", std::uint64_t(m_dispatcher.retryShare().holders));
 }
 
 void DispatchRunner::logWarmUp(const WarmUpChange& change)
--- a/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/Dispatcher.h
@@ -99,8 +99,8 @@
     double retriesLeft(TimePoint now);
     // Zero for a service that no request has been admitted for.
     RetryAllowance::Balance retryBalance(const ServiceId&, TimePoint now) const;
-    // Number of members among which the slack of the retry limit is divided, as this one knows them.
-    std::size_t retryHolders() const { return m_members; }
+    // How the slack of the retry limit is divided.
+    const SlackShare& retryShare() const { return m_retryShare; }
 
 private:
     // What placing a request reads of the endpoints, and what it changes besides its plan. explain() passes copies.
@@ -147,7 +147,9 @@
     DispatchLimits m_limits;
     std::optional<StopSchedule> m_stop; // While the process is stopping.
     std::shared_ptr<const Directory> m_directory;
-    std::size_t m_members = 1;
+    std::size_t m_members
+        = 1; // That may be alive. The probe rate is divided by it: its limit is an average over hours.
+    SlackShare m_retryShare;
     EndpointTracker m_tracker;
     WarmUpLimiter m_warmUp;
     EndpointEligibility m_eligibility;
--- a/packages/dispatch/src/Dispatcher.cpp
+++ b/packages/dispatch/src/Dispatcher.cpp
@@ -42,6 +42,7 @@
 {
     m_directory = std::move(directory);
     m_members = fleet.size();
+    m_retryShare = { fleet.largestSize * m_limits.trafficThreads, fleet.stableSince };
     m_tracker.apply(*m_directory, now);
     m_warmUp.apply(fleet, now);
     m_eligibility.apply(m_directory);
@@ -49,7 +50,7 @@
         m_spill->apply(*m_directory);
     updateProbeRate(now);
     for (auto& [service, retries] : m_retries)
-        retries.setMembers(m_members);
+        retries.setSlackShare(m_retryShare);
 }
 
 void Dispatcher::updateProbeRate(TimePoint now)
@@ -68,7 +69,7 @@
 {
     const auto [it, isNew] = m_retries.try_emplace(service, m_limits.retries);
     if (isNew)
-        it->second.setMembers(m_members);
+        it->second.setSlackShare(m_retryShare);
     return it->second;
 }
 
--- a/packages/dispatch/tests/DispatcherTest.cpp
+++ b/packages/dispatch/tests/DispatcherTest.cpp
@@ -115,6 +115,42 @@
 
 } // namespace
 
+struct ShareRow {
+    const char* name;
+    std::size_t members;
+    std::size_t trafficThreads; // Of each.
+    std::optional<TimePoint> stableSince;
+    double slack; // Of one traffic thread.
+};
+
+const ShareRow shareRows[] = {
+    { "one member, one traffic thread", 1, 1, TimePoint(), 80 },
+    { "four members", 4, 1, TimePoint(), 20 },
+    { "four members with two traffic threads", 4, 2, TimePoint(), 10 },
+    { "a member became known a moment ago", 4, 1, start - 9s, 0 },
+    { "no other member known although there are some", 1, 1, std::nullopt, 0 },
+};
+
+// Guards against traffic threads that each spend the whole slack of their process, or of a fleet that they do not know.
+ParameterizedTestParameters(Dispatcher, dividesTheSlack) { return rowIndices(shareRows); }
+
+ParameterizedTest(std::size_t* index, Dispatcher, dividesTheSlack)
+{
+    const auto& row = shareRows[*index];
+    DispatchLimits limits;
+    limits.retries.slack = 100;
+    limits.trafficThreads = row.trafficThreads;
+    Dispatcher dispatcher(limits);
+    FleetView fleet;
+    fleet.largestSize = row.members;
+    fleet.stableSince = row.stableSince;
+    dispatcher.apply(TestDirectory::make({ { "near-1" } }, 2), fleet, start);
+    const auto plan = dispatcher.admit({ "shop", "/lookups/1", "GET" }, std::nullopt, start);
+    cr_assert(plan.has_value());
+    const double slack = dispatcher.retryBalance(plan->service(), start).slack;
+    cr_expect_float_eq(slack, row.slack, 1e-9, "%s: %f", row.name, slack);
+}
+
 struct StopRow {
     const char* name;
     Duration sinceStop;
--- a/packages/dispatch/tests/SpillSimulation.cpp
+++ b/packages/dispatch/tests/SpillSimulation.cpp
@@ -69,6 +69,8 @@
     }
     FleetView fleet;
     fleet.others.resize(dataCentres.size() * m_setup.members - 1);
+    fleet.largestSize = fleet.others.size() + 1;
+    fleet.stableSince = m_now;
     for (std::size_t n = 0; n < dataCentres.size(); ++n) {
         const auto directory = directorySeenFrom(n);
         for (std::size_t member = 0; member < m_setup.members; ++member) {
--- a/tests/soak/Scenario.cpp
+++ b/tests/soak/Scenario.cpp
@@ -69,8 +69,8 @@
 std::vector<Fault> makeScenario(std::uint64_t seed, const std::string& selection, const ScenarioLimits& limits)
 {
     std::vector<FaultKindInfo> candidates;
-    std::copy_if(std::begin(faultKinds), std::end(faultKinds), std::back_inserter(candidates),
-        [&](const FaultKindInfo& row) {
+    std::copy_if(
+        std::begin(faultKinds), std::end(faultKinds), std::back_inserter(candidates), [&](const FaultKindInfo& row) {
             return selection == row.group || (selection == "all" && row.group != fleetGroup);
         });
     std::vector<Fault> faults;
--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -72,8 +72,9 @@
         { "trafficThreads", 1 }, { "measuringCallsPerSecond", 400 }, { "measuringBytesPerSecond", 56000 },
         { "registry",
             json::object { { "regions", json::object { { "dc0", "r0" }, { "dc1", "r1" } } }, { "seeds", seeds },
-                { "retrySlack", 20 }, { "maxConfigurationAgeMs", 2000 }, { "drainGraceMs", 500 }, { "stopGraceMs", 6000 },
-                { "healthCallsPerEndpoint", 60 }, { "warmUpOverage", 1.5 }, { "warmUpSlack", 8 } } } };
+                { "retrySlack", 20 }, { "maxConfigurationAgeMs", 2000 }, { "drainGraceMs", 500 },
+                { "stopGraceMs", 6000 }, { "healthCallsPerEndpoint", 60 }, { "warmUpOverage", 1.5 },
+                { "warmUpSlack", 8 } } } };
     std::ofstream(daemon.settingsPath) << json::serialize(settings);
     m_daemons.push_back(std::move(daemon));
 }
--- a/tests/soak/SoakFleetFaults.cpp
+++ b/tests/soak/SoakFleetFaults.cpp
@@ -71,8 +71,8 @@
         m_busyDaemons.erase(daemon);
         return;
     }
-    scheduleAt(monotonicNow() + (runs ? runningTurn : stoppedTurn),
-        [this, daemon, runs, end] { starve(daemon, !runs, end); });
+    scheduleAt(
+        monotonicNow() + (runs ? runningTurn : stoppedTurn), [this, daemon, runs, end] { starve(daemon, !runs, end); });
 }
 
 void SoakRun::refuseDaemons(const Fault& fault)
--- a/tools/src/RegisteredUpstreamStandIn.cpp
+++ b/tools/src/RegisteredUpstreamStandIn.cpp
@@ -14,12 +14,12 @@
 #include <vector>
 
 // Stand-in for an endpoint of the users' platform, written from the platform's published page. Each execution of a
-// request is appended to --runs-file as a line with the attempt id. Each request that arrives, run or not, is appended to
-// the file of that name with the ending ".arrivals", as the attempt id and the arrival in milliseconds of the monotonic
-// clock. GET /health reports the load. GET /control/received
-// returns the number of requests, GET /control/health-calls that of health calls, GET /control/busiest-second the most
-// requests that arrived within any second, GET /control/busiest-cold-second the same while the endpoint was cold, both
-// by the times at which the kernel received them.
+// request is appended to --runs-file as a line with the attempt id. Each request that arrives, run or not, is appended
+// to the file of that name with the ending ".arrivals", as the attempt id and the arrival in milliseconds of the
+// monotonic clock. GET /health reports the load. GET /control/received returns the number of requests, GET
+// /control/health-calls that of health calls, GET /control/busiest-second the most requests that arrived within any
+// second, GET /control/busiest-cold-second the same while the endpoint was cold, both by the times at which the kernel
+// received them.
 //
 // PUT /control/mode?name=value&... sets how requests are answered until the next such call:
 //   fault=busy|refuse|refuse-late-extra|refuse-before|refuse-other|misdirected|cut|cut-unrun|truncate|extra|late-extra|other|
