Refuse requests while the configuration may be too old

Cause: a member that a change had not reached had no way to notice it, and served by what it had for as long as that lasted. Each hop from the store's acknowledgement to the decision rested on another member, on the own control thread or on a read that may be seconds old.

Evidence, on the code before: RegistryTest decidesByNoExpiredConfiguration gets 200 from a route that was removed 1.3 s before, with a bound of 1 s, when the process gets its processor back. followsAStoreWithStaleReads gets 404 for a new route beyond 2 s, where the response to a watch is lost and serializable reads are old; it passes since the records are confirmed by linearizable reads, and fails without maxConfigurationAgeMs.

--- a/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
+++ b/packages/daemon/include/dogwoodhall/daemon/DaemonMetrics.h
@@ -46,6 +46,7 @@
     Counter& ticketReplays;
     Counter& configurationRevision;
     Counter& configurationAge; // Milliseconds since the configuration in use was known to be the newest.
+    Counter& configurationExpired; // Requests refused because the configuration might be too old.
     Counter& recordsRejected;
     Counter& evacuatedDataCentres;
     Counter& publications; // Snapshots published to the traffic threads.
--- a/packages/daemon/src/DaemonMetrics.cpp
+++ b/packages/daemon/src/DaemonMetrics.cpp
@@ -32,6 +32,8 @@
     , configurationRevision(registry.gauge("dogwoodhall_configuration_revision", "Highest revision read."))
     , configurationAge(registry.gauge("dogwoodhall_configuration_age_milliseconds",
           "Time since the configuration in use was known to be the newest."))
+    , configurationExpired(registry.counter(
+          "dogwoodhall_configuration_expired_total", "Requests refused because the configuration might be too old."))
     , recordsRejected(registry.counter("dogwoodhall_records_rejected_total", "Records that failed their checks."))
     , evacuatedDataCentres(registry.gauge("dogwoodhall_evacuated_data_centres", "Data centres being evacuated."))
     , publications(registry.counter("dogwoodhall_publications_total", "Snapshots given to the traffic threads."))
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -126,7 +126,11 @@
     RunningGuard guard(m_running);
     m_metrics.requests.add();
     const auto call = m_codec.readRequestFields(request.head.fields);
-    if (!m_snapshot->isReady) {
+    // Another member, or this one in a moment, knows which configuration is in force.
+    const bool isExpired = monotonicNow() >= m_term.validUntil;
+    if (m_snapshot->isReady && isExpired)
+        m_metrics.configurationExpired.add();
+    if (!m_snapshot->isReady || isExpired) {
         const RefuseRequest notReady { ErrorKind::NotReady, Outcome::NotRun, notReadyRetry };
         co_return co_await refuse(writer, call.id, notReady, nullptr);
     }
--- a/tests/system/RegistryTest.cpp
+++ b/tests/system/RegistryTest.cpp
@@ -348,6 +348,57 @@
         cluster.registryReads() - reads, 2, "%s: %zu calls in a calm time", row.name, cluster.registryReads() - reads);
 }
 
+// Guards against a member that takes a lost watch for a store without changes because cheap reads are seconds old.
+Test(Registry, followsAStoreWithStaleReads, .timeout = 60)
+{
+    constexpr std::chrono::seconds maxConfigurationDelay { 2 };
+    RegistryCluster::Options options;
+    options.maxConfigurationAgeMs = 2000;
+    RegistryCluster cluster(1, 1, options);
+    ::usleep(2'500'000); // The pause after the first read.
+    cluster.publishRouting(2);
+    ::usleep(50'000);
+    cluster.setRegistryMode("silent"); // The watch that follows the change gets no response.
+    ::usleep(400'000);
+    cluster.setRegistryMode("serving");
+    cluster.freezeSerializableReads();
+    ::usleep(3'000'000);
+    cluster.publishRouting(3, "/finds/");
+    const auto end = std::chrono::steady_clock::now() + maxConfigurationDelay;
+    unsigned status = 0;
+    while (status != 200 && std::chrono::steady_clock::now() < end)
+        status = cluster.request("GET", "/finds/1", "found").status;
+    cr_expect_eq(status, 200, "%u", status);
+}
+
+// Guards against a process that, when it runs again, decides by a configuration which is older than changes may take to
+// be in force.
+Test(Registry, decidesByNoExpiredConfiguration, .timeout = 60)
+{
+    constexpr int attempts = 5;
+    RegistryCluster::Options options;
+    options.maxConfigurationAgeMs = 1000;
+    RegistryCluster cluster(1, 1, options);
+    ::usleep(2'500'000); // The pause after the first read.
+    for (int n = 0; n < attempts; ++n) {
+        const auto version = 2 + 2 * static_cast<unsigned>(n);
+        cluster.publishRouting(version, "/lookups/");
+        cr_assert(eventually([&] { return cluster.request("GET", "/lookups/1", "a").status == 200; }));
+        // Shorter than what the process takes for a pause.
+        ::kill(cluster.daemon().process.id(), SIGSTOP);
+        cluster.publishRouting(version + 1, "/finds/");
+        ::usleep(1'300'000);
+        TestClient client(cluster.daemon().caller);
+        client.send("GET /lookups/1 HTTP/1.1\r\nHost: shop\r\nDogwoodhall-Attempt-Id: late\r\n\r\n");
+        ::usleep(50'000);
+        ::kill(cluster.daemon().process.id(), SIGCONT);
+        const auto status = client.readResponse().status;
+        cr_expect(
+            status == 503 || status == 404, "attempt %d: %u from a route that was removed 1.3 s before", n, status);
+        cr_expect(eventually([&] { return cluster.request("GET", "/finds/1", "b").status == 200; }));
+    }
+}
+
 // Guards against losing endpoints whose leases expire while the store is unavailable.
 Test(Registry, keepsEndpointsThatLapseInAnOutage, .timeout = 60)
 {
--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -90,6 +90,8 @@
                 { "retrySlack", 1000 }, { "retryWindowMs", retryWindowMs }, { "drainGraceMs", m_options.drainGraceMs },
                 { "stopGraceMs", m_options.stopGraceMs }, { "warmUpOverage", m_options.warmUpOverage },
                 { "warmUpSlack", m_options.warmUpSlack } } } };
+    if (m_options.maxConfigurationAgeMs)
+        settings["registry"].as_object()["maxConfigurationAgeMs"] = *m_options.maxConfigurationAgeMs;
     const auto more = json::parse(m_options.settings);
     for (const auto& setting : more.as_object())
         settings.insert_or_assign(setting.key(), setting.value());
@@ -146,6 +148,8 @@
 
 void RegistryCluster::setRegistryMode(const std::string& state) { callRegistry("PUT", "/control/mode?state=" + state); }
 
+void RegistryCluster::freezeSerializableReads() { callRegistry("PUT", "/control/serializable?stale=1"); }
+
 void RegistryCluster::compactRegistry() { callRegistry("PUT", "/control/compact"); }
 
 std::size_t RegistryCluster::registryReads() const { return std::stoul(callRegistry("GET", "/control/reads").body); }
--- a/tests/system/support/RegistryCluster.h
+++ b/tests/system/support/RegistryCluster.h
@@ -37,6 +37,7 @@
         // Settings of each daemon. The daemons do not know each other.
         double warmUpOverage = 1;
         double warmUpSlack = 0;
+        std::optional<unsigned> maxConfigurationAgeMs {}; // Empty for no limit.
         std::string settings = "{}"; // More settings of each daemon, as a JSON object.
     };
 
@@ -60,6 +61,8 @@
     void setMode(std::size_t endpoint, const std::string& query);
     void setRegistryMode(const std::string& state);
     void compactRegistry();
+    // Serializable reads return the present state from now on, whatever changes.
+    void freezeSerializableReads();
     std::size_t registryReads() const;
 
     // Writes the routing document; the idempotent route has this path prefix, and both allow these regions.
--- a/tools/src/RegistryStandIn.cpp
+++ b/tools/src/RegistryStandIn.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
+#include <optional>
 #include <vector>
 
 // Stand-in for the users' key-value store, written from the store's published page: GET /api/kv-range and
@@ -21,6 +22,8 @@
 //   with
 //                                          503, silent never responds to the calls that arrive meanwhile; pending
 //                                          watches are answered afterwards
+//   PUT /control/serializable?stale=0|1  serializable reads return the state at the time of this call from then on, or
+//                                        the present one again
 //   PUT /control/compact                 discards the history: watches from an earlier revision are answered with 410
 //   GET /control/reads                   returns the number of calls by daemons
 
@@ -64,6 +67,7 @@
     asio::awaitable<void> watch(const Target&, const ResponseWriter&);
     asio::awaitable<void> waitForDisconnect();
     std::string nextPage(const Target&);
+    std::string staleRange() const;
     std::string range(const std::string& prefix, const std::string& after) const;
     std::string eventsAfter(std::uint64_t revision) const;
     bool hasEventAfter(std::uint64_t revision) const;
@@ -77,6 +81,7 @@
     std::uint64_t m_compactedRevision = 0; // Events before this revision have been discarded.
     std::string m_mode = "serving";
     std::uint64_t m_reads = 0;
+    std::optional<std::uint64_t> m_staleRevision; // Of serializable reads.
 };
 
 asio::awaitable<void> RegistryStandIn::handle(IncomingRequest request, ResponseWriter writer)
@@ -94,6 +99,8 @@
         co_await waitForDisconnect();
     else if (m_mode == "busy")
         co_await writeAnswer(writer, 503, "{\"error\":\"busy\"}");
+    else if (target.path == "/api/kv-range" && target.number("serializable", 0) == 1 && m_staleRevision)
+        co_await writeAnswer(writer, 200, staleRange());
     else if (target.path == "/api/kv-range")
         co_await writeAnswer(writer, 200, nextPage(target));
     else if (target.path == "/api/kv-watch")
@@ -117,6 +124,8 @@
         m_items[target.path.substr(rawItemsPrefix.size())] = { received.value_or(""), ++m_revision, false, true };
     } else if (target.path == "/control/mode") {
         m_mode = target.text("state");
+    } else if (target.path == "/control/serializable") {
+        m_staleRevision = target.number("stale", 0) == 1 ? std::optional(m_revision) : std::nullopt;
     } else if (target.path == "/control/compact") {
         m_compactedRevision = ++m_revision;
     } else if (target.path == "/control/reads") {
@@ -179,6 +188,12 @@
     return text;
 }
 
+// Enough for the daemons, which make serializable reads of empty ranges only.
+std::string RegistryStandIn::staleRange() const
+{
+    return "{\"items\":[],\"has_more\":false,\"store_revision\":" + std::to_string(*m_staleRevision) + "}";
+}
+
 std::string RegistryStandIn::range(const std::string& prefix, const std::string& after) const
 {
     std::vector<std::string> items;
