Let one member confirm the configuration for the fleet

The member that ranks first reads after two fifths of the time, the others only after three quarters, which a confirmation by gossip mostly comes before.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
@@ -32,8 +32,8 @@
     // A read that began at `at` got no answer from the store.
     void storeUnreachable(TimePoint at);
 
-    // Half of the time has passed, so that the member should confirm its records by a read.
-    bool needsConfirmation(TimePoint now) const;
+    // Whether this share of the lease's time has passed, so that the member should confirm its records by a read.
+    bool needsConfirmation(Fraction share, TimePoint now) const;
     bool isConfirmed() const { return m_confirmedAt.has_value(); }
     LeaseTerm term() const;
 
--- a/packages/configuration/src/ConfigurationLease.cpp
+++ b/packages/configuration/src/ConfigurationLease.cpp
@@ -18,9 +18,9 @@
     return m_maxAge && !isUnreachable;
 }
 
-bool ConfigurationLease::needsConfirmation(TimePoint now) const
+bool ConfigurationLease::needsConfirmation(Fraction share, TimePoint now) const
 {
-    return hasLimit() && (!m_confirmedAt || now - *m_confirmedAt >= *m_maxAge / 2);
+    return hasLimit() && (!m_confirmedAt || now - *m_confirmedAt >= scaled(*m_maxAge, share.value()));
 }
 
 LeaseTerm ConfigurationLease::term() const
--- a/packages/configuration/tests/ConfigurationLeaseTest.cpp
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr TimePoint start { 100s };
+constexpr Fraction half { 0.5 };
 
 struct Evidence {
     enum class Kind { Confirmed, Unreachable } kind;
@@ -58,8 +59,8 @@
     cr_expect(lease.term().validUntil == expected, "%s: valid until %f s", row.name,
         toSeconds(lease.term().validUntil - start));
     const TimePoint due = start + row.needsConfirmationAt.value_or(1h);
-    cr_expect_eq(lease.needsConfirmation(due), row.needsConfirmationAt.has_value(), "%s", row.name);
-    cr_expect_not(lease.needsConfirmation(due - 1ms), "%s", row.name);
+    cr_expect_eq(lease.needsConfirmation(half, due), row.needsConfirmationAt.has_value(), "%s", row.name);
+    cr_expect_not(lease.needsConfirmation(half, due - 1ms), "%s", row.name);
 }
 
 // Guards against a member that decides before its records were ever confirmed.
@@ -67,5 +68,5 @@
 {
     const ConfigurationLease lease(3s);
     cr_expect(lease.term().validUntil == TimePoint());
-    cr_expect(lease.needsConfirmation(start));
+    cr_expect(lease.needsConfirmation(half, start));
 }
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -78,6 +78,7 @@
     void recordsUnreachable();
     void handlePeerAnswer(const GossipMessage& reply, TimePoint sentAt);
     void confirmRecords(TimePoint at);
+    bool needsConfirmation() const;
     void renewLease();
     std::optional<Duration> confirmedAge() const;
     void trackLapsedEndpoints(const std::vector<Record>&);
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -28,6 +28,10 @@
 // If a change arrives from another data centre this long after the watcher's own last read, the watch is considered
 // dead: a watch and gossip deliver the same change within 0.5 s of each other.
 constexpr Duration watchStaleAfter = std::chrono::seconds(1);
+// Parts of the lease's time after which a member confirms its records by a read. Each read has a cost; a confirmation
+// reaches all members by gossip within a second.
+constexpr Fraction firstReaderShare { 0.4 };
+constexpr Fraction otherReaderShare { 0.75 };
 // Size of a pool's load in a gossip message, for ids of 15 characters.
 constexpr std::uint64_t loadBytes = 64;
 
@@ -80,7 +84,7 @@
               [this] { return isLargeFleet() && m_gossip->fleet().isWatcher(); },
               [this](const RecordBatch& batch) { acceptBatch(batch); },
               [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { recordsUnreachable(); },
-              [this] { return m_lease.needsConfirmation(monotonicNow()); },
+              [this] { return needsConfirmation(); },
               [this](TimePoint at) { confirmRecords(at); },
               [this](TimePoint at) {
                   m_lease.storeUnreachable(at);
@@ -272,6 +276,12 @@
     renewLease();
 }
 
+bool ControlThread::needsConfirmation() const
+{
+    const bool comesFirst = m_gossip->fleet().isFirstReader();
+    return m_lease.needsConfirmation(comesFirst ? firstReaderShare : otherReaderShare, monotonicNow());
+}
+
 // A term must not reach the traffic threads before the records that it is about.
 void ControlThread::renewLease()
 {
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -132,6 +132,10 @@
     // member.
     bool isWatcher() const;
 
+    // Whether this member comes first in reading the platform for the whole fleet, so that the others need not. Members
+    // that disagree read more often than necessary.
+    bool isFirstReader() const;
+
     // An unknown member counts as one of another region.
     MemberDistance distanceTo(const MemberId&) const;
     // Latest claim about another member; null if it is unknown.
--- a/packages/fleet/src/FleetPeers.cpp
+++ b/packages/fleet/src/FleetPeers.cpp
@@ -251,6 +251,16 @@
     return *current.isWatcher;
 }
 
+bool Fleet::isFirstReader() const
+{
+    const auto rank = [](const Member& member) { return stableHash(member.id.value()); };
+    const auto& members = m_table.members();
+    return m_self.canReadPlatform && std::none_of(members.begin(), members.end(), [&](const auto& item) {
+        const auto& tracked = item.second;
+        return tracked.isActive() && tracked.member.canReadPlatform && rank(tracked.member) < rank(m_self);
+    });
+}
+
 // A watcher sends what it reads to its whole data centre at once, which takes seconds on a host with a small link:
 // hosts are preferred to others whose links have less than half the bandwidth of the largest. Members that cannot read
 // the platform come last.
