--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -31,7 +31,7 @@
 // Parts of the lease's time after which a member confirms its records by a read. Each read has a cost; a confirmation
 // reaches all members by gossip within a second.
 constexpr Fraction firstReaderShare { 0.4 };
-constexpr Fraction otherReaderShare { 0.75 };
+constexpr Fraction otherReaderShare { 0.85 };
 // Size of a pool's load in a gossip message, for ids of 15 characters.
 constexpr std::uint64_t loadBytes = 64;
 
@@ -84,8 +84,7 @@
               [this] { return isLargeFleet() && m_gossip->fleet().isWatcher(); },
               [this](const RecordBatch& batch) { acceptBatch(batch); },
               [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { recordsUnreachable(); },
-              [this] { return needsConfirmation(); },
-              [this](TimePoint at) { confirmRecords(at); },
+              [this] { return needsConfirmation(); }, [this](TimePoint at) { confirmRecords(at); },
               [this](TimePoint at) {
                   m_lease.storeUnreachable(at);
                   renewLease();
@@ -121,7 +120,8 @@
     Fleet::Hooks sources { [this] { return m_configuration.digest(); },
         [this](Revision since, ByteCount limit) { return m_configuration.recordsSince(since, limit); },
         [this](ByteCount limit) { return recordsForRepair(limit); },
-        [this](std::size_t most) { return ownLoads(most); } };
+        [this](std::size_t most) { return ownLoads(most); },
+        [this] { return m_lease.needsConfirmation(firstReaderShare, monotonicNow()); } };
     GossipDriver::Hooks hooks { [this] { requestPublication(PublicationReason::Members); },
         [this](const MemberId& sender, const std::vector<Record>& records) { acceptFromPeer(sender, records); },
         [this](const std::vector<PoolLoadSummary>& loads) { m_hooks.observeLoads(loads); },
--- a/packages/dispatch/include/dogwoodhall/dispatch/FleetView.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/FleetView.h
@@ -21,7 +21,8 @@
 struct FleetView {
     FleetMember self;
     std::vector<FleetMember> others; // Those that may be alive.
-    // By which limits that hold in every short window are divided. At least the members that may be alive, this one included.
+    // By which limits that hold in every short window are divided. At least the members that may be alive, this one
+    // included.
     std::size_t largestSize = 1;
     // Since when no further member has become known; empty if there must be others and none is known.
     std::optional<TimePoint> stableSince = TimePoint();
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -50,6 +50,9 @@
     // Roughly the time to transfer a roster of 3,000 members in parts of 12 at four replies per second.
     Duration joinWindow = std::chrono::seconds(60);
     std::size_t maxPoolLoads = 8;
+    // In a fleet of up to this many members all ask the first reader for confirmations. In a larger one the watcher of
+    // each data centre does, and its members ask the watcher.
+    std::size_t maxConfirmedByFirstReader = 40;
     // An exchange whose end was not reported counts as ended after this time, so that the peer is contacted again.
     // Longer than the transport's time-outs, which add up to 11.5 s.
     Duration exchangeLifetime = std::chrono::seconds(15);
@@ -78,6 +81,8 @@
         std::function<std::vector<Record>(ByteCount)> recordsForRepair;
         // Loads of pools whose home is this process, up to the given number.
         std::function<std::vector<PoolLoadSummary>(std::size_t)> poolLoads;
+        // Whether a peer should confirm this member's records soon. May be empty.
+        std::function<bool()> wantsConfirmation {};
     };
 
     // `self` must carry its incarnation. Fleet owns its state and readiness from now on.
@@ -134,7 +139,7 @@
 
     // Whether this member comes first in reading the platform for the whole fleet, so that the others need not. Members
     // that disagree read more often than necessary.
-    bool isFirstReader() const;
+    bool isFirstReader() const { return firstReader() == nullptr; }
 
     // An unknown member counts as one of another region.
     MemberDistance distanceTo(const MemberId&) const;
@@ -213,6 +218,8 @@
     void startExchange(const TrackedMember*, TimePoint now, std::vector<FleetAction>&);
     const TrackedMember* nextLocalPeer(RandomEngine&);
     const TrackedMember* secondPeer(DecisionContext);
+    const TrackedMember* peerToConfirm() const;
+    const TrackedMember* firstReader() const; // Null if it is this member.
     bool isRemoteExchangeDue(RandomEngine&) const;
     GossipMessage replyTo(const GossipMessage& request, TimePoint now);
     GossipMessage makeMessage(
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -81,6 +81,8 @@
     const auto* second = secondPeer(context);
     if (second != first)
         startExchange(second, context.now, actions);
+    if (m_hooks.wantsConfirmation && m_hooks.wantsConfirmation())
+        startExchange(peerToConfirm(), context.now, actions);
     reportChange(actions);
     return actions;
 }
--- a/packages/fleet/src/FleetPeers.cpp
+++ b/packages/fleet/src/FleetPeers.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 namespace dogwoodhall {
@@ -251,14 +252,27 @@
     return *current.isWatcher;
 }
 
-bool Fleet::isFirstReader() const
+const TrackedMember* Fleet::firstReader() const
 {
     const auto rank = [](const Member& member) { return stableHash(member.id.value()); };
-    const auto& members = m_table.members();
-    return m_self.canReadPlatform && std::none_of(members.begin(), members.end(), [&](const auto& item) {
-        const auto& tracked = item.second;
-        return tracked.isActive() && tracked.member.canReadPlatform && rank(tracked.member) < rank(m_self);
-    });
+    const TrackedMember* first = nullptr;
+    std::uint64_t lowest = m_self.canReadPlatform ? rank(m_self) : std::numeric_limits<std::uint64_t>::max();
+    for (const auto& [id, tracked] : m_table.members()) {
+        const bool isEligible = tracked.isActive() && tracked.member.canReadPlatform && tracked.failures == 0;
+        if (!isEligible || rank(tracked.member) >= lowest)
+            continue;
+        first = &tracked;
+        lowest = rank(tracked.member);
+    }
+    return first;
+}
+
+const TrackedMember* Fleet::peerToConfirm() const
+{
+    if (size() <= m_limits.maxConfirmedByFirstReader || isWatcher())
+        return firstReader();
+    const auto watchers = chooseWatchers();
+    return watchers.empty() ? firstReader() : m_table.find(watchers.front());
 }
 
 // A watcher sends what it reads to its whole data centre at once, which takes seconds on a host with a small link:
