Test responses that stop at any byte

Here a response that ends before its last byte fails at each of its bytes: with a length, in chunks with extensions and trailers, after an interim head, on a new or a kept connection. One without a length is whole by the protocol once its head is. Both request paths read endpoints through UpstreamClient.

--- a/packages/http/tests/UpstreamAnswerTest.cpp
+++ b/packages/http/tests/UpstreamAnswerTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
 
     void stopListening() { m_acceptor.close(); }
 
+    std::size_t wholeResponses = std::numeric_limits<std::size_t>::max(); // Before the first that is cut.
+    std::size_t cutAfter = 0; // Bytes; the connection is then closed.
     std::size_t accepted = 0;
     std::vector<std::uint64_t> headsWritten; // Connections opened before each.
     std::size_t received = 0; // Requests.
@@ -75,7 +78,11 @@
                 socket, asio::dynamic_buffer(received), "\r\n\r\n", asio::use_awaitable);
             received.erase(0, n);
             ++this->received;
-            co_await asio::async_write(socket, asio::buffer(m_responseText), asio::use_awaitable);
+            const bool isCut = this->received > wholeResponses;
+            const auto text = isCut ? m_responseText.substr(0, cutAfter) : m_responseText;
+            co_await asio::async_write(socket, asio::buffer(text), asio::use_awaitable);
+            if (isCut)
+                co_return; // Closes the connection.
         }
     }
 
@@ -237,3 +244,51 @@
     fixture.call("a");
     cr_expect(fixture.heads == row.heads, "%s: %zu heads", row.name, fixture.heads.size());
 }
+
+struct CutRow {
+    const char* name;
+    const char* responseText;
+    std::size_t wholeResponses; // On the same connection, before the one that is cut.
+    bool endsWithConnection; // The response has no length, so that one cut in its body looks whole.
+};
+
+const CutRow cutRows[] = {
+    { "length", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok", 0, false },
+    { "length, kept connection", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok", 1, false },
+    { "length after other fields", "HTTP/1.1 200 OK\r\nX-Id: a\r\nX-Signature: s\r\nContent-Length: 2\r\n\r\nok", 0,
+        false },
+    { "chunks",
+        "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1;x=y\r\nk\r\n0\r\nX-End: e\r\n\r\n",
+        0, false },
+    { "chunks, kept connection", "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        1, false },
+    { "interim head",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok", 0,
+        false },
+    { "no length", "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nok", 0, true },
+    { "no body", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n", 0, false },
+};
+
+// Guards against a response that its upstream stopped sending, at any byte, and that is passed on as a whole one.
+ParameterizedTestParameters(UpstreamAnswer, failsWhereItIsCut) { return rowIndices(cutRows); }
+
+ParameterizedTest(std::size_t* index, UpstreamAnswer, failsWhereItIsCut, .timeout = 120)
+{
+    const auto& row = cutRows[*index];
+    const std::string text = row.responseText;
+    const std::size_t headEnd = text.rfind("\r\n\r\nok") + 4;
+    for (std::size_t cut = 0; cut < text.size(); ++cut) {
+        Fixture fixture(text);
+        fixture.wholeResponses = row.wholeResponses;
+        fixture.cutAfter = cut;
+        for (std::size_t n = 0; n < row.wholeResponses; ++n)
+            cr_assert(fixture.call("a").has_value(), "%s: a whole response", row.name);
+        const auto body = fixture.call("a");
+        const bool looksWhole = row.endsWithConnection && cut >= headEnd;
+        cr_expect_eq(body.has_value(), looksWhole, "%s, cut after %zu bytes", row.name, cut);
+        if (body)
+            cr_expect_eq(*body, text.substr(headEnd, cut - headEnd), "%s, cut after %zu bytes", row.name, cut);
+        else
+            cr_expect_not(body.error().provenNotRun, "%s, cut after %zu bytes", row.name, cut);
+    }
+}
