--- a/packages/configuration/tests/ConfigurationLeaseTest.cpp
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -13,11 +13,11 @@
 constexpr Fraction half { 0.5 };
 
 struct Evidence {
-    enum class Kind { Confirmed, Unreachable } kind;
+    enum class Kind { confirmed, Unreachable } kind;
     Duration at; // Since the start.
 };
-constexpr auto Confirmed = Evidence::Kind::Confirmed;
-constexpr auto Unreachable = Evidence::Kind::Unreachable;
+constexpr auto confirmed = Evidence::Kind::Confirmed;
+constexpr auto unreachable = Evidence::Kind::Unreachable;
 
 struct LeaseRow {
     const char* name;
@@ -28,15 +28,15 @@
 };
 
 const LeaseRow rows[] = {
-    { "confirmed once", 3s, { { Confirmed, 1s } }, 4s, 2500ms },
-    { "confirmed again", 3s, { { Confirmed, 1s }, { Confirmed, 2s } }, 5s, 3500ms },
-    { "an older confirmation arrives later", 3s, { { Confirmed, 2s }, { Confirmed, 1s } }, 5s, 3500ms },
-    { "store unreachable", 3s, { { Confirmed, 1s }, { Unreachable, 2s } }, std::nullopt, std::nullopt },
-    { "store unreachable from the start", 3s, { { Unreachable, 2s } }, std::nullopt, std::nullopt },
-    { "a peer reads the store that this member cannot", 3s, { { Unreachable, 2s }, { Confirmed, 3s } }, 6s, 4500ms },
-    { "a read that failed after a later confirmation", 3s, { { Confirmed, 3s }, { Unreachable, 2s } }, 6s, 4500ms },
-    { "the store answers again", 3s, { { Confirmed, 1s }, { Unreachable, 2s }, { Confirmed, 8s } }, 11s, 9500ms },
-    { "no limit", std::nullopt, { { Confirmed, 1s } }, std::nullopt, std::nullopt },
+    { "confirmed once", 3s, { { confirmed, 1s } }, 4s, 2500ms },
+    { "confirmed again", 3s, { { confirmed, 1s }, { confirmed, 2s } }, 5s, 3500ms },
+    { "an older confirmation arrives later", 3s, { { confirmed, 2s }, { confirmed, 1s } }, 5s, 3500ms },
+    { "store unreachable", 3s, { { confirmed, 1s }, { unreachable, 2s } }, std::nullopt, std::nullopt },
+    { "store unreachable from the start", 3s, { { unreachable, 2s } }, std::nullopt, std::nullopt },
+    { "a peer reads the store that this member cannot", 3s, { { unreachable, 2s }, { confirmed, 3s } }, 6s, 4500ms },
+    { "a read that failed after a later confirmation", 3s, { { confirmed, 3s }, { unreachable, 2s } }, 6s, 4500ms },
+    { "the store answers again", 3s, { { confirmed, 1s }, { unreachable, 2s }, { confirmed, 8s } }, 11s, 9500ms },
+    { "no limit", std::nullopt, { { confirmed, 1s } }, std::nullopt, std::nullopt },
 };
 
 } // namespace
@@ -50,7 +50,7 @@
     const auto& row = rows[*index];
     ConfigurationLease lease(row.maxAge);
     for (const auto& [kind, at] : row.evidence) {
-        if (kind == Confirmed)
+        if (kind == confirmed)
             lease.confirm(start + at);
         else
             lease.storeUnreachable(start + at);
