--- a/packages/configuration/tests/ConfigurationLeaseTest.cpp
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -13,7 +13,7 @@
 constexpr Fraction half { 0.5 };
 
 struct Evidence {
-    enum class Kind { confirmed, Unreachable } kind;
+    enum class Kind { Confirmed, Unreachable } kind;
     Duration at; // Since the start.
 };
 constexpr auto confirmed = Evidence::Kind::Confirmed;
