Rank the members only when a confirmation may be due

needsConfirmation() ran over all members a few times a second, although the age of the confirmation alone answers it mostly. The order of the two questions is turned round; the answer is the same. RetryAllowance names the balance where it bound a part it did not use.

--- a/packages/budget/src/RetryAllowance.cpp
+++ b/packages/budget/src/RetryAllowance.cpp
@@ -40,8 +40,8 @@
 {
     if (m_deniedAt && now - *m_deniedAt < hedgePauseAfterDenial)
         return false;
-    const auto [allowed, taken, slack] = balance(now);
-    return allowed - taken >= std::max(1.0, retryReserve * allowed);
+    const auto it = balance(now);
+    return it.allowed - it.taken >= std::max(1.0, retryReserve * it.allowed);
 }
 
 bool RetryAllowance::tryTakeForHedge(TimePoint now)
@@ -54,8 +54,8 @@
 
 double RetryAllowance::available(TimePoint now)
 {
-    const auto [allowed, taken, slack] = balance(now);
-    return allowed - taken;
+    const auto it = balance(now);
+    return it.allowed - it.taken;
 }
 
 double RetryAllowance::slackAt(TimePoint now) const
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -278,8 +278,10 @@
 
 bool ControlThread::needsConfirmation() const
 {
-    const bool comesFirst = m_gossip->fleet().isFirstReader();
-    return m_lease.needsConfirmation(comesFirst ? firstReaderShare : otherReaderShare, monotonicNow());
+    const TimePoint now = monotonicNow();
+    // Ranking the members takes a pass over all of them.
+    return m_lease.needsConfirmation(firstReaderShare, now)
+        && (m_lease.needsConfirmation(otherReaderShare, now) || m_gossip->fleet().isFirstReader());
 }
 
 // A term must not reach the traffic threads before the records that it is about.
