Log who confirmed the configuration, and the store's era

Refusals now have confirmedBy, leaseLeftMs, storeAnsweredMs and storeEra, answers configurationAgeMs, and GET /status storeEra.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/Units.h"
 
 #include <optional>
@@ -11,6 +12,10 @@
     // The records include every change that the store had acknowledged by then; empty if that was never confirmed.
     std::optional<TimePoint> confirmedAt;
     TimePoint validUntil; // max() without a limit.
+    // For logs.
+    std::optional<MemberId> confirmedBy {}; // The peer that confirmed the records; empty if this member's own read did.
+    std::optional<TimePoint> storeAnsweredAt {}; // The last time that the store answered this member.
+    Era storeEra {}; // The latest that the store has named to this member.
 
     friend bool operator==(const LeaseTerm&, const LeaseTerm&) = default;
 };
@@ -27,8 +32,10 @@
     {
     }
 
-    // The records held include every change that the store had acknowledged at `at`.
-    void confirm(TimePoint at);
+    // The records held include every change that the store had acknowledged at `at`, by a read of this member or as a
+    // peer says.
+    void confirm(TimePoint at, const std::optional<MemberId>& by = {});
+    void storeAnswered(Era, TimePoint at);
     // A read that began at `at` got no answer from the store.
     void storeUnreachable(TimePoint at);
 
@@ -42,7 +49,10 @@
 
     std::optional<Duration> m_maxAge;
     std::optional<TimePoint> m_confirmedAt;
+    std::optional<MemberId> m_confirmedBy;
     std::optional<TimePoint> m_unreachableAt;
+    std::optional<TimePoint> m_answeredAt;
+    Era m_era;
 };
 
 } // namespace dogwoodhall
--- a/packages/configuration/src/ConfigurationLease.cpp
+++ b/packages/configuration/src/ConfigurationLease.cpp
@@ -4,7 +4,19 @@
 
 namespace dogwoodhall {
 
-void ConfigurationLease::confirm(TimePoint at) { m_confirmedAt = std::max(m_confirmedAt.value_or(at), at); }
+void ConfigurationLease::confirm(TimePoint at, const std::optional<MemberId>& by)
+{
+    if (m_confirmedAt && at <= *m_confirmedAt)
+        return;
+    m_confirmedAt = at;
+    m_confirmedBy = by;
+}
+
+void ConfigurationLease::storeAnswered(Era era, TimePoint at)
+{
+    m_era = era;
+    m_answeredAt = at;
+}
 
 void ConfigurationLease::storeUnreachable(TimePoint at)
 {
@@ -25,9 +37,10 @@
 
 LeaseTerm ConfigurationLease::term() const
 {
-    if (!hasLimit())
-        return { m_confirmedAt, TimePoint::max() };
-    return { m_confirmedAt, m_confirmedAt ? *m_confirmedAt + *m_maxAge : TimePoint() };
+    TimePoint validUntil = TimePoint::max();
+    if (hasLimit())
+        validUntil = m_confirmedAt ? *m_confirmedAt + *m_maxAge : TimePoint();
+    return { m_confirmedAt, validUntil, m_confirmedBy, m_answeredAt, m_era };
 }
 
 } // namespace dogwoodhall
--- a/packages/core/include/dogwoodhall/core/Ids.h
+++ b/packages/core/include/dogwoodhall/core/Ids.h
@@ -26,6 +26,10 @@
 // Distinguishes runs of the daemon on one host. Drawn at start-up; a later run has a higher value.
 using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
 
+// Era of a configuration store. It rises by one each time the store comes back from an older copy, without the changes
+// that it had acknowledged since, and gives out their revisions again. Zero if the store names none.
+using Era = StrongId<struct EraTag, std::uint64_t>;
+
 // Revision of the configuration store: one number for the whole store, increasing with each change.
 using Revision = StrongId<struct RevisionTag, std::uint64_t>;
 
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -77,9 +77,10 @@
     bool acceptAndForward(const std::vector<Record>&);
     void recordsUnreachable();
     void handlePeerAnswer(const GossipMessage& reply, TimePoint sentAt);
-    void confirmRecords(TimePoint at);
+    void confirmRecords(TimePoint at, const std::optional<MemberId>& by = {});
     bool needsConfirmation() const;
     void renewLease();
+    Era storeEra() const;
     std::optional<Duration> confirmedAge() const;
     void trackLapsedEndpoints(const std::vector<Record>&);
     void armLapseTimer();
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -41,6 +41,8 @@
     std::function<void(Revision)> skipTo {};
     // Makes the next read return all records, after a batch could not be processed. Empty if each read is by `since`.
     std::function<void()> restart {};
+    // The latest era that the service has named. Empty if it has none.
+    std::function<Era()> era {};
     // Empty if the platform has no host list.
     std::function<ExchangeResult<HostList>()> readHosts;
     Duration watchWait = std::chrono::seconds(20);
--- a/packages/daemon/include/dogwoodhall/daemon/control/StatusReport.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/StatusReport.h
@@ -31,6 +31,7 @@
     bool isDraining = false;
     bool isWatcher = false; // Reads the configuration service for its data centre.
     Revision revision; // Highest seen, including rejected records.
+    Era storeEra; // The latest that the configuration service has named to this member.
     std::uint64_t hostListVersion = 0;
     std::size_t requestsRunning = 0;
     std::vector<const Member*> members; // Known entry hosts in the host list. Must outlive the report.
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/DispatchRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/DispatchRunner.h
@@ -72,6 +72,8 @@
     void logWarmUp(const WarmUpChange&);
     void logRepeat(const RequestState&, const EndpointId&);
     void addRetryBalance(EventLine&, const RequestPlan&) const;
+    // What this member knows of the age of the configuration.
+    void addConfirmation(EventLine&) const;
     void logAnswer(const RequestState&, const Attempt&, RelayResult);
     void reportSpill();
     // Time since the configuration in use was known to be the newest; empty if it never was.
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -84,7 +84,11 @@
               [this] { return isLargeFleet() && m_gossip->fleet().isWatcher(); },
               [this](const RecordBatch& batch) { acceptBatch(batch); },
               [this](const HostList& hosts) { acceptHosts(hosts); }, [this] { recordsUnreachable(); },
-              [this] { return needsConfirmation(); }, [this](TimePoint at) { confirmRecords(at); },
+              [this] { return needsConfirmation(); },
+              [this](TimePoint at) {
+                  m_lease.storeAnswered(storeEra(), monotonicNow());
+                  confirmRecords(at);
+              },
               [this](TimePoint at) {
                   m_lease.storeUnreachable(at);
                   renewLease();
@@ -262,7 +266,7 @@
     m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest, reply.sender.isReady);
     updateReadiness();
     if (reply.confirmedAge && m_configuration.highestRevision() >= reply.configuration.highest)
-        confirmRecords(sentAt - *reply.confirmedAge);
+        confirmRecords(sentAt - *reply.confirmedAge, reply.sender.id);
     // A member that has just started need not wait for its own read to fail.
     if (!reply.sender.canReadPlatform && !m_lease.isConfirmed()) {
         m_lease.storeUnreachable(sentAt);
@@ -270,9 +274,9 @@
     }
 }
 
-void ControlThread::confirmRecords(TimePoint at)
+void ControlThread::confirmRecords(TimePoint at, const std::optional<MemberId>& by)
 {
-    m_lease.confirm(at);
+    m_lease.confirm(at, by);
     renewLease();
 }
 
@@ -293,6 +297,8 @@
     m_hooks.renewLease(m_publishedTerm);
 }
 
+Era ControlThread::storeEra() const { return m_source.era ? m_source.era() : Era(); }
+
 std::optional<Duration> ControlThread::confirmedAge() const
 {
     const auto confirmedAt = m_lease.term().confirmedAt;
@@ -302,6 +308,7 @@
 void ControlThread::acceptBatch(RecordBatch batch)
 {
     m_lastRead = monotonicNow();
+    m_lease.storeAnswered(storeEra(), m_lastRead);
     m_lapsed.registryReturned(m_lastRead);
     if (m_settings.registry)
         m_gossip->perform(m_gossip->fleet().setCanReadPlatform(true, m_lastRead));
@@ -531,6 +538,7 @@
     report.isWatcher = isWatcher();
     const bool usePublished = m_pacer.hasPending() && m_published;
     report.revision = usePublished ? m_published->revision : m_configuration.highestRevision();
+    report.storeEra = storeEra();
     report.hostListVersion = usePublished ? m_published->hostListVersion : m_hosts.version;
     report.requestsRunning = m_hooks.requestsRunning();
     report.members = m_builder.knownEntryHosts(m_gossip->fleet());
--- a/packages/daemon/src/control/StatusReport.cpp
+++ b/packages/daemon/src/control/StatusReport.cpp
@@ -60,9 +60,9 @@
     const json::object status { { "member", report.member.value() },
         { "incarnation", std::to_string(report.incarnation.value()) }, { "dataCentre", report.dataCentre.value() },
         { "ready", report.isReady }, { "draining", report.isDraining }, { "watcher", report.isWatcher },
-        { "revision", report.revision.value() }, { "hostListVersion", report.hostListVersion },
-        { "requestsRunning", report.requestsRunning }, { "members", membersAsJson(report.members) },
-        { "homes", homesAsJson(report.homes) } };
+        { "revision", report.revision.value() }, { "storeEra", report.storeEra.value() },
+        { "hostListVersion", report.hostListVersion }, { "requestsRunning", report.requestsRunning },
+        { "members", membersAsJson(report.members) }, { "homes", homesAsJson(report.homes) } };
     return json::serialize(status) + "\n";
 }
 
--- a/packages/daemon/src/traffic/DispatchAttempts.cpp
+++ b/packages/daemon/src/traffic/DispatchAttempts.cpp
@@ -298,6 +298,8 @@
     EventLine line(result == RelayResult::Complete ? EventKind::Request : EventKind::Failure, "answered");
     line.add("id", state.id.value()).add("result", nameOf(result)).add("route", state.plan.route().id.value());
     line.add("service", state.plan.service().value()).add("version", state.plan.version());
+    if (const auto age = configurationAge())
+        line.addMilliseconds("configurationAgeMs", *age);
     line.add("sends", std::uint64_t(state.plan.sends())).add("asked", std::uint64_t(state.plan.endpointsProbed()));
     line.add("repeat", state.plan.isRepeat());
     line.addMilliseconds("elapsedAtCallerMs", state.plan.elapsedAtCaller());
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -212,8 +212,7 @@
     line.add("id", id.value()).add("error", answer.name).add("status", std::uint64_t(answer.status));
     line.add("outcome", toString(refusal.outcome));
     line.add("revision", m_snapshot->revision.value());
-    if (const auto age = configurationAge())
-        line.addMilliseconds("configurationAgeMs", *age);
+    addConfirmation(line);
     if (!plan && m_snapshot->directory)
         line.add("version", m_snapshot->directory->version());
     if (plan) {
@@ -234,6 +233,20 @@
     co_await writeError(writer, refusal.kind, refusal.outcome, refusal.retryAfter);
 }
 
+void DispatchRunner::addConfirmation(EventLine& line) const
+{
+    const TimePoint now = monotonicNow();
+    if (const auto age = configurationAge()) {
+        line.addMilliseconds("configurationAgeMs", *age);
+        line.add("confirmedBy", m_term.confirmedBy ? m_term.confirmedBy->value() : std::string("store"));
+    }
+    if (m_term.validUntil != TimePoint::max())
+        line.addMilliseconds("leaseLeftMs", m_term.validUntil - now);
+    if (m_term.storeAnsweredAt)
+        line.addMilliseconds("storeAnsweredMs", now - *m_term.storeAnsweredAt);
+    line.add("storeEra", m_term.storeEra.value());
+}
+
 void DispatchRunner::logRepeat(const RequestState& state, const EndpointId& endpoint)
 {
     EventLine line(EventKind::Failure, "repeated");
--- a/packages/http/include/dogwoodhall/http/Document.h
+++ b/packages/http/include/dogwoodhall/http/Document.h
@@ -14,6 +14,7 @@
 
 struct Document {
     unsigned status = 0;
+    HeaderFields fields;
     std::string body;
 };
 
--- a/packages/http/src/Document.cpp
+++ b/packages/http/src/Document.cpp
@@ -28,6 +28,7 @@
         co_return tl::unexpected(response.error());
     Document document;
     document.status = response->head.status;
+    document.fields = response->head.fields;
     auto body = co_await readFullBody(*response, limits.size, after(limits.bodyTimeout));
     if (!body)
         co_return tl::unexpected(body.error());
