Test members whose store comes back from an older copy

The store's stand-in can keep a copy, go back to it in the next era and give out its revisions again, and names its era in each answer. The entries of endpoints in the tests now have a seq that rises, as the platform's do.

--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -24,14 +24,14 @@
         { "allowed_regions", json::array(allowedRegions.begin(), allowedRegions.end()) } };
 }
 
-std::string endpointEntry(
-    const NetworkAddress& address, const std::string& state, const std::string& dataCentre, unsigned warmUpLeftMs = 0)
+std::string endpointEntry(const NetworkAddress& address, const std::string& state, const std::string& dataCentre,
+    unsigned sequence, unsigned warmUpLeftMs = 0)
 {
     return json::serialize(json::object { { "address", toString(address) },
         { "info",
             json::object {
                 { "service", "catalogue" }, { "version", "v1" }, { "zone", dataCentre }, { "concurrency", 3 } } },
-        { "status", json::object { { "state", state }, { "seq", 1 }, { "warmup_left_ms", warmUpLeftMs } } },
+        { "status", json::object { { "state", state }, { "seq", sequence }, { "warmup_left_ms", warmUpLeftMs } } },
         { "born", 1700000000000 } });
 }
 
@@ -150,6 +150,10 @@
 
 void RegistryCluster::freezeSerializableReads() { callRegistry("PUT", "/control/serializable?stale=1"); }
 
+void RegistryCluster::copyRegistry() { callRegistry("PUT", "/control/copy"); }
+
+void RegistryCluster::restoreRegistry() { callRegistry("PUT", "/control/restore"); }
+
 void RegistryCluster::compactRegistry() { callRegistry("PUT", "/control/compact"); }
 
 std::size_t RegistryCluster::registryReads() const { return std::stoul(callRegistry("GET", "/control/reads").body); }
@@ -166,7 +170,7 @@
 
 void RegistryCluster::publishAddress(const std::string& id, const NetworkAddress& address)
 {
-    publishText("servers/" + id, endpointEntry(address, "ready", "dc0"));
+    publishText("servers/" + id, endpointEntry(address, "ready", "dc0", ++m_entriesWritten));
 }
 
 void RegistryCluster::evacuate(const std::string& dataCentre) { publishText("op/evacuate/" + dataCentre, "{}"); }
@@ -201,7 +205,8 @@
 std::uint64_t RegistryCluster::publishEndpoint(std::size_t endpoint, const std::string& state, unsigned warmUpLeftMs)
 {
     const auto& it = m_endpoints.at(endpoint);
-    return publishText("servers/" + it.id, endpointEntry(it.address, state, dataCentreOf(endpoint), warmUpLeftMs));
+    return publishText(
+        "servers/" + it.id, endpointEntry(it.address, state, dataCentreOf(endpoint), ++m_entriesWritten, warmUpLeftMs));
 }
 
 void RegistryCluster::waitForRevision(std::uint64_t revision) const
--- a/tests/system/support/RegistryCluster.h
+++ b/tests/system/support/RegistryCluster.h
@@ -61,6 +61,9 @@
     void setMode(std::size_t endpoint, const std::string& query);
     void setRegistryMode(const std::string& state);
     void compactRegistry();
+    // Keeps a copy of the registry, to which restoreRegistry() goes back in a new era.
+    void copyRegistry();
+    void restoreRegistry();
     // Serializable reads return the present state from now on, whatever changes.
     void freezeSerializableReads();
     std::size_t registryReads() const;
@@ -91,6 +94,7 @@
     Response callRegistry(const std::string& method, const std::string& target, const std::string& body = {}) const;
 
     const Options m_options;
+    unsigned m_entriesWritten = 0; // Of all endpoints.
     TemporaryFolder m_folder;
     Process m_registry;
     NetworkAddress m_registryAddress;
--- a/tools/src/RegistryStandIn.cpp
+++ b/tools/src/RegistryStandIn.cpp
@@ -25,6 +25,10 @@
 //   PUT /control/serializable?stale=0|1  serializable reads return the state at the time of this call from then on, or
 //                                        the present one again
 //   PUT /control/compact                 discards the history: watches from an earlier revision are answered with 410
+//   PUT /control/copy                    keeps a copy of the items and the revision
+//   PUT /control/restore                 goes back to the copy and begins the next era: later changes are lost, and
+//   their
+//                                        revisions are given out again; pending watches get no response
 //   GET /control/reads                   returns the number of calls by daemons
 
 namespace json = boost::json;
@@ -37,6 +41,7 @@
 constexpr std::string_view itemsPrefix = "/control/items/";
 constexpr std::string_view laterItemsPrefix = "/control/items-after-page/";
 constexpr std::string_view rawItemsPrefix = "/control/raw-items/";
+constexpr const char* eraField = "Store-Era"; // In each answer to a daemon.
 constexpr ByteCount controlLimit { 16ULL * 1024 * 1024 };
 // Small, so that a few endpoints already need several pages.
 constexpr std::size_t maxPageItems = 3;
@@ -65,6 +70,8 @@
     asio::awaitable<void> handle(IncomingRequest, ResponseWriter);
     asio::awaitable<void> handleControl(const IncomingRequest&, const Target&, const ResponseWriter&);
     asio::awaitable<void> watch(const Target&, const ResponseWriter&);
+    asio::awaitable<void> answer(const ResponseWriter&, unsigned status, std::string body) const;
+    void restore();
     asio::awaitable<void> waitForDisconnect();
     std::string nextPage(const Target&);
     std::string staleRange() const;
@@ -73,11 +80,18 @@
     bool hasEventAfter(std::uint64_t revision) const;
     static std::string toText(const std::string& key, const Item&);
 
+    struct Copy {
+        std::map<std::string, Item> items;
+        std::uint64_t revision = 1;
+    };
+
     StandInServer m_server;
     asio::steady_timer m_changed; // Cancelled at each change, to wake pending watches.
     std::map<std::string, Item> m_items;
     std::map<std::string, std::string> m_laterItems; // Values to be written after the next page.
     std::uint64_t m_revision = 1;
+    std::uint64_t m_era = 1;
+    Copy m_copy;
     std::uint64_t m_compactedRevision = 0; // Events before this revision have been discarded.
     std::string m_mode = "serving";
     std::uint64_t m_reads = 0;
@@ -98,15 +112,15 @@
     if (m_mode == "silent")
         co_await waitForDisconnect();
     else if (m_mode == "busy")
-        co_await writeAnswer(writer, 503, "{\"error\":\"busy\"}");
+        co_await answer(writer, 503, "{\"error\":\"busy\"}");
     else if (target.path == "/api/kv-range" && target.number("serializable", 0) == 1 && m_staleRevision)
-        co_await writeAnswer(writer, 200, staleRange());
+        co_await answer(writer, 200, staleRange());
     else if (target.path == "/api/kv-range")
-        co_await writeAnswer(writer, 200, nextPage(target));
+        co_await answer(writer, 200, nextPage(target));
     else if (target.path == "/api/kv-watch")
         co_await watch(target, writer);
     else
-        co_await writeAnswer(writer, 404, "{\"error\":\"no such call\"}");
+        co_await answer(writer, 404, "{\"error\":\"no such call\"}");
 }
 
 asio::awaitable<void> RegistryStandIn::handleControl(
@@ -128,6 +142,10 @@
         m_staleRevision = target.number("stale", 0) == 1 ? std::optional(m_revision) : std::nullopt;
     } else if (target.path == "/control/compact") {
         m_compactedRevision = ++m_revision;
+    } else if (target.path == "/control/copy") {
+        m_copy = { m_items, m_revision };
+    } else if (target.path == "/control/restore") {
+        restore();
     } else if (target.path == "/control/reads") {
         text = std::to_string(m_reads);
     }
@@ -139,9 +157,10 @@
 {
     const auto after = target.number("after", 0);
     const auto end = std::chrono::steady_clock::now() + std::chrono::milliseconds(target.number("wait_ms", 0));
-    const auto isUnavailable = [&] { return m_mode == "down" || m_mode == "busy"; };
+    const auto isUnavailable = [&, era = m_era] { return m_mode == "down" || m_mode == "busy" || era != m_era; };
+    const auto hasNoHistory = [&] { return after < m_compactedRevision || after > m_revision; };
     const auto canRespond = [&] {
-        const bool hasAnswer = after < m_compactedRevision || hasEventAfter(after);
+        const bool hasAnswer = hasNoHistory() || hasEventAfter(after);
         return m_mode == "serving" && (hasAnswer || std::chrono::steady_clock::now() >= end);
     };
     while (!isUnavailable() && !canRespond()) {
@@ -150,10 +169,26 @@
     }
     if (isUnavailable())
         co_return;
-    if (after < m_compactedRevision)
-        co_await writeAnswer(writer, 410, "{\"error\":\"history is gone\"}");
+    if (hasNoHistory())
+        co_await answer(writer, 410, "{\"error\":\"history is gone\"}");
     else
-        co_await writeAnswer(writer, 200, eventsAfter(after));
+        co_await answer(writer, 200, eventsAfter(after));
+}
+
+asio::awaitable<void> RegistryStandIn::answer(const ResponseWriter& writer, unsigned status, std::string body) const
+{
+    HeaderFields fields;
+    fields.add(eraField, std::to_string(m_era));
+    co_await writeAnswer(writer, status, std::move(body), std::move(fields));
+}
+
+void RegistryStandIn::restore()
+{
+    m_items = m_copy.items;
+    m_revision = m_copy.revision;
+    m_compactedRevision = std::min(m_compactedRevision, m_revision);
+    m_staleRevision.reset();
+    ++m_era;
 }
 
 std::string RegistryStandIn::toText(const std::string& key, const Item& item)
