Follow a store that comes back from an older copy

Callers got 404 for new routes, and were served by routes that had been removed, for as long as was watched, after the store had come back without its last changes and gave out their revisions again. Servers that had left stayed out of use when they started again, and those that were gone stayed in use.

Cause: revisions decided which of two records is newer, and so did the watch's position, digests, gossip and the lease, which confirmed the old version again and again. A store that goes back makes all of them wrong at once.

A revision is now an era of the store (the header Store-Era) and a number in it, which all those comparisons follow. Between records of different eras the edition decides that only the record's writer raises: the version of the routing document, born and seq of an endpoint. ConfigurationInForce alone decides it. What a copy lacks is deleted only by a second complete read, after the writers have had the time to write again. Members tell each other the era; those of an earlier build, which do not, are taken to be in the first one.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
@@ -23,6 +23,7 @@
     Accepted,
     NotNewer, // The revision in force is the same or higher, or this revision has already been rejected.
     Rejected, // The record is invalid; the one in force stays.
+    Superseded, // The store shows an older copy; the record in force, of an earlier era, is newer and stays.
 };
 
 struct OfferOutcome {
@@ -37,10 +38,15 @@
     std::string reason;
 };
 
-// The records in force on this member. A key's revision never decreases, whichever source offers a record: the
-// platform, which may be stale, or a peer. The result does not depend on the order of offers: for each key the valid
-// record with the highest revision is in force, so that if two operators change the same key, the change that the store
-// ordered last wins on every member.
+// The records in force on this member, and the only place that decides which of two records is newer. Within an era of
+// the store a key's revision never decreases, whichever source offers a record: the platform, which may be stale, or a
+// peer. The result does not depend on the order of offers: for each key the valid record with the highest revision is
+// in force, so that if two operators change the same key, the change that the store ordered last wins on every member.
+//
+// When an era begins, the store shows an older copy until the writers have written again. Between records of different
+// eras the later edition wins, and a deletion wins over the edition that it deleted and those before. Only where an
+// edition is missing the later era wins. A record that loses although its revision is higher is kept like a rejected
+// one, so that members with the same highest revision can repair each other.
 //
 // Memory: the text of each record, its parsed declaration, and an index entry; see packages/configuration/bench.
 class ConfigurationInForce {
@@ -53,6 +59,10 @@
     // Takes the time to parse the record plus a logarithmic number of comparisons.
     OfferOutcome offer(const Record&);
 
+    // Whether the record in force is the same change, read in the same or another era. Changes from before an older
+    // copy was taken are the same in both eras.
+    bool holdsSameChange(const Record&) const;
+
     // Deletions, at the revision of a complete read, of the known keys that it does not contain. Keys with a higher
     // revision were written after the read and are kept.
     std::vector<Record> deletionsIn(const RecordBatch&) const;
@@ -101,6 +111,8 @@
     struct InForce {
         Record record;
         std::shared_ptr<const Declaration> declaration; // Null if deleted.
+
+        std::optional<Edition> edition() const { return declaration ? editionOf(*declaration) : record.deletedEdition; }
     };
     struct Rejection {
         Record record;
@@ -117,9 +129,15 @@
 
     template <typename Kind> std::vector<std::shared_ptr<const Kind>> sharedDeclarations() const;
     static Revision highestOf(const Entry&);
+    static bool isSameChange(const Record&, const Record&);
+    static bool isNewer(const InForce& offered, const InForce& held);
+    static bool isNotNewer(const Entry&, const Record& offered);
+    OfferOutcome offerTo(Entry&, const Record&);
+    OfferOutcome decide(Entry&, const Record&);
     void putInForce(Entry&, InForce);
     void reject(Entry&, Rejection);
     void dropRejection(Entry&);
+    void renumber(Entry&, Revision);
     static std::uint64_t hashOf(const RecordKey&, const Entry&);
     std::set<const Record*, ByRevision>::const_iterator firstAbove(Revision) const;
 
--- a/packages/configuration/include/dogwoodhall/configuration/Record.h
+++ b/packages/configuration/include/dogwoodhall/configuration/Record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dogwoodhall/configuration/Edition.h"
 #include "dogwoodhall/configuration/EndpointRegistration.h"
 #include "dogwoodhall/configuration/EvacuationDeclaration.h"
 #include "dogwoodhall/configuration/RoutingDeclaration.h"
@@ -8,6 +9,7 @@
 #include "dogwoodhall/core/Ids.h"
 #include "dogwoodhall/core/Units.h"
 
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -23,6 +25,7 @@
     Revision revision;
     bool deleted = false;
     std::string value; // JSON with comments, or text in the platform's format; empty if deleted.
+    std::optional<Edition> deletedEdition {}; // Of the content that was deleted, if it is known.
 
     friend bool operator==(const Record&, const Record&) = default;
 };
@@ -31,6 +34,9 @@
 using Declaration = std::variant<ServiceDeclaration, TopologyDeclaration, RoutingDeclaration, EndpointRegistration,
     EvacuationDeclaration>;
 
+// Empty if the content does not state its edition.
+std::optional<Edition> editionOf(const Declaration&);
+
 // Result of a read of the configuration service.
 struct RecordBatch {
     Revision highest; // The service's revision at the time of the read, or that of the last record.
--- a/packages/configuration/src/ConfigurationInForce.cpp
+++ b/packages/configuration/src/ConfigurationInForce.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Of the era in the hash of a revision, which is the number alone where the store names no era.
+constexpr unsigned eraShift = 48;
+const char* const supersededReason = "a newer edition of an earlier era is in force";
+
 // A routing document with a lower version than the one in force would revert routes to an older state.
 bool isOlderRoutingVersion(const Declaration& declaration, const Declaration* inForce)
 {
@@ -29,42 +33,95 @@
     return std::tie(a->revision, a->key) < std::tie(b->revision, b->key);
 }
 
+bool ConfigurationInForce::isSameChange(const Record& a, const Record& b)
+{
+    return !a.deleted && !b.deleted && a.revision.value() == b.revision.value() && a.value == b.value;
+}
+
+bool ConfigurationInForce::holdsSameChange(const Record& record) const
+{
+    const auto it = m_entries.find(record.key);
+    return it != m_entries.end() && it->second.inForce && isSameChange(it->second.inForce->record, record);
+}
+
+bool ConfigurationInForce::isNewer(const InForce& offered, const InForce& held)
+{
+    const bool isLater = offered.record.revision > held.record.revision;
+    const auto& later = isLater ? offered.record : held.record;
+    // A copy shows no deletions, so that one of the later era was made in it.
+    if (offered.record.revision.era() == held.record.revision.era() || later.deleted)
+        return isLater;
+    const auto offeredEdition = offered.edition();
+    const auto heldEdition = held.edition();
+    if (!offeredEdition || !heldEdition)
+        return isLater;
+    if (*offeredEdition != *heldEdition)
+        return *offeredEdition > *heldEdition;
+    return offered.record.deleted || (isLater && !held.record.deleted);
+}
+
+// Decides without parsing the record.
+bool ConfigurationInForce::isNotNewer(const Entry& entry, const Record& offered)
+{
+    const auto& [inForce, rejection] = entry;
+    if (rejection && rejection->record.revision == offered.revision)
+        return true;
+    return inForce && inForce->record.revision >= offered.revision
+        && inForce->record.revision.era() == offered.revision.era();
+}
+
 OfferOutcome ConfigurationInForce::offer(const Record& record)
 {
     const auto known = m_entries.find(record.key);
-    if (known != m_entries.end()) {
-        const auto& [inForce, rejection] = known->second;
-        const bool isInForce = inForce && inForce->record.revision >= record.revision;
-        const bool wasRejected = rejection && rejection->record.revision == record.revision;
-        if (isInForce || wasRejected)
-            return { OfferResult::NotNewer, {} };
-    }
     if (known == m_entries.end() && record.revision <= m_completeRead)
         return { OfferResult::NotNewer, {} };
-    std::shared_ptr<const Declaration> declaration;
+    if (known != m_entries.end() && isNotNewer(known->second, record))
+        return { OfferResult::NotNewer, {} };
+    return offerTo(known != m_entries.end() ? known->second : m_entries[record.key], record);
+}
+
+OfferOutcome ConfigurationInForce::offerTo(Entry& entry, const Record& record)
+{
+    const std::uint64_t hashBefore = hashOf(record.key, entry);
+    auto outcome = decide(entry, record);
+    m_digest.hash += hashOf(record.key, entry) - hashBefore;
+    m_digest.highest = std::max(m_digest.highest, highestOf(entry));
+    return outcome;
+}
+
+OfferOutcome ConfigurationInForce::decide(Entry& entry, const Record& record)
+{
+    if (entry.inForce && isSameChange(entry.inForce->record, record)) {
+        if (record.revision > entry.inForce->record.revision)
+            renumber(entry, record.revision);
+        return { OfferResult::NotNewer, {} };
+    }
+    InForce offered { record, nullptr };
     std::string reason;
     if (!record.deleted) {
         auto parsed = m_parse(record);
-        const bool hasPrevious = known != m_entries.end() && known->second.inForce;
-        const auto* previous = hasPrevious ? known->second.inForce->declaration.get() : nullptr;
+        const auto* previous = entry.inForce ? entry.inForce->declaration.get() : nullptr;
+        const bool isSameEra = entry.inForce && entry.inForce->record.revision.era() == record.revision.era();
         if (!parsed)
             reason = std::move(parsed.error());
-        else if (isOlderRoutingVersion(*parsed, previous))
+        else if (isSameEra && isOlderRoutingVersion(*parsed, previous))
             reason = record.key.value() + ": its version is lower than the version in force";
         else
-            declaration = std::make_shared<const Declaration>(std::move(*parsed));
+            offered.declaration = std::make_shared<const Declaration>(std::move(*parsed));
     }
-    auto& entry = known != m_entries.end() ? known->second : m_entries[record.key];
-    const Revision before = highestOf(entry);
-    const std::uint64_t hashBefore = hashOf(record.key, entry);
-    const bool isAccepted = record.deleted || declaration;
-    if (isAccepted)
-        putInForce(entry, { record, std::move(declaration) });
-    else if (record.revision > before)
+    const bool isValid = record.deleted || offered.declaration;
+    if (isValid && (!entry.inForce || isNewer(offered, *entry.inForce))) {
+        putInForce(entry, std::move(offered));
+        return { OfferResult::Accepted, {} };
+    }
+    const bool isHighest = record.revision > highestOf(entry);
+    if (isValid)
+        reason = record.key.value() + ": " + supersededReason;
+    if (isHighest)
         reject(entry, { record, reason });
-    m_digest.hash += hashOf(record.key, entry) - hashBefore;
-    m_digest.highest = std::max(m_digest.highest, highestOf(entry));
-    return { isAccepted ? OfferResult::Accepted : OfferResult::Rejected, std::move(reason) };
+    if (!isValid)
+        return { OfferResult::Rejected, std::move(reason) };
+    return { isHighest ? OfferResult::Superseded : OfferResult::NotNewer, std::move(reason) };
 }
 
 void ConfigurationInForce::completeReadOffered(Revision revision)
@@ -81,13 +138,32 @@
 
 void ConfigurationInForce::putInForce(Entry& entry, InForce inForce)
 {
-    if (entry.inForce)
+    std::optional<InForce> previous;
+    if (entry.inForce) {
         m_byRevision.erase(&entry.inForce->record);
+        previous = std::move(entry.inForce);
+        if (inForce.record.deleted)
+            inForce.record.deletedEdition = std::max(inForce.record.deletedEdition, previous->edition());
+    }
     if (std::get_if<EvacuationDeclaration>(inForce.declaration.get()))
         m_evacuations.insert(inForce.record.key);
     entry.inForce = std::move(inForce);
     m_byRevision.insert(&entry.inForce->record);
-    if (entry.rejection && entry.rejection->record.revision < entry.inForce->record.revision)
+    const Revision revision = entry.inForce->record.revision;
+    if (entry.rejection && entry.rejection->record.revision < revision)
+        dropRejection(entry);
+    // The previous record is of a later era, in which the store shows an older copy.
+    if (!entry.rejection && previous && previous->record.revision > revision)
+        reject(entry, { std::move(previous->record), supersededReason });
+}
+
+// The change keeps its declaration, so that it does not count as made again.
+void ConfigurationInForce::renumber(Entry& entry, Revision revision)
+{
+    m_byRevision.erase(&entry.inForce->record);
+    entry.inForce->record.revision = revision;
+    m_byRevision.insert(&entry.inForce->record);
+    if (entry.rejection && entry.rejection->record.revision < revision)
         dropRejection(entry);
 }
 
@@ -112,8 +188,12 @@
 
 std::uint64_t ConfigurationInForce::hashOf(const RecordKey& key, const Entry& entry)
 {
-    const auto part
-        = [&](const auto& held) { return held ? stableHash(key.value(), held->record.revision.value()) : 0; };
+    const auto part = [&](const auto& held) -> std::uint64_t {
+        if (!held)
+            return 0;
+        const Revision revision = held->record.revision;
+        return stableHash(key.value(), revision.value() + (revision.era().value() << eraShift));
+    };
     return part(entry.inForce) + part(entry.rejection);
 }
 
@@ -121,8 +201,8 @@
     Revision revision) const
 {
     if (revision.value() == std::numeric_limits<std::uint64_t>::max())
-        return m_byRevision.end();
-    const Record probe { RecordKey(), Revision(revision.value() + 1), false, {} };
+        return m_byRevision.end(); // No store gives out as many.
+    const Record probe { RecordKey(), Revision(revision.value() + 1, revision.era()), false, {} };
     return m_byRevision.lower_bound(&probe);
 }
 
--- a/packages/core/include/dogwoodhall/core/Ids.h
+++ b/packages/core/include/dogwoodhall/core/Ids.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "dogwoodhall/core/Revision.h"
 #include "dogwoodhall/core/StrongId.h"
 
 #include <compare>
@@ -26,13 +27,6 @@
 // Distinguishes runs of the daemon on one host. Drawn at start-up; a later run has a higher value.
 using Incarnation = StrongId<struct IncarnationTag, std::uint64_t>;
 
-// Era of a configuration store. It rises by one each time the store comes back from an older copy, without the changes
-// that it had acknowledged since, and gives out their revisions again. Zero if the store names none.
-using Era = StrongId<struct EraTag, std::uint64_t>;
-
-// Revision of the configuration store: one number for the whole store, increasing with each change.
-using Revision = StrongId<struct RevisionTag, std::uint64_t>;
-
 // Identifies a request within one process.
 using RequestId = StrongId<struct RequestTag, std::uint64_t>;
 // One attempt of a caller, under an id chosen by the caller. Correlates the logs of several hosts.
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -7,6 +7,7 @@
 #include "dogwoodhall/configuration/ConfigurationLease.h"
 #include "dogwoodhall/configuration/JoinBarrier.h"
 #include "dogwoodhall/configuration/LapsedEndpoints.h"
+#include "dogwoodhall/configuration/StoreRestoration.h"
 #include "dogwoodhall/daemon/DaemonMetrics.h"
 #include "dogwoodhall/daemon/PlatformAdapter.h"
 #include "dogwoodhall/daemon/Snapshot.h"
@@ -71,6 +72,9 @@
 
 private:
     void acceptBatch(RecordBatch);
+    // Leaves only what a complete read changes, and adds the deletions that follow from it.
+    void reduceToChanges(RecordBatch&);
+    void observeEra(Era);
     void acceptFromPeer(const MemberId& sender, const std::vector<Record>&);
     void acceptRecords(const std::vector<Record>&);
     // Accepts the records and forwards new ones within the own data centre. Returns true if there were new ones.
@@ -121,6 +125,8 @@
     ConfigurationLease m_lease;
     LeaseTerm m_publishedTerm; // Given to the traffic threads.
     LapsedEndpoints m_lapsed;
+    StoreRestoration m_restoration;
+    asio::steady_timer m_restorationTimer { m_io };
     TimePoint m_lastRead; // Time of this member's own last read of the records.
     asio::steady_timer m_lapseTimer { m_io };
     MeasuringBudget m_budget;
--- a/packages/daemon/include/dogwoodhall/daemon/control/GossipDriver.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/GossipDriver.h
@@ -36,6 +36,8 @@
         std::function<std::optional<Duration>()> confirmedAge;
         // Called once per gossip period.
         std::function<void()> periodElapsed;
+        // The era of the revisions of members that name none.
+        std::function<Era()> firstEra;
     };
 
     GossipDriver(asio::io_context&, Member self, Fleet::Hooks, FleetLimits, Hooks, DaemonMetrics&);
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -45,6 +45,8 @@
     asio::awaitable<void> watchHosts();
     // Reads the records immediately, replacing a watch in progress, which may take up to watchWait to respond.
     void readNow();
+    // The same, and returns all records, not only those that have changed.
+    void readAll();
 
 private:
     using ReadResult = tl::expected<RecordBatch, ExchangeError>;
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -72,6 +72,7 @@
           monotonicNow(), m_source.isLinearizable ? PlatformConsistency::Linearizable : PlatformConsistency::MayBeStale)
     , m_lease(settings.registry ? settings.registry->maxConfigurationAge : std::nullopt)
     , m_lapsed(settings.registry ? settings.registry->lapseGrace : Duration::zero())
+    , m_restoration(settings.registry ? settings.registry->lapseGrace : Duration::zero())
     , m_budget(splitMeasuringLimits(
           { settings.measuringCallsPerSecond, settings.measuringBytesPerSecond }, settings.trafficThreads)
                    .control)
@@ -139,7 +140,7 @@
         },
         [this](const GossipMessage& message, ByteCount size) { return chargeGossip(message, size); },
         [this](const GossipMessage& reply, TimePoint sentAt) { handlePeerAnswer(reply, sentAt); },
-        [this] { return confirmedAge(); }, [this] { updateReadiness(); } };
+        [this] { return confirmedAge(); }, [this] { updateReadiness(); }, [this] { return m_restoration.firstEra(); } };
     m_gossip = std::make_unique<GossipDriver>(m_io, self, std::move(sources),
         m_settings.registry ? registryFleetLimits : FleetLimits {}, std::move(hooks), m_metrics);
     if (m_settings.registry)
@@ -312,10 +313,9 @@
     m_lapsed.registryReturned(m_lastRead);
     if (m_settings.registry)
         m_gossip->perform(m_gossip->fleet().setCanReadPlatform(true, m_lastRead));
-    if (batch.isComplete) {
-        const auto deletions = m_configuration.deletionsIn(batch);
-        batch.records.insert(batch.records.end(), deletions.begin(), deletions.end());
-    }
+    observeEra(batch.highest.era());
+    if (batch.isComplete)
+        reduceToChanges(batch);
     trackLapsedEndpoints(batch.records);
     // A registry's revision also counts changes that are not records, so no record may ever reach it.
     if (m_source.isLinearizable)
@@ -332,6 +332,28 @@
         m_configuration.completeReadOffered(batch.highest);
 }
 
+// In a new era the deletions are left to a read after the writers have had the time to write again.
+void ControlThread::reduceToChanges(RecordBatch& batch)
+{
+    std::vector<Record> deletions;
+    if (m_restoration.provesDeletions(monotonicNow()))
+        deletions = m_configuration.deletionsIn(batch);
+    std::erase_if(batch.records, [&](const Record& it) { return m_configuration.holdsSameChange(it); });
+    batch.records.insert(batch.records.end(), deletions.begin(), deletions.end());
+}
+
+void ControlThread::observeEra(Era era)
+{
+    if (!m_restoration.observe(era, monotonicNow()))
+        return;
+    DOGWOODHALL_LOG(config, warning) << "The store has come back from an older copy; its era is " << era << ".";
+    m_restorationTimer.expires_at(toSteadyClock(*m_restoration.settlesAt()));
+    m_restorationTimer.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec && isWatcher())
+            m_platform.readAll();
+    });
+}
+
 // Changes from another data centre are forwarded like changes from the registry, because the registry may refuse all
 // members of this data centre.
 void ControlThread::acceptFromPeer(const MemberId& sender, const std::vector<Record>& records)
@@ -402,11 +424,14 @@
     for (const auto& record : records) {
         const auto outcome = m_configuration.offer(record);
         hasChanged = hasChanged || outcome.result == OfferResult::Accepted;
+        if (outcome.result == OfferResult::Superseded)
+            DOGWOODHALL_LOG(config, info) << "Ignored an older copy of " << outcome.reason << ".";
         if (outcome.result == OfferResult::Rejected) {
             m_metrics.recordsRejected.add();
             DOGWOODHALL_LOG(config, error) << "Rejected record: " << outcome.reason << ".";
         }
     }
+    observeEra(m_configuration.highestRevision().era());
     if (hasChanged) {
         DOGWOODHALL_LOG(config, info) << "Revision " << m_configuration.highestRevision() << " is in force.";
         std::map<DataCentreId, RegionId> regions;
--- a/packages/daemon/src/control/GossipDriver.cpp
+++ b/packages/daemon/src/control/GossipDriver.cpp
@@ -20,11 +20,11 @@
 constexpr auto replyTimeout = std::chrono::seconds(10);
 
 tl::expected<GossipMessage, std::string> decodeReply(
-    const tl::expected<std::optional<std::string>, ExchangeError>& reply)
+    const tl::expected<std::optional<std::string>, ExchangeError>& reply, Era firstEra)
 {
     if (!reply)
         return tl::unexpected(reply.error().detail);
-    return decode(**reply);
+    return decode(**reply, firstEra);
 }
 
 ExchangeError unexpectedStatus() { return { ErrorKind::PeerFailed, false, "unexpected status" }; }
@@ -94,7 +94,7 @@
         m_fleet.exchangeRefused(request.member, monotonicNow());
         co_return;
     }
-    auto decoded = decodeReply(reply);
+    auto decoded = decodeReply(reply, m_hooks.firstEra());
     if (!decoded) {
         m_metrics.gossipFailures.add();
         DOGWOODHALL_LOG(fleet, debug) << "No reply from " << request.member << ": " << decoded.error() << ".";
@@ -128,7 +128,7 @@
 
 tl::expected<std::optional<std::string>, std::string> GossipDriver::answer(std::string_view request)
 {
-    auto message = decode(request);
+    auto message = decode(request, m_hooks.firstEra());
     if (!message)
         return tl::unexpected(message.error());
     auto handled = m_fleet.handle(*message, monotonicNow());
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -115,6 +115,13 @@
     m_interrupt.cancel();
 }
 
+void PlatformWatcher::readAll()
+{
+    if (m_source.restart)
+        m_source.restart();
+    readNow();
+}
+
 // Some records of the batch may not have been accepted, so all are read again.
 void PlatformWatcher::handleFailedBatch(const std::exception_ptr& failure)
 {
--- a/packages/wire/include/dogwoodhall/wire/GossipCodec.h
+++ b/packages/wire/include/dogwoodhall/wire/GossipCodec.h
@@ -22,7 +22,8 @@
 std::string encode(const GossipMessage&);
 
 // Decodes a message of this or another version: ignores unknown fields and claims about members in an unknown state.
-// The error names the first part that is missing, malformed or above a limit.
-tl::expected<GossipMessage, std::string> decode(std::string_view bytes);
+// The error names the first part that is missing, malformed or above a limit. The revisions of a sender that knows no
+// eras of the store are taken to be of `assumedEra`.
+tl::expected<GossipMessage, std::string> decode(std::string_view bytes, Era assumedEra = Era());
 
 } // namespace dogwoodhall
--- a/packages/wire/src/GossipCodec.cpp
+++ b/packages/wire/src/GossipCodec.cpp
@@ -149,7 +149,26 @@
     ByteCount m_left { 2 * maxGossipBytes.count() };
 };
 
-Record fromWire(wire::Record& from, DecompressionAllowance& allowance, Rejection& rejection)
+// The era of a message's revisions. Daemons that know no eras name none.
+class MessageEra {
+public:
+    MessageEra(const wire::Gossip& from, Era assumed)
+        : m_isNamed(from.configuration().has_era())
+        , m_assumed(assumed)
+    {
+    }
+
+    Revision revision(std::uint64_t value, std::uint64_t era) const
+    {
+        return Revision(value, m_isNamed ? Era(era) : m_assumed);
+    }
+
+private:
+    bool m_isNamed;
+    Era m_assumed;
+};
+
+Record fromWire(wire::Record& from, const MessageEra& era, DecompressionAllowance& allowance, Rejection& rejection)
 {
     rejection.require(from.has_revision(), "record revision", "missing");
     const bool isCompressed = !from.compressed_value().empty();
@@ -162,8 +181,10 @@
     rejection.require(!from.deleted() || (from.value().empty() && !isCompressed), "deleted record", "has a value");
     Record record;
     record.key = RecordKey(requiredName(from.key(), "record key", rejection));
-    record.revision = Revision(from.revision());
+    record.revision = era.revision(from.revision(), from.era());
     record.deleted = from.deleted();
+    if (from.has_deleted_number())
+        record.deletedEdition = Edition { Incarnation(from.deleted_run()), from.deleted_number() };
     record.value = std::move(*from.mutable_value());
     return record;
 }
@@ -228,9 +249,10 @@
         from.mutable_records()->Swap(list.mutable_records());
 }
 
-GossipMessage fromWire(wire::Gossip& from, DecompressionAllowance& allowance, Rejection& rejection)
+GossipMessage fromWire(wire::Gossip& from, Era assumedEra, DecompressionAllowance& allowance, Rejection& rejection)
 {
     GossipMessage message;
+    const MessageEra era(from, assumedEra);
     const bool isRequest = from.kind() == wire::MESSAGE_KIND_REQUEST;
     rejection.require(from.has_sender(), "sender", "missing");
     rejection.require(from.has_configuration(), "configuration digest", "missing");
@@ -239,7 +261,7 @@
     auto sender = fromWire(from.sender(), rejection);
     rejection.require(sender.has_value(), "sender state", "unknown");
     message.sender = std::move(sender).value_or(Member {});
-    message.configuration.highest = Revision(from.configuration().highest_revision());
+    message.configuration.highest = era.revision(from.configuration().highest_revision(), from.configuration().era());
     message.configuration.hash = from.configuration().hash();
     message.dataCentreRoster = from.data_centre_roster();
     message.fleetRoster = from.fleet_roster();
@@ -254,13 +276,13 @@
     if (from.has_confirmed_age_ms())
         message.confirmedAge = toMilliseconds(from.confirmed_age_ms(), "confirmed age", rejection);
     if (from.has_records_after())
-        message.recordsAfter = Revision(from.records_after());
+        message.recordsAfter = era.revision(from.records_after(), from.records_after_era());
     for (const wire::Member& entry : from.relay_to()) {
         if (auto member = fromWire(entry, rejection))
             message.relayTo.push_back(std::move(*member));
     }
     for (wire::Record& record : *from.mutable_records())
-        message.records.push_back(fromWire(record, allowance, rejection));
+        message.records.push_back(fromWire(record, era, allowance, rejection));
     return message;
 }
 
@@ -268,7 +290,12 @@
 {
     to.set_key(record.key.value());
     to.set_revision(record.revision.value());
+    to.set_era(record.revision.era().value());
     to.set_deleted(record.deleted);
+    if (record.deletedEdition) {
+        to.set_deleted_run(record.deletedEdition->run.value());
+        to.set_deleted_number(record.deletedEdition->number);
+    }
     if (const auto* compressed = compressor.compressed(record))
         to.set_compressed_value(*compressed);
     else
@@ -309,6 +336,7 @@
     toWire(message.sender, *to.mutable_sender());
     to.mutable_configuration()->set_highest_revision(message.configuration.highest.value());
     to.mutable_configuration()->set_hash(message.configuration.hash);
+    to.mutable_configuration()->set_era(message.configuration.highest.era().value());
     to.set_data_centre_roster(message.dataCentreRoster);
     to.set_fleet_roster(message.fleetRoster);
     to.set_roster_after(message.rosterAfter.value());
@@ -326,15 +354,17 @@
     if (message.confirmedAge)
         to.set_confirmed_age_ms(static_cast<std::uint64_t>(
             std::chrono::ceil<std::chrono::milliseconds>(std::max(*message.confirmedAge, Duration::zero())).count()));
-    if (message.recordsAfter)
+    if (message.recordsAfter) {
         to.set_records_after(message.recordsAfter->value());
+        to.set_records_after_era(message.recordsAfter->era().value());
+    }
     for (const Member& member : message.relayTo)
         toWire(member, *to.add_relay_to());
     addRecords(message, to, compressor);
     return to.SerializeAsString();
 }
 
-tl::expected<GossipMessage, std::string> decode(std::string_view bytes)
+tl::expected<GossipMessage, std::string> decode(std::string_view bytes, Era assumedEra)
 {
     if (bytes.size() > maxGossipBytes.count())
         return tl::unexpected(std::string("message too long"));
@@ -347,7 +377,7 @@
     checkCounts(from, rejection);
     if (!rejection.reason().empty())
         return tl::unexpected(rejection.reason());
-    GossipMessage message = fromWire(from, allowance, rejection);
+    GossipMessage message = fromWire(from, assumedEra, allowance, rejection);
     if (!rejection.reason().empty())
         return tl::unexpected(rejection.reason());
     return message;
--- a/packages/wire/tests/GossipCodecTest.cpp
+++ b/packages/wire/tests/GossipCodecTest.cpp
@@ -52,7 +52,9 @@
         SlotCount(12), std::chrono::seconds(2) });
     message.records.push_back({ RecordKey("services/claims"), Revision(5), false, std::string("\xff\0{}", 4) });
     message.records.push_back({ RecordKey("topology"), Revision(6), true, "" });
-    message.recordsAfter = Revision(4);
+    message.records.push_back(
+        { RecordKey("gone"), Revision(2, Era(3)), true, "", Edition { Incarnation(1700000000000), 7 } });
+    message.recordsAfter = Revision(4, Era(2));
     message.confirmedAge = std::chrono::milliseconds(1234);
     message.relayTo.push_back(makeMember("m9", MemberState::Alive));
     message.relayTo[0].relaysRecords = true;
@@ -383,3 +385,27 @@
         decode(corrupted);
     }
 }
+
+struct EraRow {
+    const char* name;
+    std::string text;
+    std::uint64_t era; // Of the sender's highest revision.
+};
+
+const EraRow eraRows[] = {
+    { "a sender that knows no eras", valid, 5 },
+    { "a sender whose store names no era", field(1, '\1') + field(2, member(1)) + field(3, field(3, '\0')), 0 },
+    { "a sender in an earlier era", field(1, '\1') + field(2, member(1)) + field(3, field(3, '\4')), 4 },
+};
+
+// Guards against members of an earlier build, or of another era, whose revisions are taken for those of this era or for
+// older ones than they are.
+ParameterizedTestParameters(GossipCodec, tellsErasOfSenders) { return rowIndices(eraRows); }
+
+ParameterizedTest(std::size_t* index, GossipCodec, tellsErasOfSenders)
+{
+    const auto& row = eraRows[*index];
+    const auto message = decode(row.text, Era(5));
+    cr_assert(message, "%s: %s", row.name, message ? "" : message.error().c_str());
+    cr_expect_eq(message->configuration.highest.era().value(), row.era, "%s", row.name);
+}
--- a/tests/soak/FaultProxy.cpp
+++ b/tests/soak/FaultProxy.cpp
@@ -5,9 +5,14 @@
 #include "dogwoodhall/exchange/UseTuple.h"
 
 #include <array>
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <iterator>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace dogwoodhall::soak {
@@ -42,7 +47,7 @@
         const auto connection = it.lock();
         connection->isPermanentlyStalled
             = connection->isPermanentlyStalled || fault == LinkFault::OpenConnectionsStalled;
-        if (fault == LinkFault::Reset) {
+        if (fault == LinkFault::Reset || fault == LinkFault::TurnedAway) {
             resetConnection(connection->clientSocket);
             resetConnection(connection->targetSocket);
         }
@@ -66,6 +71,8 @@
 asio::awaitable<void> FaultProxy::connect(std::shared_ptr<ProxiedConnection> connection)
 {
     m_connections.push_back(connection);
+    if (m_fault == LinkFault::TurnedAway)
+        co_return co_await turnAway(connection);
     connection->targetSocket.open(tcp::v4());
     closeOnExec(connection->targetSocket);
     auto [ec] = co_await connection->targetSocket.async_connect(
@@ -78,6 +85,23 @@
     co_await forward(connection, Direction::ToTarget);
 }
 
+asio::awaitable<void> FaultProxy::turnAway(std::shared_ptr<ProxiedConnection> connection)
+{
+    constexpr std::string_view answers[] = { "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" };
+    std::string request;
+    for (std::size_t n = 0; m_fault == LinkFault::TurnedAway; ++n) {
+        const auto [ec, size] = co_await asio::async_read_until(
+            connection->clientSocket, asio::dynamic_buffer(request, bufferBytes), "\r\n\r\n", useTuple);
+        if (ec)
+            break;
+        request.erase(0, size);
+        const auto answer = answers[n % std::size(answers)];
+        co_await asio::async_write(connection->clientSocket, asio::buffer(answer), useTuple);
+    }
+    resetConnection(connection->clientSocket);
+}
+
 asio::awaitable<void> FaultProxy::forward(std::shared_ptr<ProxiedConnection> connection, Direction direction)
 {
     auto& from = direction == Direction::ToTarget ? connection->clientSocket : connection->targetSocket;
--- a/tests/soak/FaultProxy.h
+++ b/tests/soak/FaultProxy.h
@@ -16,6 +16,7 @@
     None,
     Delayed, // Each chunk is forwarded after `delay`.
     Reset, // Open and new connections are reset.
+    TurnedAway, // Open connections are reset; requests on new ones are answered 429 and 503 in turn.
     ResponsesStalled, // Data from the target is held back until the fault ends.
     Stalled, // Data in both directions is held back until the fault ends.
     OpenConnectionsStalled, // Connections open at this time stall for good; new ones work.
@@ -42,6 +43,7 @@
 
     boost::asio::awaitable<void> accept();
     boost::asio::awaitable<void> connect(std::shared_ptr<ProxiedConnection>);
+    boost::asio::awaitable<void> turnAway(std::shared_ptr<ProxiedConnection>);
     boost::asio::awaitable<void> forward(std::shared_ptr<ProxiedConnection>, Direction);
     boost::asio::awaitable<void> waitWhileStalled(std::shared_ptr<ProxiedConnection>, Direction);
     bool isStalled(const ProxiedConnection&, Direction) const;
--- a/tests/soak/Scenario.cpp
+++ b/tests/soak/Scenario.cpp
@@ -14,7 +14,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds evacuationDuration { 7000 };
-const std::string_view fleetGroup = "fleet";
+const std::string_view fleetGroup = "fleet"; // Needs many daemons.
+// Apart from the others, whose seeds stand for failures of the past.
+const std::string_view restoreGroup = "restore";
 
 struct FaultKindInfo {
     FaultKind kind;
@@ -45,6 +47,14 @@
     { FaultKind::FaultManyEndpoints, "fault-many-endpoints", "fleet", false, milliseconds(6000) },
     { FaultKind::ChangeRouting, "change-routing", "fleet", true, milliseconds(0) },
     { FaultKind::Evacuate, "evacuate", "planned", true, milliseconds(0) },
+    { FaultKind::RestoreStore, "restore-store", "restore", false, milliseconds(3000) },
+    { FaultKind::TurnAwayDaemons, "turn-away-daemons", "restore", false, milliseconds(4000) },
+    { FaultKind::ChangeRouting, "change-routing", "restore", true, milliseconds(0) },
+    { FaultKind::ReplaceEndpoint, "replace-endpoint", "restore", true, milliseconds(5000) },
+    { FaultKind::KillDaemon, "kill-daemon", "restore", false, milliseconds(1000) },
+    { FaultKind::StopDaemon, "stop-daemon", "restore", true, milliseconds(0) },
+    { FaultKind::StoreDown, "store-down", "restore", false, milliseconds(2000) },
+    { FaultKind::Evacuate, "evacuate", "restore", true, milliseconds(0) },
 };
 
 const LinkFault linkFaults[] = { LinkFault::Delayed, LinkFault::Reset, LinkFault::ResponsesStalled, LinkFault::Stalled,
@@ -71,7 +81,8 @@
     std::vector<FaultKindInfo> candidates;
     std::copy_if(
         std::begin(faultKinds), std::end(faultKinds), std::back_inserter(candidates), [&](const FaultKindInfo& row) {
-            return selection == row.group || (selection == "all" && row.group != fleetGroup);
+            const bool isInAll = row.group != fleetGroup && row.group != restoreGroup;
+            return selection == row.group || (selection == "all" && isInAll);
         });
     std::vector<Fault> faults;
     if (candidates.empty())
--- a/tests/soak/Scenario.h
+++ b/tests/soak/Scenario.h
@@ -28,6 +28,8 @@
     RefuseDaemons, // The store resets the connections of a third of the daemons and serves the others.
     FaultManyEndpoints, // The fault mode on half of the endpoints.
     Evacuate, // A data centre, for longer than the delay after which nothing new may be sent to it.
+    RestoreStore, // Down for a moment, and back from a copy that is `duration` old, in the next era.
+    TurnAwayDaemons, // The store answers 429 and 503 to a third of the daemons and serves the others.
 };
 
 // True for planned operations, during which no request may be interrupted and no outdated configuration used.
@@ -52,7 +54,7 @@
 };
 
 // The faults of a run, determined by the seed; they may overlap. `selection` is "all" or one group of faults:
-// "signals", "links", "store", "endpoints", "planned" or "fleet". The last needs many daemons and is not part of "all".
+// "signals", "links", "store", "endpoints", "planned", "fleet" or "restore". The last two are not part of "all".
 // Returns no faults for an unknown group.
 std::vector<Fault> makeScenario(std::uint64_t seed, const std::string& selection, const ScenarioLimits&);
 
--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -110,16 +110,24 @@
 void SoakCluster::registerEndpoint(std::size_t n, const std::string& state)
 {
     const auto& endpoint = m_endpoints.at(n);
+    auto& registration = m_registrations[endpoint.id];
+    registration = { endpoint.proxy->address(), dataCentreOf(n), state, registration.sequence };
+    writeRegistration(endpoint.id);
+}
+
+void SoakCluster::writeRegistration(const std::string& id)
+{
+    auto& [address, dataCentre, state, sequence] = m_registrations.at(id);
     if (state.empty()) {
-        callStore("DELETE", "/control/items/servers/" + endpoint.id);
+        callStore("DELETE", "/control/items/servers/" + id);
         return;
     }
-    callStore("PUT", "/control/items/servers/" + endpoint.id,
-        toBase64(json::serialize(json::object { { "address", toString(endpoint.proxy->address()) },
+    callStore("PUT", "/control/items/servers/" + id,
+        toBase64(json::serialize(json::object { { "address", toString(address) },
             { "info",
-                json::object { { "service", "catalogue" }, { "version", "v1" }, { "zone", dataCentreOf(n) },
-                    { "concurrency", 3 } } },
-            { "status", json::object { { "state", state }, { "seq", 1 }, { "warmup_left_ms", 0 } } },
+                json::object {
+                    { "service", "catalogue" }, { "version", "v1" }, { "zone", dataCentre }, { "concurrency", 3 } } },
+            { "status", json::object { { "state", state }, { "seq", ++sequence }, { "warmup_left_ms", 0 } } },
             { "born", 1700000000000 } })));
 }
 
@@ -135,6 +143,13 @@
 
 void SoakCluster::setEvacuated(const std::string& dataCentre, bool isEvacuated)
 {
+    m_evacuations[dataCentre] = isEvacuated;
+    writeEvacuation(dataCentre);
+}
+
+void SoakCluster::writeEvacuation(const std::string& dataCentre)
+{
+    const bool isEvacuated = m_evacuations.at(dataCentre);
     callStore(
         isEvacuated ? "PUT" : "DELETE", "/control/items/op/evacuate/" + dataCentre, isEvacuated ? toBase64("1") : "");
 }
@@ -143,9 +158,34 @@
 
 void SoakCluster::compactStore() { callStore("PUT", "/control/compact"); }
 
+void SoakCluster::copyStore() { callStore("PUT", "/control/copy"); }
+
+void SoakCluster::restoreStore() { callStore("PUT", "/control/restore"); }
+
+void SoakCluster::writeOtherKeys(std::size_t count)
+{
+    for (std::size_t n = 0; n < count; ++n)
+        callStore("PUT", "/control/items/other/" + std::to_string(n), toBase64("x"));
+}
+
+void SoakCluster::writeAllAgain()
+{
+    for (const auto& [id, registration] : m_registrations)
+        writeRegistration(id);
+    for (const auto& [dataCentre, isEvacuated] : m_evacuations)
+        writeEvacuation(dataCentre);
+    writeRouting();
+}
+
 std::uint64_t SoakCluster::publishRouting()
 {
     ++m_routingVersion;
+    writeRouting();
+    return m_routingVersion;
+}
+
+void SoakCluster::writeRouting()
+{
     json::object routes { { "lookups", makeRoute("/lookups/", "idempotent") },
         { "orders", makeRoute("/orders/", "non_idempotent") } };
     auto restricted = makeRoute("/restricted/", "idempotent");
@@ -164,7 +204,6 @@
                 json::object { { "catalogue",
                     json::object { { "health_path", "/health" }, { "max_connections", 200 },
                         { "cold_per_s", coldRequestsPerSecond } } } } } })));
-    return m_routingVersion;
 }
 
 std::vector<std::pair<std::string, std::string>> SoakCluster::executions() const
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -52,6 +52,13 @@
     const std::map<std::string, std::string>& endpointDataCentres() const { return m_endpointDataCentres; }
     void setStoreMode(const std::string& state);
     void compactStore();
+    // Keeps a copy of the store, to which restoreStore() goes back in the next era.
+    void copyStore();
+    void restoreStore();
+    // Changes of keys that daemons do not use.
+    void writeOtherKeys(std::size_t count);
+    // What the operator and the endpoints do after the store has lost changes.
+    void writeAllAgain();
     std::uint64_t publishRouting(); // Returns the new version.
     // Executed requests: pairs of request id and endpoint id.
     std::vector<std::pair<std::string, std::string>> executions() const;
@@ -59,7 +66,18 @@
     std::vector<std::pair<std::string, TimePoint>> arrivals() const;
 
 private:
+    // What an endpoint has registered last.
+    struct Registration {
+        NetworkAddress address;
+        std::string dataCentre;
+        std::string state; // Empty if it has removed its entry.
+        std::uint64_t sequence = 0;
+    };
+
     void addDaemon();
+    void writeRegistration(const std::string& id);
+    void writeRouting();
+    void writeEvacuation(const std::string& dataCentre);
     void callStore(const std::string& method, const std::string& target, const std::string& body = {});
 
     boost::asio::io_context& m_io;
@@ -72,6 +90,8 @@
     std::vector<std::string> m_endpointIds; // Including replaced ones.
     std::map<std::string, std::string> m_endpointDataCentres;
     std::vector<std::unique_ptr<FaultProxy>> m_retiredProxies; // Of replaced endpoints.
+    std::map<std::string, Registration> m_registrations; // By endpoint id.
+    std::map<std::string, bool> m_evacuations; // By data centre.
     std::uint64_t m_routingVersion = 0;
 };
 
--- a/tests/soak/SoakFleetFaults.cpp
+++ b/tests/soak/SoakFleetFaults.cpp
@@ -30,6 +30,9 @@
     case FaultKind::RefuseDaemons:
         refuseDaemons(fault);
         return;
+    case FaultKind::TurnAwayDaemons:
+        turnAwayDaemons(fault);
+        return;
     default:
         faultManyEndpoints(fault);
     }
@@ -75,22 +78,38 @@
         monotonicNow() + (runs ? runningTurn : stoppedTurn), [this, daemon, runs, end] { starve(daemon, !runs, end); });
 }
 
+std::vector<std::size_t> SoakRun::thirdOfDaemons(const Fault& fault) const
+{
+    std::vector<std::size_t> daemons;
+    for (std::size_t n = fault.target % 3; n < m_options.limits.daemons; n += 3)
+        daemons.push_back(n);
+    return daemons;
+}
+
+void SoakRun::setStoreLinks(const std::vector<std::size_t>& daemons, LinkFault link)
+{
+    runOnEventLoop([&] {
+        for (const auto n : daemons)
+            m_cluster.daemons()[n].storeProxy->setFault(link);
+    });
+}
+
 void SoakRun::refuseDaemons(const Fault& fault)
 {
     const TimePoint end = monotonicNow() + fault.duration;
-    std::vector<std::size_t> refused;
-    for (std::size_t n = fault.target % 3; n < m_cluster.daemons().size(); n += 3)
-        refused.push_back(n);
-    const auto setLinks = [this, refused](LinkFault link) {
-        runOnEventLoop([&] {
-            for (const auto n : refused)
-                m_cluster.daemons()[n].storeProxy->setFault(link);
-        });
-    };
+    const auto refused = thirdOfDaemons(fault);
     for (const auto n : refused)
         recordFaultWindow(n, true, fault.duration);
-    setLinks(LinkFault::Reset);
-    scheduleAt(end, [setLinks] { setLinks(LinkFault::None); });
+    setStoreLinks(refused, LinkFault::Reset);
+    scheduleAt(end, [this, refused] { setStoreLinks(refused, LinkFault::None); });
+}
+
+// The others tell them of changes in time, so that this excuses nothing.
+void SoakRun::turnAwayDaemons(const Fault& fault)
+{
+    const auto refused = thirdOfDaemons(fault);
+    setStoreLinks(refused, LinkFault::TurnedAway);
+    scheduleAt(monotonicNow() + fault.duration, [this, refused] { setStoreLinks(refused, LinkFault::None); });
 }
 
 void SoakRun::faultManyEndpoints(const Fault& fault)
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -32,6 +32,9 @@
 constexpr std::size_t maxThreads = 8;
 constexpr std::size_t maxDescriptors = 400;
 constexpr Duration maxDrainDelay = std::chrono::seconds(2);
+constexpr milliseconds storeAbsence { 600 }; // Before it comes back from a copy.
+constexpr milliseconds lateWrites { 1000 };
+constexpr std::size_t lostChanges = 50; // At least; more than the writers make again.
 
 } // namespace
 
@@ -121,9 +124,13 @@
     case FaultKind::Evacuate:
         evacuate(fault);
         return;
+    case FaultKind::RestoreStore:
+        copyStore(fault);
+        return;
     case FaultKind::KillManyDaemons:
     case FaultKind::StarveDaemons:
     case FaultKind::RefuseDaemons:
+    case FaultKind::TurnAwayDaemons:
     case FaultKind::FaultManyEndpoints:
         injectFleetFault(fault);
         return;
@@ -131,6 +138,11 @@
         break;
     }
     ++m_report.faults[toString(fault.kind)];
+    changeRouting();
+}
+
+void SoakRun::changeRouting()
+{
     const auto version = m_cluster.publishRouting();
     const TimePoint now = monotonicNow();
     runOnEventLoop([&] {
@@ -254,6 +266,36 @@
     scheduleAt(monotonicNow() + fault.duration, [this] { m_cluster.setStoreMode("serving"); });
 }
 
+void SoakRun::copyStore(const Fault& fault)
+{
+    if (m_isRestoring)
+        return;
+    ++m_report.faults[toString(fault.kind)];
+    m_isRestoring = true;
+    m_cluster.copyStore();
+    m_cluster.writeOtherKeys(lostChanges);
+    changeRouting();
+    scheduleAt(monotonicNow() + fault.duration, [this, fault] { restoreStore(fault); });
+}
+
+// The operator and the endpoints write again while the store is away, as it returns, or some time after.
+void SoakRun::restoreStore(const Fault& fault)
+{
+    const Duration absence = storeAbsence;
+    const Duration delays[] = { absence / 2, absence, absence + lateWrites };
+    const Duration writeDelay = delays[fault.target % std::size(delays)];
+    const TimePoint now = monotonicNow();
+    recordFaultWindow(std::nullopt, true, std::max(absence, writeDelay));
+    m_cluster.setStoreMode("down");
+    m_cluster.restoreStore();
+    scheduleAt(now + absence, [this] { m_cluster.setStoreMode("serving"); });
+    scheduleAt(now + writeDelay, [this] {
+        m_cluster.writeAllAgain();
+        changeRouting();
+        m_isRestoring = false;
+    });
+}
+
 void SoakRun::evacuate(const Fault& fault)
 {
     if (m_isEvacuating)
--- a/tests/soak/SoakRun.h
+++ b/tests/soak/SoakRun.h
@@ -50,13 +50,19 @@
     void injectDaemonFault(const Fault&);
     void injectEndpointFault(const Fault&);
     void injectStoreFault(const Fault&);
+    void changeRouting();
+    void copyStore(const Fault&);
+    void restoreStore(const Fault&);
     void replaceEndpoint(const Fault&);
     void evacuate(const Fault&);
     void injectFleetFault(const Fault&);
     void killManyDaemons(const Fault&);
     void starveDaemons(const Fault&);
     void refuseDaemons(const Fault&);
+    void turnAwayDaemons(const Fault&);
     void faultManyEndpoints(const Fault&);
+    std::vector<std::size_t> thirdOfDaemons(const Fault&) const;
+    void setStoreLinks(const std::vector<std::size_t>& daemons, LinkFault);
     // Stops the daemon's process, or lets it go on, by turns until `end`.
     void starve(std::size_t daemon, bool runs, TimePoint end);
     void pollForExit(std::size_t daemon, TimePoint since);
@@ -81,6 +87,7 @@
     std::multimap<TimePoint, Task> m_tasks;
     std::set<std::size_t> m_busyDaemons; // Being stopped, paused or restarted.
     std::set<std::size_t> m_busyEndpoints;
+    bool m_isRestoring = false; // From the copy of the store until all has been written again.
     bool m_isEvacuating = false; // One data centre at a time, so that the other serves.
     SoakReport m_report;
 };
