Ask peers for confirmations while the store refuses this member

A member whose read of the store failed after the last confirmation had a lease without a limit, asked no peer to confirm its records, and, where it was not a watcher, did not read again by itself. The store may refuse one member (429, 503, no answer) or a read may be late on a starved process while the others are served: such a member would go on deciding by records of any age.

It now asks its peers as before, whose confirmations end the time without a limit, and reads by itself where no peer has answered for 2 s. ConfigurationLeaseTest has the case.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
@@ -23,7 +23,8 @@
 // How long this member may decide by the records that it holds. A change must be in force a certain time after the
 // store has acknowledged it, but a member that hears nothing cannot tell whether there were changes. So the records are
 // confirmed again and again, by reads of the store or by peers that have read it, and the lease lasts for that time
-// from the last confirmation. It has no limit while the store does not answer this member: then no member can know.
+// from the last confirmation. It has no limit while the store does not answer this member and no peer confirms them:
+// then no member may know. The store may also refuse only this member, so that it goes on asking its peers.
 class ConfigurationLease {
 public:
     // Without `maxAge` the lease has no limit.
@@ -39,8 +40,10 @@
     // A read that began at `at` got no answer from the store.
     void storeUnreachable(TimePoint at);
 
-    // Whether this share of the lease's time has passed, so that the member should confirm its records by a read.
-    bool needsConfirmation(Fraction share, TimePoint now) const;
+    // Whether this share of the lease's time has passed since the last confirmation, so that peers should be asked.
+    bool isDue(Fraction share, TimePoint now) const;
+    // The same, and the store may answer, so that the member should confirm its records by a read.
+    bool needsConfirmation(Fraction share, TimePoint now) const { return hasLimit() && isDue(share, now); }
     bool isConfirmed() const { return m_confirmedAt.has_value(); }
     LeaseTerm term() const;
 
--- a/packages/configuration/src/ConfigurationLease.cpp
+++ b/packages/configuration/src/ConfigurationLease.cpp
@@ -30,9 +30,9 @@
     return m_maxAge && !isUnreachable;
 }
 
-bool ConfigurationLease::needsConfirmation(Fraction share, TimePoint now) const
+bool ConfigurationLease::isDue(Fraction share, TimePoint now) const
 {
-    return hasLimit() && (!m_confirmedAt || now - *m_confirmedAt >= scaled(*m_maxAge, share.value()));
+    return m_maxAge && (!m_confirmedAt || now - *m_confirmedAt >= scaled(*m_maxAge, share.value()));
 }
 
 LeaseTerm ConfigurationLease::term() const
--- a/packages/configuration/tests/ConfigurationLeaseTest.cpp
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -24,25 +24,29 @@
     std::optional<Duration> maxAge;
     std::vector<Evidence> evidence;
     std::optional<Duration> validUntil; // Since the start; empty: no limit.
-    std::optional<Duration> needsConfirmationAt; // Since the start; empty: never.
+    std::optional<Duration> needsConfirmationAt; // By a read, since the start; empty: never.
+    std::optional<Duration> isDueAt; // From peers; empty: never.
 };
 
 const LeaseRow rows[] = {
-    { "confirmed once", 3s, { { confirmed, 1s } }, 4s, 2500ms },
-    { "confirmed again", 3s, { { confirmed, 1s }, { confirmed, 2s } }, 5s, 3500ms },
-    { "an older confirmation arrives later", 3s, { { confirmed, 2s }, { confirmed, 1s } }, 5s, 3500ms },
-    { "store unreachable", 3s, { { confirmed, 1s }, { unreachable, 2s } }, std::nullopt, std::nullopt },
-    { "store unreachable from the start", 3s, { { unreachable, 2s } }, std::nullopt, std::nullopt },
-    { "a peer reads the store that this member cannot", 3s, { { unreachable, 2s }, { confirmed, 3s } }, 6s, 4500ms },
-    { "a read that failed after a later confirmation", 3s, { { confirmed, 3s }, { unreachable, 2s } }, 6s, 4500ms },
-    { "the store answers again", 3s, { { confirmed, 1s }, { unreachable, 2s }, { confirmed, 8s } }, 11s, 9500ms },
-    { "no limit", std::nullopt, { { confirmed, 1s } }, std::nullopt, std::nullopt },
+    { "confirmed once", 3s, { { confirmed, 1s } }, 4s, 2500ms, 2500ms },
+    { "confirmed again", 3s, { { confirmed, 1s }, { confirmed, 2s } }, 5s, 3500ms, 3500ms },
+    { "an older confirmation arrives later", 3s, { { confirmed, 2s }, { confirmed, 1s } }, 5s, 3500ms, 3500ms },
+    { "store unreachable", 3s, { { confirmed, 1s }, { unreachable, 2s } }, std::nullopt, std::nullopt, 2500ms },
+    { "store unreachable from the start", 3s, { { unreachable, 2s } }, std::nullopt, std::nullopt, 0ms },
+    { "a peer reads the store that this member cannot", 3s, { { unreachable, 2s }, { confirmed, 3s } }, 6s, 4500ms,
+        4500ms },
+    { "a read that failed after a later confirmation", 3s, { { confirmed, 3s }, { unreachable, 2s } }, 6s, 4500ms,
+        4500ms },
+    { "the store answers again", 3s, { { confirmed, 1s }, { unreachable, 2s }, { confirmed, 8s } }, 11s, 9500ms,
+        9500ms },
+    { "no limit", std::nullopt, { { confirmed, 1s } }, std::nullopt, std::nullopt, std::nullopt },
 };
 
 } // namespace
 
-// Guards against members that decide by records of unknown age while the store answers, and against members that
-// refuse requests while it does not.
+// Guards against members that decide by records of unknown age while the store answers, against members that refuse
+// requests while it does not, and against one that asks no peer because the store refuses it alone.
 ParameterizedTestParameters(ConfigurationLease, lastsFromTheLastConfirmation) { return rowIndices(rows); }
 
 ParameterizedTest(std::size_t* index, ConfigurationLease, lastsFromTheLastConfirmation)
@@ -61,6 +65,10 @@
     const TimePoint due = start + row.needsConfirmationAt.value_or(1h);
     cr_expect_eq(lease.needsConfirmation(half, due), row.needsConfirmationAt.has_value(), "%s", row.name);
     cr_expect_not(lease.needsConfirmation(half, due - 1ms), "%s", row.name);
+    const TimePoint askedAt = start + row.isDueAt.value_or(1h);
+    cr_expect_eq(lease.isDue(half, askedAt), row.isDueAt.has_value(), "%s", row.name);
+    if (lease.isConfirmed())
+        cr_expect_not(lease.isDue(half, askedAt - 1ms), "%s", row.name);
 }
 
 // Guards against a member that decides before its records were ever confirmed.
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -127,6 +127,7 @@
     LapsedEndpoints m_lapsed;
     StoreRestoration m_restoration;
     asio::steady_timer m_restorationTimer { m_io };
+    TimePoint m_lastPeerAnswer; // When this member sent the last request that a peer has answered.
     TimePoint m_lastRead; // Time of this member's own last read of the records.
     asio::steady_timer m_lapseTimer { m_io };
     MeasuringBudget m_budget;
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -32,6 +32,8 @@
 // reaches all members by gossip within a second.
 constexpr Fraction firstReaderShare { 0.4 };
 constexpr Fraction otherReaderShare { 0.85 };
+// Without a reply for so long, a member does not rely on its peers for confirmations. Several gossip periods.
+constexpr Duration peerSilence = std::chrono::seconds(2);
 // Size of a pool's load in a gossip message, for ids of 15 characters.
 constexpr std::uint64_t loadBytes = 64;
 
@@ -126,7 +128,7 @@
         [this](Revision since, ByteCount limit) { return m_configuration.recordsSince(since, limit); },
         [this](ByteCount limit) { return recordsForRepair(limit); },
         [this](std::size_t most) { return ownLoads(most); },
-        [this] { return m_lease.needsConfirmation(firstReaderShare, monotonicNow()); } };
+        [this] { return m_lease.isDue(firstReaderShare, monotonicNow()); } };
     GossipDriver::Hooks hooks { [this] { requestPublication(PublicationReason::Members); },
         [this](const MemberId& sender, const std::vector<Record>& records) { acceptFromPeer(sender, records); },
         [this](const std::vector<PoolLoadSummary>& loads) { m_hooks.observeLoads(loads); },
@@ -264,6 +266,7 @@
 // did after the request was sent. This member now holds what the peer held.
 void ControlThread::handlePeerAnswer(const GossipMessage& reply, TimePoint sentAt)
 {
+    m_lastPeerAnswer = sentAt;
     m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest, reply.sender.isReady);
     updateReadiness();
     if (reply.confirmedAge && m_configuration.highestRevision() >= reply.configuration.highest)
@@ -284,6 +287,10 @@
 bool ControlThread::needsConfirmation() const
 {
     const TimePoint now = monotonicNow();
+    // Nobody else would tell a member that the store refuses when the store answers again.
+    const bool arePeersSilent = now - m_lastPeerAnswer > peerSilence;
+    if (arePeersSilent && m_lease.isDue(otherReaderShare, now))
+        return true;
     // Ranking the members takes a pass over all of them.
     return m_lease.needsConfirmation(firstReaderShare, now)
         && (m_lease.needsConfirmation(otherReaderShare, now) || m_gossip->fleet().isFirstReader());
