Treat a status that HTTP does not have as a broken answer

Callers got an endpoint's status 600 or 999 as an answer. A status from 000 to 099, or 101 without a request for it, was taken for an interim head: the caller waited for the final one until its time limit, or got the bytes after it.

UpstreamClient took each status from 200 on as final and each below as interim. It now takes 100 to 199 without 101 as interim, 200 to 599 as final, and ends the exchange at any other, so that a request that may be repeated goes to another endpoint and any other gets 502. UpstreamAnswerTest acceptsOnlyStatusesOfHttp failed in 8 of 16 rows before, and RegistryTest survivesFaultyEndpoints in 2 of its 6 new ones; all pass.

--- a/packages/http/src/MessageRules.cpp
+++ b/packages/http/src/MessageRules.cpp
@@ -49,6 +49,14 @@
     return codings == 0 || beast::iequals(fields[http::field::transfer_encoding], "chunked");
 }
 
+StatusClass classOf(unsigned status)
+{
+    constexpr unsigned switchingProtocols = 101;
+    if (status < 100 || status > 599 || status == switchingProtocols)
+        return StatusClass::Invalid;
+    return status < 200 ? StatusClass::Interim : StatusClass::Final;
+}
+
 void ChunkExtensionLimit::operator()(std::uint64_t, beast::string_view extensions, beast::error_code& ec)
 {
     if (extensions.size() > m_left) {
--- a/packages/http/src/MessageRules.h
+++ b/packages/http/src/MessageRules.h
@@ -30,6 +30,14 @@
 // supported because truncation of a response without a declared length cannot be detected there.
 bool isSupportedRequest(const boost::beast::http::request_header<>&);
 
+enum class StatusClass {
+    Interim, // The final response follows.
+    Final,
+    Invalid, // Not a status of HTTP, or 101: no request asks to switch the protocol.
+};
+
+StatusClass classOf(unsigned status);
+
 // Total size of the chunk extensions of one message. They are neither relayed nor counted as body.
 inline constexpr std::size_t maxChunkExtensionBytes = 16 * 1024;
 
--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -370,8 +370,10 @@
         const auto& message = connection.parser->get();
         if (!hasUnambiguousLength(message))
             co_return failure(ErrorKind::UpstreamFailed, false, http::error::bad_field);
-        // Interim responses (100 Continue, 103 Early Hints) are followed by the final one.
-        if (message.result_int() >= 200) {
+        const auto statusClass = classOf(message.result_int());
+        if (statusClass == StatusClass::Invalid)
+            co_return failure(ErrorKind::UpstreamFailed, false, http::error::bad_status);
+        if (statusClass == StatusClass::Final) {
             ResponseHead head;
             head.status = message.result_int();
             head.fields = fromBeast(message);
--- a/packages/http/tests/UpstreamAnswerTest.cpp
+++ b/packages/http/tests/UpstreamAnswerTest.cpp
@@ -292,3 +292,48 @@
             cr_expect_not(body.error().provenNotRun, "%s, cut after %zu bytes", row.name, cut);
     }
 }
+
+struct StatusRow {
+    const char* status;
+    const char* rest; // Of the response, after the status.
+    bool isAccepted;
+};
+
+const char* const wholeRest = " X\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok";
+const char* const interimRest = " X\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok";
+
+const StatusRow statusRows[] = {
+    { "200", wholeRest, true },
+    { "599", wholeRest, true },
+    { "000", wholeRest, false },
+    { "099", wholeRest, false },
+    { "600", wholeRest, false },
+    { "999", wholeRest, false },
+    { "20", wholeRest, false },
+    { "2000", wholeRest, false },
+    { "+20", wholeRest, false },
+    { "2x0", wholeRest, false },
+    { "101", wholeRest, false },
+    { "100", interimRest, true },
+    { "199", interimRest, true },
+    { "000", interimRest, false },
+    { "099", interimRest, false },
+    { "101", interimRest, false },
+};
+
+// Guards against a response whose status HTTP does not have, or that switches the protocol without a request for it,
+// and that reaches the caller as an answer or keeps it waiting for the final one.
+ParameterizedTestParameters(UpstreamAnswer, acceptsOnlyStatusesOfHttp) { return rowIndices(statusRows); }
+
+ParameterizedTest(std::size_t* index, UpstreamAnswer, acceptsOnlyStatusesOfHttp, .timeout = 30)
+{
+    const auto& row = statusRows[*index];
+    Fixture fixture(std::string("HTTP/1.1 ") + row.status + row.rest);
+    const auto body = fixture.call("a");
+    cr_expect_eq(body.has_value(), row.isAccepted, "%s%s", row.status, row.rest);
+    if (body)
+        return;
+    cr_expect(
+        body.error().kind == ErrorKind::UpstreamFailed, "%s%s: %s", row.status, row.rest, body.error().detail.c_str());
+    cr_expect_not(body.error().provenNotRun, "%s%s", row.status, row.rest);
+}
--- a/tests/system/RegistryTest.cpp
+++ b/tests/system/RegistryTest.cpp
@@ -52,10 +52,16 @@
     { "extra", false, 200, 1 },
     { "hang", true, 200, 2 },
     { "hang", false, 504, 1 },
+    { "none&status=0", true, 200, 2 },
+    { "none&status=0", false, 502, 1 },
+    { "none&status=101", false, 502, 1 },
+    { "none&status=600", true, 200, 2 },
+    { "none&status=600", false, 502, 1 },
+    { "none&status=999&padding=200000", false, 502, 1 },
 };
 
-// Guards against a request that runs twice, a response that is truncated or belongs to another request, and a request
-// that is reported as not run without proof.
+// Guards against a request that runs twice, a response that is truncated, belongs to another request or has a status
+// that HTTP does not have, and a request that is reported as not run without proof.
 ParameterizedTestParameters(Registry, survivesFaultyEndpoints) { return rowIndices(faultRows); }
 
 ParameterizedTest(std::size_t* index, Registry, survivesFaultyEndpoints, .timeout = 60)
--- a/tools/src/RegisteredUpstreamStandIn.cpp
+++ b/tools/src/RegisteredUpstreamStandIn.cpp
@@ -32,6 +32,7 @@
 //       another request; hang does not respond for a minute; early responds with an error before it reads the body
 //   delay_ms=<n>   delay before the response
 //   warmup_ms=<n>  how long the endpoint says that it stays cold, from this call on; 0 for warm
+//   status=<n>    status of the response, also one that HTTP does not have
 //   padding=<n>   bytes after the text of the response
 //   leaving=<value>   value of Server-Leaving in all answers; leaving_in=request|health|interim limits it to answers to
 //       requests, to health calls, or to an interim head before the answer to a request
@@ -316,7 +317,7 @@
     const std::string text = m_options.id + " served " + id + "\n"
         + std::string(static_cast<std::size_t>(m_mode.number("padding", 0)), 'p');
     ResponseHead head;
-    head.status = isFault("error") ? 500 : 200;
+    head.status = isFault("error") ? 500 : static_cast<unsigned>(m_mode.number("status", 200));
     head.fields.add(std::string(attemptIdField), isFault("other") ? "another" : id);
     if (!isFault("unsigned"))
         head.fields.add("Dogwoodhall-Response-Signature", "signed-" + id);
