Let a member be heard whose clock was set back before it started

A member's incarnation is the time of day at its start. Where the clock was set back between two runs, peers took the new run for the earlier one: they ignored what it said, answered its requests with an error, and pushed it no changes, so that it had only its own reads of the store, and its data centre a watcher that told nobody. This went on until its silence had made it gone and forgotten.

A peer of an earlier build replies as before; one of this build is enough.

--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -36,8 +36,7 @@
 constexpr Duration maxForcedStopDelay = std::chrono::milliseconds(100);
 
 // Wall-clock milliseconds at start, so that a later run of the daemon on the same host has a higher incarnation. If the
-// clock is set back between two runs, the peers suspect the new run until it refutes the suspicion, which takes
-// seconds.
+// clock is set back between two runs, the peers tell the new run, which then raises its incarnation.
 Incarnation newIncarnation()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -563,7 +563,7 @@
 {
     StatusReport report;
     report.member = m_settings.member;
-    report.incarnation = m_incarnation;
+    report.incarnation = m_gossip->fleet().self().incarnation;
     report.dataCentre = m_settings.dataCentre;
     report.isReady = m_isReady;
     report.isDraining = m_isDraining;
--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -198,7 +198,10 @@
     void observe(TimePoint now, std::vector<FleetAction>&);
     void expireState(TimePoint now);
     bool merge(const Member& claim, TimePoint now);
-    bool refute(const Member& claim);
+    bool refute(const Member& claim, TimePoint now);
+    // Raises this member's incarnation above that of an earlier run, which was higher because the clock of the host has
+    // been set back since. Returns false if the claim is about a process that has been started after this one.
+    bool succeed(const Member& laterRun, TimePoint now);
     void mergeMembers(const GossipMessage&, bool isFresh, TimePoint now);
     void confirm(TrackedMember&);
     void confirmRosters(const GossipMessage&);
@@ -221,6 +224,8 @@
     const TrackedMember* peerToConfirm() const;
     const TrackedMember* firstReader() const; // Null if it is this member.
     bool isRemoteExchangeDue(RandomEngine&) const;
+    // The reply to a member that is taken for an earlier run: what is known of the later one.
+    GossipMessage replyWithClaim(const Member& claim) const;
     GossipMessage replyTo(const GossipMessage& request, TimePoint now);
     GossipMessage makeMessage(
         GossipMessage::Kind, const MemberId& peer, std::size_t claims, std::span<const Member> received);
@@ -251,6 +256,7 @@
     MemberTable m_table;
     PauseDetector m_pauses;
     std::map<DataCentreId, RegionId> m_regions;
+    std::optional<TimePoint> m_startedAt; // Of the first call; empty before.
     TimePoint m_resumedAt; // End of the last pause.
     // No reply to an exchange started after the last pause has arrived yet.
     bool m_isSelfExpired = false;
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -97,7 +97,11 @@
     if (isReply && started != m_exchanges.end())
         m_exchanges.erase(started);
     const auto* known = m_table.find(message.sender.id);
-    if (message.sender.id == m_self.id || (known && known->member.incarnation > message.sender.incarnation)) {
+    const bool isEarlierRun = known && known->member.incarnation > message.sender.incarnation;
+    if (message.sender.id == m_self.id || isEarlierRun) {
+        // The sender may also be a later run that was started after its clock had been set back.
+        if (isEarlierRun && !isReply)
+            handled.reply = replyWithClaim(known->member);
         reportChange(handled.actions);
         return handled;
     }
--- a/packages/fleet/src/FleetGossip.cpp
+++ b/packages/fleet/src/FleetGossip.cpp
@@ -10,6 +10,7 @@
 
 void Fleet::observe(TimePoint now, std::vector<FleetAction>& actions)
 {
+    m_startedAt = m_startedAt.value_or(now);
     const auto gap = m_pauses.observe(now);
     if (!gap)
         return;
@@ -55,8 +56,10 @@
 }
 
 // Raises this member's version above that of a claim that it is suspect or gone.
-bool Fleet::refute(const Member& claim)
+bool Fleet::refute(const Member& claim, TimePoint now)
 {
+    if (claim.incarnation > m_self.incarnation)
+        return succeed(claim, now);
     const bool isSuspicion = claim.state == MemberState::Suspect || claim.state == MemberState::Gone;
     const bool isCurrent = claim.incarnation == m_self.incarnation && claim.version >= m_self.version;
     if (!isSuspicion || !isCurrent || claim.version == std::numeric_limits<std::uint32_t>::max())
@@ -65,6 +68,17 @@
     return true;
 }
 
+// A process that runs for longer has been replaced by another one under its id.
+bool Fleet::succeed(const Member& laterRun, TimePoint now)
+{
+    const bool hasJustStarted = now - m_startedAt.value_or(now) < m_limits.joinWindow;
+    if (!hasJustStarted || laterRun.incarnation.value() == std::numeric_limits<std::uint64_t>::max())
+        return false;
+    m_self.incarnation = Incarnation(laterRun.incarnation.value() + 1);
+    markChanged();
+    return true;
+}
+
 void Fleet::mergeMembers(const GossipMessage& message, bool isFresh, TimePoint now)
 {
     merge(message.sender, now);
@@ -81,7 +95,7 @@
     };
     for (const auto& claim : message.members) {
         if (claim.id == m_self.id) {
-            refute(claim);
+            refute(claim, now);
             continue;
         }
         if (!merge(claim, now))
@@ -148,6 +162,16 @@
     return reply;
 }
 
+GossipMessage Fleet::replyWithClaim(const Member& claim) const
+{
+    GossipMessage reply;
+    reply.kind = GossipMessage::Kind::Reply;
+    reply.sender = m_self;
+    reply.configuration = m_hooks.digest();
+    reply.members.push_back(claim);
+    return reply;
+}
+
 GossipMessage Fleet::makeMessage(
     GossipMessage::Kind kind, const MemberId& peer, std::size_t claims, std::span<const Member> received)
 {
