Keep the lease while the store's answers are large or late

A request was served by a route that had been removed 2.8 s before, by a member whose configuration may be 2 s old, and would have been for good. The new routing document was large and the member's link small: its read ran out of time after the answer had begun. That counted as a store that answers nobody, so that the lease had no limit any more.

An answer that began, and a check that was answered, now show that the store is available to this member; only a read without any answer after the last of these ends the limit.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
@@ -36,6 +36,7 @@
     // The records held include every change that the store had acknowledged at `at`, by a read of this member or as a
     // peer says.
     void confirm(TimePoint at, const std::optional<MemberId>& by = {});
+    // The store is available to this member, whether or not the records are complete.
     void storeAnswered(Era, TimePoint at);
     // A read that began at `at` got no answer from the store.
     void storeUnreachable(TimePoint at);
--- a/packages/configuration/src/ConfigurationLease.cpp
+++ b/packages/configuration/src/ConfigurationLease.cpp
@@ -23,10 +23,11 @@
     m_unreachableAt = std::max(m_unreachableAt.value_or(at), at);
 }
 
-// A confirmation from after the read shows that the store answers other members.
+// A confirmation from after the read shows that the store answers other members, and an answer that it answers this
+// one.
 bool ConfigurationLease::hasLimit() const
 {
-    const bool isUnreachable = m_unreachableAt && (!m_confirmedAt || *m_unreachableAt > *m_confirmedAt);
+    const bool isUnreachable = m_unreachableAt && m_unreachableAt > std::max(m_confirmedAt, m_answeredAt);
     return m_maxAge && !isUnreachable;
 }
 
--- a/packages/configuration/tests/ConfigurationLeaseTest.cpp
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -13,11 +13,12 @@
 constexpr Fraction half { 0.5 };
 
 struct Evidence {
-    enum class Kind { Confirmed, Unreachable } kind;
+    enum class Kind { Confirmed, Unreachable, Answered } kind;
     Duration at; // Since the start.
 };
 constexpr auto confirmed = Evidence::Kind::Confirmed;
 constexpr auto unreachable = Evidence::Kind::Unreachable;
+constexpr auto answered = Evidence::Kind::Answered; // Without a confirmation.
 
 struct LeaseRow {
     const char* name;
@@ -40,6 +41,10 @@
         4500ms },
     { "the store answers again", 3s, { { confirmed, 1s }, { unreachable, 2s }, { confirmed, 8s } }, 11s, 9500ms,
         9500ms },
+    { "the store answers again, with a part", 3s, { { confirmed, 1s }, { unreachable, 2s }, { answered, 3s } }, 4s,
+        2500ms, 2500ms },
+    { "unreachable after an answer", 3s, { { confirmed, 1s }, { answered, 2s }, { unreachable, 3s } }, std::nullopt,
+        std::nullopt, 2500ms },
     { "no limit", std::nullopt, { { confirmed, 1s } }, std::nullopt, std::nullopt, std::nullopt },
 };
 
@@ -56,6 +61,8 @@
     for (const auto& [kind, at] : row.evidence) {
         if (kind == confirmed)
             lease.confirm(start + at);
+        else if (kind == answered)
+            lease.storeAnswered(Era(), start + at);
         else
             lease.storeUnreachable(start + at);
     }
--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformWatcher.h
@@ -36,6 +36,8 @@
         std::function<void(TimePoint)> confirmed {};
         // A read that began at this time got no answer.
         std::function<void(TimePoint)> unanswered {};
+        // The service has answered, be it with only a part of the records.
+        std::function<void()> answered {};
     };
 
     PlatformWatcher(asio::io_context&, RecordSource, Hooks, DaemonMetrics&);
@@ -63,7 +65,8 @@
     bool needsConfirmation() const;
     asio::awaitable<void> confirmByRead();
     void reportConfirmed(TimePoint readBegan);
-    void reportUnanswered(TimePoint readBegan);
+    void reportFailure(TimePoint readBegan, const ExchangeError&);
+    void reportAnswer();
     void handleFailedBatch(const std::exception_ptr&);
     asio::awaitable<void> pause(Duration);
 
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -30,7 +30,8 @@
 
 // Read-only source of records: the product's own configuration service or a platform's registry.
 struct RecordSource {
-    // Waits for up to `wait` if no record is newer than `since`.
+    // Waits for up to `wait` if no record is newer than `since`. Fails with ErrorKind::UpstreamTruncated if an answer
+    // began but did not arrive completely.
     std::function<ExchangeResult<RecordBatch>(Revision since, Duration wait)> readRecords;
     // Asks the service, without waiting, whether it has records that the watch in progress should have returned. Fails
     // if the service does not respond, with ErrorKind::UpstreamRefused if it refuses the question. Must be callable
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -95,6 +95,10 @@
               [this](TimePoint at) {
                   m_lease.storeUnreachable(at);
                   renewLease();
+              },
+              [this] {
+                  m_lease.storeAnswered(storeEra(), monotonicNow());
+                  renewLease();
               } },
           metrics)
     , m_operators(m_io,
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -158,9 +158,11 @@
             co_return;
         if (!hasNewer && hasNewer.error().kind == ErrorKind::UpstreamRefused) {
             if (isConfirmation)
-                reportUnanswered(now);
+                reportFailure(now, hasNewer.error());
             continue;
         }
+        if (hasNewer)
+            reportAnswer();
         if (isConfirmation && hasNewer && !*hasNewer)
             reportConfirmed(now);
         if (!hasNewer) {
@@ -214,7 +216,7 @@
         DOGWOODHALL_LOG(platform, warning) << "Cannot read the configuration service: " << batch.error().detail << ".";
         if (wasReachable)
             m_hooks.recordsUnreachable();
-        reportUnanswered(startedAt);
+        reportFailure(startedAt, batch.error());
         isRead = false;
         co_return;
     }
@@ -246,11 +248,20 @@
         m_hooks.confirmed(readBegan);
 }
 
-void PlatformWatcher::reportUnanswered(TimePoint readBegan)
+void PlatformWatcher::reportAnswer()
+{
+    if (m_hooks.answered)
+        m_hooks.answered();
+}
+
+// An answer that is too large for its time shows that the service is available.
+void PlatformWatcher::reportFailure(TimePoint readBegan, const ExchangeError& error)
 {
     const TimePoint now = monotonicNow();
     m_confirmAfter = now + confirmationRetryDelay;
-    if (m_hooks.unanswered && now - readBegan <= maxReadTime)
+    if (error.kind == ErrorKind::UpstreamTruncated)
+        reportAnswer();
+    else if (m_hooks.unanswered && now - readBegan <= maxReadTime)
         m_hooks.unanswered(readBegan);
 }
 
@@ -266,7 +277,7 @@
     const auto batch = co_await m_source.readRecords(held, Duration::zero());
     if (!batch) {
         m_metrics.platformFailures.add();
-        reportUnanswered(startedAt);
+        reportFailure(startedAt, batch.error());
         co_return;
     }
     m_hooks.recordsRead(*batch);
--- a/packages/http/include/dogwoodhall/http/Document.h
+++ b/packages/http/include/dogwoodhall/http/Document.h
@@ -18,7 +18,8 @@
     std::string body;
 };
 
-// Fetches a document by GET and reads it completely, regardless of its status. The client must outlive the call.
+// Fetches a document by GET and reads it completely, regardless of its status. The client must outlive the call. Fails
+// with ErrorKind::UpstreamTruncated if the response began but did not arrive completely.
 ExchangeResult<Document> getDocument(UpstreamClient&, NetworkAddress, std::string target, DocumentLimits);
 
 } // namespace dogwoodhall
--- a/packages/http/src/Document.cpp
+++ b/packages/http/src/Document.cpp
@@ -30,8 +30,10 @@
     document.status = response->head.status;
     document.fields = response->head.fields;
     auto body = co_await readFullBody(*response, limits.size, after(limits.bodyTimeout));
-    if (!body)
-        co_return tl::unexpected(body.error());
+    if (!body) {
+        ExchangeError truncated { ErrorKind::UpstreamTruncated, false, body.error().detail };
+        co_return tl::unexpected(std::move(truncated));
+    }
     document.body = std::move(*body);
     co_return document;
 }
--- a/tests/system/RegistryTest.cpp
+++ b/tests/system/RegistryTest.cpp
@@ -405,6 +405,50 @@
     }
 }
 
+struct SlowReadRow {
+    const char* name;
+    std::uint64_t bytesPerSecond; // Of the store's answers to the daemon.
+};
+
+// A routing document of 2,000 routes takes about 600,000 bytes.
+const SlowReadRow slowReadRows[] = {
+    { "the answer takes longer than a read may", 60'000 },
+    { "the answer takes a little longer than a read may", 250'000 },
+    { "the answer arrives in time", 2'000'000 },
+};
+
+// Guards against a member that takes a read which runs out of time, because the answer is large and its link small, for
+// a store that answers nobody, and goes on deciding by the configuration that it has.
+ParameterizedTestParameters(Registry, decidesByNoExpiredConfigurationWhileReadsAreSlow)
+{
+    return rowIndices(slowReadRows);
+}
+
+ParameterizedTest(std::size_t* index, Registry, decidesByNoExpiredConfigurationWhileReadsAreSlow, .timeout = 60)
+{
+    using Clock = std::chrono::steady_clock;
+    const auto& row = slowReadRows[*index];
+    constexpr std::chrono::milliseconds maxAge { 2000 };
+    RegistryCluster::Options options;
+    options.maxConfigurationAgeMs = static_cast<unsigned>(maxAge.count());
+    options.unusedRoutes = 2000;
+    RegistryCluster cluster(1, 1, options);
+    ::usleep(2'500'000); // The pause after the first read.
+    cr_assert(eventually([&] { return cluster.request("GET", "/lookups/1", "a").status == 200; }));
+    cluster.paceRegistry(row.bytesPerSecond);
+    cluster.publishRouting(2, "/finds/");
+    const auto changedAt = Clock::now();
+    for (auto sentAt = changedAt; sentAt < changedAt + std::chrono::seconds(8); sentAt = Clock::now()) {
+        const auto status = cluster.request("GET", "/lookups/1", "late").status;
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(sentAt - changedAt);
+        cr_assert(status != 200 || age <= maxAge, "%s: served by a route that was removed %d ms before", row.name,
+            static_cast<int>(age.count()));
+        ::usleep(50'000);
+    }
+    cluster.paceRegistry(0);
+    cr_expect(eventually([&] { return cluster.request("GET", "/finds/1", "b").status == 200; }), "%s", row.name);
+}
+
 // Guards against losing endpoints whose leases expire while the store is unavailable.
 Test(Registry, keepsEndpointsThatLapseInAnOutage, .timeout = 60)
 {
--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -154,6 +154,11 @@
 
 void RegistryCluster::restoreRegistry() { callRegistry("PUT", "/control/restore"); }
 
+void RegistryCluster::paceRegistry(std::uint64_t bytesPerSecond)
+{
+    callRegistry("PUT", "/control/pace?bytes_per_second=" + std::to_string(bytesPerSecond));
+}
+
 void RegistryCluster::compactRegistry() { callRegistry("PUT", "/control/compact"); }
 
 std::size_t RegistryCluster::registryReads() const { return std::stoul(callRegistry("GET", "/control/reads").body); }
@@ -194,11 +199,14 @@
         { "tls", false } };
     if (m_options.coldRequestsPerSecond)
         catalogue["cold_per_s"] = *m_options.coldRequestsPerSecond;
+    json::object routes { { "lookups", route(prefix, "idempotent", m_options.routeTimeoutMs, allowedRegions) },
+        { "orders", route("/orders/", "non_idempotent", m_options.routeTimeoutMs, allowedRegions) } };
+    for (unsigned n = 0; n < m_options.unusedRoutes; ++n) {
+        const auto name = "unused-" + std::to_string(n);
+        routes[name] = route("/" + name + "/", "idempotent", m_options.routeTimeoutMs, allowedRegions);
+    }
     publishText("op/config",
-        json::serialize(json::object { { "version", digits },
-            { "routes",
-                json::object { { "lookups", route(prefix, "idempotent", m_options.routeTimeoutMs, allowedRegions) },
-                    { "orders", route("/orders/", "non_idempotent", m_options.routeTimeoutMs, allowedRegions) } } },
+        json::serialize(json::object { { "version", digits }, { "routes", std::move(routes) },
             { "services", json::object { { "catalogue", catalogue } } } }));
 }
 
--- a/tests/system/support/RegistryCluster.h
+++ b/tests/system/support/RegistryCluster.h
@@ -38,6 +38,7 @@
         double warmUpOverage = 1;
         double warmUpSlack = 0;
         std::optional<unsigned> maxConfigurationAgeMs {}; // Empty for no limit.
+        unsigned unusedRoutes = 0; // In each routing document, of about 250 bytes each.
         std::string settings = "{}"; // More settings of each daemon, as a JSON object.
     };
 
@@ -61,6 +62,8 @@
     void setMode(std::size_t endpoint, const std::string& query);
     void setRegistryMode(const std::string& state);
     void compactRegistry();
+    // The registry sends its answers at this rate from now on; 0 for no limit.
+    void paceRegistry(std::uint64_t bytesPerSecond);
     // Keeps a copy of the registry, to which restoreRegistry() goes back in a new era.
     void copyRegistry();
     void restoreRegistry();
--- a/tools/src/RegistryStandIn.cpp
+++ b/tools/src/RegistryStandIn.cpp
@@ -24,6 +24,7 @@
 //                                          watches are answered afterwards
 //   PUT /control/serializable?stale=0|1  serializable reads return the state at the time of this call from then on, or
 //                                        the present one again
+//   PUT /control/pace?bytes_per_second=<n>   sends the bodies of the answers to daemons at this rate; 0 for no limit
 //   PUT /control/compact                 discards the history: watches from an earlier revision are answered with 410
 //   PUT /control/copy                    keeps a copy of the items and the revision
 //   PUT /control/restore                 goes back to the copy and begins the next era: later changes are lost, and
@@ -45,6 +46,7 @@
 constexpr ByteCount controlLimit { 16ULL * 1024 * 1024 };
 // Small, so that a few endpoints already need several pages.
 constexpr std::size_t maxPageItems = 3;
+constexpr std::size_t pacedPartsPerSecond = 20;
 
 class RegistryStandIn {
 public:
@@ -70,7 +72,7 @@
     asio::awaitable<void> handle(IncomingRequest, ResponseWriter);
     asio::awaitable<void> handleControl(const IncomingRequest&, const Target&, const ResponseWriter&);
     asio::awaitable<void> watch(const Target&, const ResponseWriter&);
-    asio::awaitable<void> answer(const ResponseWriter&, unsigned status, std::string body) const;
+    asio::awaitable<void> answer(const ResponseWriter&, unsigned status, std::string body);
     void restore();
     asio::awaitable<void> waitForDisconnect();
     std::string nextPage(const Target&);
@@ -90,6 +92,7 @@
     std::map<std::string, Item> m_items;
     std::map<std::string, std::string> m_laterItems; // Values to be written after the next page.
     std::uint64_t m_revision = 1;
+    std::uint64_t m_bytesPerSecond = 0; // 0: no limit.
     std::uint64_t m_era = 1;
     Copy m_copy;
     std::uint64_t m_compactedRevision = 0; // Events before this revision have been discarded.
@@ -140,6 +143,8 @@
         m_mode = target.text("state");
     } else if (target.path == "/control/serializable") {
         m_staleRevision = target.number("stale", 0) == 1 ? std::optional(m_revision) : std::nullopt;
+    } else if (target.path == "/control/pace") {
+        m_bytesPerSecond = target.number("bytes_per_second", 0);
     } else if (target.path == "/control/compact") {
         m_compactedRevision = ++m_revision;
     } else if (target.path == "/control/copy") {
@@ -175,11 +180,23 @@
         co_await answer(writer, 200, eventsAfter(after));
 }
 
-asio::awaitable<void> RegistryStandIn::answer(const ResponseWriter& writer, unsigned status, std::string body) const
+asio::awaitable<void> RegistryStandIn::answer(const ResponseWriter& writer, unsigned status, std::string body)
 {
-    HeaderFields fields;
-    fields.add(eraField, std::to_string(m_era));
-    co_await writeAnswer(writer, status, std::move(body), std::move(fields));
+    ResponseHead head;
+    head.status = status;
+    head.fields.add(eraField, std::to_string(m_era));
+    if (m_bytesPerSecond == 0)
+        co_return co_await writeFullResponse(writer, head, body);
+    head.bodyLength = { BodyLength::Kind::Exact, ByteCount(body.size()) };
+    co_await writer.writeHead(head);
+    const std::size_t partBytes = m_bytesPerSecond / pacedPartsPerSecond;
+    asio::steady_timer timer(m_server.io());
+    for (std::size_t n = 0; n < body.size(); n += partBytes) {
+        co_await writer.writeBody(asio::buffer(body.data() + n, std::min(partBytes, body.size() - n)));
+        timer.expires_after(std::chrono::milliseconds(1000) / pacedPartsPerSecond);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+    co_await writer.finish();
 }
 
 void RegistryStandIn::restore()
