--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -199,9 +199,9 @@
     void expireState(TimePoint now);
     bool merge(const Member& claim, TimePoint now);
     bool refute(const Member& claim, TimePoint now);
-    // Raises this member's incarnation above that of an earlier run, which was higher because the clock of the host has
-    // been set back since. Returns false if the claim is about a process that has been started after this one.
-    bool succeed(const Member& laterRun, TimePoint now);
+    // An earlier run has a higher incarnation if the clock of the host has been set back since. Returns false if the
+    // claim is taken to be about a process that has been started after this one.
+    bool raiseIncarnationAbove(const Member& laterRun, TimePoint now);
     void mergeMembers(const GossipMessage&, bool isFresh, TimePoint now);
     void confirm(TrackedMember&);
     void confirmRosters(const GossipMessage&);
--- a/packages/fleet/src/FleetGossip.cpp
+++ b/packages/fleet/src/FleetGossip.cpp
@@ -55,11 +55,12 @@
     return true;
 }
 
-// Raises this member's version above that of a claim that it is suspect or gone.
+// Raises this member's version above that of a claim that it is suspect or gone, or its incarnation above that of a
+// claim about an earlier run.
 bool Fleet::refute(const Member& claim, TimePoint now)
 {
     if (claim.incarnation > m_self.incarnation)
-        return succeed(claim, now);
+        return raiseIncarnationAbove(claim, now);
     const bool isSuspicion = claim.state == MemberState::Suspect || claim.state == MemberState::Gone;
     const bool isCurrent = claim.incarnation == m_self.incarnation && claim.version >= m_self.version;
     if (!isSuspicion || !isCurrent || claim.version == std::numeric_limits<std::uint32_t>::max())
@@ -69,7 +70,7 @@
 }
 
 // A process that runs for longer has been replaced by another one under its id.
-bool Fleet::succeed(const Member& laterRun, TimePoint now)
+bool Fleet::raiseIncarnationAbove(const Member& laterRun, TimePoint now)
 {
     const bool hasJustStarted = now - m_startedAt.value_or(now) < m_limits.joinWindow;
     if (!hasJustStarted || laterRun.incarnation.value() == std::numeric_limits<std::uint64_t>::max())
