Log what a denied request asked for, and which routes a version changes

A no-route line had neither host nor path, so that a denied request of a caller looked like one for a route that never existed; a head that the session refuses (400, 413, 431) was only counted; and no line said which routes a version adds or removes.

refused has a detail (host name and path, or why a body could not be read), rejected and routes-changed are new. No decision changes.

--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -20,6 +20,7 @@
 #include "dogwoodhall/daemon/control/SpanExporter.h"
 #include "dogwoodhall/daemon/control/StatusReport.h"
 #include "dogwoodhall/declarations/Settings.h"
+#include "dogwoodhall/telemetry/EventLog.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -45,6 +46,7 @@
         std::function<std::size_t()> requestsRunning;
         std::function<void(const ProbeTarget&, const HealthReport&)> reportHealth; // Notifies the pool's thread.
         std::function<void(const std::vector<PoolLoadSummary>&)> observeLoads; // Notifies all traffic threads.
+        std::function<void(EventLine)> log;
         OperatorServer::Explain explain; // Empty if the process cannot say where a request would go.
     };
 
@@ -95,6 +97,7 @@
     void requestPublication(PublicationReason);
     void perform(const std::optional<PublicationAction>&);
     void publish();
+    void logRoutes(const Directory* before, const Directory& after);
     bool isWatcher() const;
     bool isLargeFleet() const;
     StatusReport statusReport() const;
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
@@ -98,12 +98,15 @@
     RequestPath makeHomeRequestPath();
     void checkForPause();
     bool spendPingBudget(bool isRepeated);
+    // A request that the handler never got.
+    void handleRejected(ErrorKind, std::string_view detail);
     void handleCallerClosed(CallerCloseReason);
     void handleSilenceChange(const NetworkAddress&, SilenceChange);
     void checkDrained();
 
     Options m_options;
     DaemonMetrics& m_metrics;
+    EventLog& m_events;
     asio::io_context m_io { 1 };
     asio::executor_work_guard<asio::io_context::executor_type> m_work;
     Acceptor m_acceptor;
--- a/packages/daemon/src/Daemon.cpp
+++ b/packages/daemon/src/Daemon.cpp
@@ -96,7 +96,8 @@
               [this] { beginDrain(); }, [this] { stopNow(); }, [this] { return m_registry.toPrometheusText(); },
               [this] { return requestsRunning(); },
               [this](const ProbeTarget& target, const HealthReport& report) { reportHealth(target, report); },
-              [this](const std::vector<PoolLoadSummary>& loads) { observeLoads(loads); }, explainHook() })
+              [this](const std::vector<PoolLoadSummary>& loads) { observeLoads(loads); },
+              [this](EventLine line) { m_events.add(std::move(line), monotonicNow()); }, explainHook() })
     , m_signals(m_control.io(), SIGTERM, SIGINT)
     , m_reloads(m_control.io(), SIGHUP)
     , m_stopTimer(m_control.io())
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -3,6 +3,7 @@
 #include "dogwoodhall/budget/PingBudget.h"
 #include "dogwoodhall/daemon/Clock.h"
 #include "dogwoodhall/daemon/control/PlacesLog.h"
+#include "dogwoodhall/daemon/control/RoutesLog.h"
 #include "dogwoodhall/exchange/EventLoop.h"
 #include "dogwoodhall/fleet/FirstReadDelay.h"
 #include "dogwoodhall/fleet/RegistryFleetLimits.h"
@@ -538,8 +539,7 @@
     logEvacuations(m_published ? m_published->eligibility.evacuated() : std::set<DataCentreId> {}, evacuated);
     m_metrics.evacuatedDataCentres.set(evacuated.size());
     if (const auto& directory = snapshot->directory)
-        logRoutesRegions(
-            m_published ? m_published->directory.get() : nullptr, *directory, m_settings.registry->regions);
+        logRoutes(m_published ? m_published->directory.get() : nullptr, *directory);
     // Before it is ready, a member may hold a service without the topology.
     if (m_isReady)
         m_allowedRegionsLog.update(m_configuration.sharedServices(), snapshot->eligibility);
@@ -556,6 +556,13 @@
     perform(m_pacer.published(cost, monotonicNow()));
 }
 
+void ControlThread::logRoutes(const Directory* before, const Directory& after)
+{
+    logRoutesRegions(before, after, m_settings.registry->regions);
+    if (auto line = describeRouteChanges(before, after))
+        m_hooks.log(*std::move(line));
+}
+
 void ControlThread::setDraining()
 {
     m_isDraining = true;
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -24,9 +24,17 @@
 constexpr Duration notReadyRetry = std::chrono::milliseconds(200);
 // Retry delay sent while the process stops: the next attempt reaches another member.
 constexpr Duration drainingRetry = Duration::zero();
+// Of the path in the log line of a request that has no plan.
+constexpr std::size_t maxLoggedPath = 100;
 // The fleet as a whole keeps at most half of an endpoint's connections idle; the other half is for requests in flight.
 constexpr std::size_t idleShareDivisor = 2;
 
+// Such as "shop.example/orders/17".
+std::string describe(const RouteQuery& query)
+{
+    return std::string(query.hostName) + std::string(query.path.substr(0, maxLoggedPath));
+}
+
 // Such as "evacuated=3 unreachable=1".
 std::string describe(const ExclusionCounts& exclusions)
 {
@@ -137,8 +145,10 @@
     const RouteQuery query { hostNameOf(request.head), pathOf(request.head.target), request.head.method };
     auto plan = m_dispatcher.admit(query, call.timeLeft, monotonicNow());
     if (!plan) {
-        const auto retryAfter = plan.error() == ErrorKind::Draining ? std::optional(drainingRetry) : std::nullopt;
-        const RefuseRequest refusal { plan.error(), Outcome::NotRun, retryAfter };
+        RefuseRequest refusal { plan.error(), Outcome::NotRun, std::nullopt };
+        if (plan.error() == ErrorKind::Draining)
+            refusal.retryAfter = drainingRetry;
+        refusal.detail = describe(query);
         co_return co_await refuse(writer, call.id, refusal, nullptr);
     }
     const auto progress = std::move(request.progress);
@@ -156,7 +166,9 @@
         const auto* prefetched = std::get_if<0>(&result);
         if (!prefetched || !*prefetched) {
             const auto kind = prefetched ? prefetched->error().kind : ErrorKind::RequestTimeout;
-            const RefuseRequest refusal { kind, Outcome::NotRun, std::nullopt };
+            RefuseRequest refusal { kind, Outcome::NotRun, std::nullopt };
+            if (prefetched)
+                refusal.detail = prefetched->error().detail;
             co_return co_await refuse(writer, state.id, refusal, &state.plan);
         }
     }
@@ -211,6 +223,8 @@
     EventLine line(EventKind::Failure, "refused");
     line.add("id", id.value()).add("error", answer.name).add("status", std::uint64_t(answer.status));
     line.add("outcome", toString(refusal.outcome));
+    if (!refusal.detail.empty())
+        line.add("detail", refusal.detail);
     line.add("revision", m_snapshot->revision.value());
     addConfirmation(line);
     if (!plan && m_snapshot->directory)
--- a/packages/daemon/src/traffic/TrafficThread.cpp
+++ b/packages/daemon/src/traffic/TrafficThread.cpp
@@ -43,6 +43,7 @@
 TrafficThread::TrafficThread(Options options, DaemonMetrics& metrics, EventLog& events)
     : m_options(std::move(options))
     , m_metrics(metrics)
+    , m_events(events)
     , m_work(asio::make_work_guard(m_io))
     , m_acceptor(m_io.get_executor())
     , m_random(m_options.seed)
@@ -61,7 +62,8 @@
           [this](IncomingRequest request, ResponseWriter writer) {
               return handleCaller(std::move(request), std::move(writer));
           },
-          { [this] { checkDrained(); }, [this](ErrorKind kind) { m_metrics.error(kind).add(); },
+          { [this] { checkDrained(); },
+              [this](ErrorKind kind, std::string_view detail) { handleRejected(kind, detail); },
               [this](CallerCloseReason reason) { handleCallerClosed(reason); } })
     , m_peerServer(
           m_io.get_executor(), m_options.peerLimits,
@@ -218,6 +220,18 @@
     return false;
 }
 
+void TrafficThread::handleRejected(ErrorKind kind, std::string_view detail)
+{
+    m_metrics.error(kind).add();
+    const auto& answer = answerFor(kind);
+    EventLine line(EventKind::Failure, "rejected");
+    line.add("error", answer.name).add("status", std::uint64_t(answer.status)).add("detail", detail);
+    line.add("ready", m_snapshot->isReady);
+    if (m_snapshot->directory)
+        line.add("version", m_snapshot->directory->version());
+    m_events.add(std::move(line), monotonicNow());
+}
+
 void TrafficThread::handleCallerClosed(CallerCloseReason reason)
 {
     m_metrics.closed(reason).add();
--- a/packages/dispatch/include/dogwoodhall/dispatch/RequestPlan.h
+++ b/packages/dispatch/include/dogwoodhall/dispatch/RequestPlan.h
@@ -32,6 +32,7 @@
     std::optional<Duration> retryAfter;
     std::optional<EndpointChoice> best {}; // The best candidate, if it was not good enough.
     ExclusionCounts exclusions {}; // Why no endpoint could be used, if none could.
+    std::string detail {}; // For logs.
 };
 
 using RequestAction = std::variant<ProbeEndpoints, SendRequest, RefuseRequest>;
--- a/packages/http/include/dogwoodhall/http/CallerSession.h
+++ b/packages/http/include/dogwoodhall/http/CallerSession.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace dogwoodhall {
 
@@ -26,8 +27,8 @@
     bool operator==(const CallerLimits&) const = default;
 };
 
-// Called for each request that the session rejects without calling the handler.
-using RequestRejected = std::function<void(ErrorKind)>;
+// Called for each request that the session rejects without calling the handler, with the reason for logs.
+using RequestRejected = std::function<void(ErrorKind, std::string_view detail)>;
 
 // Server side of one caller's HTTP/1.1 connection: reads requests, passes each to the handler and writes the responses
 // in the order of the requests. Requests are served one at a time, beside those that RequestPipeline lets run ahead.
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -276,7 +276,7 @@
 {
     m_current->keepAlive = false;
     if (m_rejected)
-        m_rejected(ErrorKind::CallerLimit);
+        m_rejected(ErrorKind::CallerLimit, "no room for this connection");
     co_await writeError(writer(*m_current), ErrorKind::CallerLimit, Outcome::NotRun, evictedRetry);
 }
 
@@ -285,7 +285,7 @@
     m_current->keepAlive = false;
     const auto kind = errorKindFor(ec);
     if (m_rejected)
-        m_rejected(kind);
+        m_rejected(kind, ec.message());
     co_await writeError(writer(*m_current), kind, Outcome::NotRun);
 }
 
