Deny no request by a configuration of unknown age

Callers got 404 for a route that the operator had added, from a member that the store did not answer: its lease has no limit then, so that it goes on serving, and what its old records lacked counted as missing. A client does not retry after a 404, so that each is a lost request.

The lease has a second term: what the records lack is certain for maxConfigurationAgeMs from the last confirmation, whether or not the store answers. Known routes are served as before.

DenialTest namesNoMissingRouteByAnOldConfiguration failed in 2 of 3 rows before (store down, busy: 404), and passes in 3 of 3.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
@@ -12,6 +12,9 @@
     // The records include every change that the store had acknowledged by then; empty if that was never confirmed.
     std::optional<TimePoint> confirmedAt;
     TimePoint validUntil; // max() without a limit.
+    // A request may be denied by what the records lack, or forbid, until then. Other than validUntil this also holds
+    // while no member can know of changes. max() without a limit.
+    TimePoint deniesUntil;
     // For logs.
     std::optional<MemberId> confirmedBy {}; // The peer that confirmed the records; empty if this member's own read did.
     std::optional<TimePoint> storeAnsweredAt {}; // The last time that the store answered this member.
@@ -24,7 +27,9 @@
 // store has acknowledged it, but a member that hears nothing cannot tell whether there were changes. So the records are
 // confirmed again and again, by reads of the store or by peers that have read it, and the lease lasts for that time
 // from the last confirmation. It has no limit while the store does not answer this member and no peer confirms them:
-// then no member may know. The store may also refuse only this member, so that it goes on asking its peers.
+// then no member may know, and requests are served rather than refused. What the records do not allow may have been
+// allowed since, though, so that no request is denied for good by records that are older. The store may also refuse
+// only this member, so that it goes on asking its peers.
 class ConfigurationLease {
 public:
     // Without `maxAge` the lease has no limit.
--- a/packages/configuration/src/ConfigurationLease.cpp
+++ b/packages/configuration/src/ConfigurationLease.cpp
@@ -38,10 +38,11 @@
 
 LeaseTerm ConfigurationLease::term() const
 {
-    TimePoint validUntil = TimePoint::max();
-    if (hasLimit())
-        validUntil = m_confirmedAt ? *m_confirmedAt + *m_maxAge : TimePoint();
-    return { m_confirmedAt, validUntil, m_confirmedBy, m_answeredAt, m_era };
+    TimePoint deniesUntil = TimePoint::max();
+    if (m_maxAge)
+        deniesUntil = m_confirmedAt ? *m_confirmedAt + *m_maxAge : TimePoint();
+    const TimePoint validUntil = hasLimit() ? deniesUntil : TimePoint::max();
+    return { m_confirmedAt, validUntil, deniesUntil, m_confirmedBy, m_answeredAt, m_era };
 }
 
 } // namespace dogwoodhall
--- a/packages/configuration/tests/ConfigurationLeaseTest.cpp
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -11,6 +11,7 @@
 
 constexpr TimePoint start { 100s };
 constexpr Fraction half { 0.5 };
+constexpr Duration never = TimePoint() - start;
 
 struct Evidence {
     enum class Kind { Confirmed, Unreachable, Answered } kind;
@@ -25,33 +26,35 @@
     std::optional<Duration> maxAge;
     std::vector<Evidence> evidence;
     std::optional<Duration> validUntil; // Since the start; empty: no limit.
+    std::optional<Duration> deniesUntil; // Likewise.
     std::optional<Duration> needsConfirmationAt; // By a read, since the start; empty: never.
     std::optional<Duration> isDueAt; // From peers; empty: never.
 };
 
 const LeaseRow rows[] = {
-    { "confirmed once", 3s, { { confirmed, 1s } }, 4s, 2500ms, 2500ms },
-    { "confirmed again", 3s, { { confirmed, 1s }, { confirmed, 2s } }, 5s, 3500ms, 3500ms },
-    { "an older confirmation arrives later", 3s, { { confirmed, 2s }, { confirmed, 1s } }, 5s, 3500ms, 3500ms },
-    { "store unreachable", 3s, { { confirmed, 1s }, { unreachable, 2s } }, std::nullopt, std::nullopt, 2500ms },
-    { "store unreachable from the start", 3s, { { unreachable, 2s } }, std::nullopt, std::nullopt, 0ms },
-    { "a peer reads the store that this member cannot", 3s, { { unreachable, 2s }, { confirmed, 3s } }, 6s, 4500ms,
+    { "confirmed once", 3s, { { confirmed, 1s } }, 4s, 4s, 2500ms, 2500ms },
+    { "confirmed again", 3s, { { confirmed, 1s }, { confirmed, 2s } }, 5s, 5s, 3500ms, 3500ms },
+    { "an older confirmation arrives later", 3s, { { confirmed, 2s }, { confirmed, 1s } }, 5s, 5s, 3500ms, 3500ms },
+    { "store unreachable", 3s, { { confirmed, 1s }, { unreachable, 2s } }, std::nullopt, 4s, std::nullopt, 2500ms },
+    { "store unreachable from the start", 3s, { { unreachable, 2s } }, std::nullopt, never, std::nullopt, 0ms },
+    { "a peer reads the store that this member cannot", 3s, { { unreachable, 2s }, { confirmed, 3s } }, 6s, 6s, 4500ms,
         4500ms },
-    { "a read that failed after a later confirmation", 3s, { { confirmed, 3s }, { unreachable, 2s } }, 6s, 4500ms,
+    { "a read that failed after a later confirmation", 3s, { { confirmed, 3s }, { unreachable, 2s } }, 6s, 6s, 4500ms,
         4500ms },
-    { "the store answers again", 3s, { { confirmed, 1s }, { unreachable, 2s }, { confirmed, 8s } }, 11s, 9500ms,
+    { "the store answers again", 3s, { { confirmed, 1s }, { unreachable, 2s }, { confirmed, 8s } }, 11s, 11s, 9500ms,
         9500ms },
-    { "the store answers again, with a part", 3s, { { confirmed, 1s }, { unreachable, 2s }, { answered, 3s } }, 4s,
+    { "the store answers again, with a part", 3s, { { confirmed, 1s }, { unreachable, 2s }, { answered, 3s } }, 4s, 4s,
         2500ms, 2500ms },
-    { "unreachable after an answer", 3s, { { confirmed, 1s }, { answered, 2s }, { unreachable, 3s } }, std::nullopt,
+    { "unreachable after an answer", 3s, { { confirmed, 1s }, { answered, 2s }, { unreachable, 3s } }, std::nullopt, 4s,
         std::nullopt, 2500ms },
-    { "no limit", std::nullopt, { { confirmed, 1s } }, std::nullopt, std::nullopt, std::nullopt },
+    { "no limit", std::nullopt, { { confirmed, 1s } }, std::nullopt, std::nullopt, std::nullopt, std::nullopt },
 };
 
 } // namespace
 
 // Guards against members that decide by records of unknown age while the store answers, against members that refuse
-// requests while it does not, and against one that asks no peer because the store refuses it alone.
+// requests while it does not, against one that asks no peer because the store refuses it alone, and against one that
+// denies requests by old records.
 ParameterizedTestParameters(ConfigurationLease, lastsFromTheLastConfirmation) { return rowIndices(rows); }
 
 ParameterizedTest(std::size_t* index, ConfigurationLease, lastsFromTheLastConfirmation)
@@ -69,6 +72,9 @@
     const auto expected = row.validUntil ? start + *row.validUntil : TimePoint::max();
     cr_expect(lease.term().validUntil == expected, "%s: valid until %f s", row.name,
         toSeconds(lease.term().validUntil - start));
+    const auto denies = row.deniesUntil ? start + *row.deniesUntil : TimePoint::max();
+    cr_expect(lease.term().deniesUntil == denies, "%s: denies until %f s", row.name,
+        toSeconds(lease.term().deniesUntil - start));
     const TimePoint due = start + row.needsConfirmationAt.value_or(1h);
     cr_expect_eq(lease.needsConfirmation(half, due), row.needsConfirmationAt.has_value(), "%s", row.name);
     cr_expect_not(lease.needsConfirmation(half, due - 1ms), "%s", row.name);
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -148,6 +148,11 @@
         RefuseRequest refusal { plan.error(), Outcome::NotRun, std::nullopt };
         if (plan.error() == ErrorKind::Draining)
             refusal.retryAfter = drainingRetry;
+        const bool mayBeAdded = plan.error() == ErrorKind::NoRoute && monotonicNow() >= m_term.deniesUntil;
+        if (mayBeAdded) {
+            refusal.kind = ErrorKind::NotReady;
+            refusal.retryAfter = notReadyRetry;
+        }
         refusal.detail = describe(query);
         co_return co_await refuse(writer, call.id, refusal, nullptr);
     }
--- /dev/null
+++ b/tests/system/DenialTest.cpp
@@ -0,0 +1,53 @@
+#include "RegistryCluster.h"
+#include "TableRows.h"
+
+#include <chrono>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <string>
+
+using namespace dogwoodhall;
+
+namespace {
+
+constexpr std::chrono::milliseconds maxAge { 2000 };
+constexpr useconds_t firstReadPause = 2'500'000; // After the first read of the records.
+constexpr useconds_t confirmationTime = 1'000'000; // Longer than the time between two reads that confirm the records.
+constexpr useconds_t margin = 500'000;
+
+RegistryCluster::Options withLease()
+{
+    RegistryCluster::Options options;
+    options.maxConfigurationAgeMs = static_cast<unsigned>(maxAge.count());
+    return options;
+}
+
+} // namespace
+
+struct OutageRow {
+    const char* registryMode;
+};
+
+const OutageRow outageRows[] = { { "down" }, { "busy" }, { "silent" } };
+
+// Guards against a 404 for a route that the operator has added while the store did not answer the member: it must not
+// deny a request by a configuration of unknown age.
+ParameterizedTestParameters(Denial, namesNoMissingRouteByAnOldConfiguration) { return rowIndices(outageRows); }
+
+ParameterizedTest(std::size_t* index, Denial, namesNoMissingRouteByAnOldConfiguration, .timeout = 60)
+{
+    const auto& row = outageRows[*index];
+    RegistryCluster cluster(1, 1, withLease());
+    ::usleep(firstReadPause);
+    cr_assert_eq(cluster.request("GET", "/finds/1", "before").status, 404, "%s", row.registryMode);
+    cluster.setRegistryMode(row.registryMode);
+    ::usleep(confirmationTime);
+    cluster.publishRouting(2, "/finds/");
+    ::usleep(maxAge / std::chrono::microseconds(1) + margin);
+    const auto denied = cluster.request("GET", "/finds/1", "added");
+    cr_expect_eq(denied.status, 503, "%s: %u for a route that was added", row.registryMode, denied.status);
+    cr_expect_not(denied.field("Retry-After").empty(), "%s: says no time to come back", row.registryMode);
+    cluster.setRegistryMode("serving");
+    cr_expect(eventually([&] { return cluster.request("GET", "/finds/1", "after").status == 200; }));
+    cr_expect(eventually([&] { return cluster.request("GET", "/none/1", "never").status == 404; }));
+}
