Take an unanswered confirmation for a store that does not answer

While the store was silent, a small fleet refused all requests with 503: the lease ended 1.3 s after the store's last answer (bound 2 s) and the first failed read was reported after 3 s. The check that finds a watch lost runs out of time after 1 s, but only the watch's own failure was reported, and that one had begun too long ago to count.

The check now reports its failure itself.

--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -166,6 +166,9 @@
         if (isConfirmation && hasNewer && !*hasNewer)
             reportConfirmed(now);
         if (!hasNewer) {
+            // The failed watch began so long ago that its own failure says nothing about the service.
+            if (isConfirmation)
+                reportFailure(now, hasNewer.error());
             result = tl::unexpected(hasNewer.error());
             co_return;
         }
--- a/tests/system/DenialTest.cpp
+++ b/tests/system/DenialTest.cpp
@@ -13,6 +13,7 @@
 constexpr std::chrono::milliseconds maxAge { 2000 };
 constexpr useconds_t firstReadPause = 2'500'000; // After the first read of the records.
 constexpr useconds_t confirmationTime = 1'000'000; // Longer than the time between two reads that confirm the records.
+constexpr useconds_t pollInterval = 20'000;
 constexpr useconds_t margin = 500'000;
 
 RegistryCluster::Options withLease()
@@ -51,3 +52,22 @@
     cr_expect(eventually([&] { return cluster.request("GET", "/finds/1", "after").status == 200; }));
     cr_expect(eventually([&] { return cluster.request("GET", "/none/1", "never").status == 404; }));
 }
+
+// Guards against a member that refuses all requests for seconds because the store does not answer it.
+ParameterizedTestParameters(Denial, servesKnownRoutesInAnOutage) { return rowIndices(outageRows); }
+
+ParameterizedTest(std::size_t* index, Denial, servesKnownRoutesInAnOutage, .timeout = 60)
+{
+    using Clock = std::chrono::steady_clock;
+    const auto& row = outageRows[*index];
+    RegistryCluster cluster(1, 1, withLease());
+    ::usleep(firstReadPause);
+    cluster.setRegistryMode(row.registryMode);
+    const auto begin = Clock::now();
+    while (Clock::now() < begin + 2 * maxAge) {
+        const auto status = cluster.request("GET", "/lookups/1", "known").status;
+        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(Clock::now() - begin);
+        cr_assert_eq(status, 200, "%s: %u after %d ms", row.registryMode, status, static_cast<int>(age.count()));
+        ::usleep(pollInterval);
+    }
+}
