Judge in the soak that no proper request is denied

The soak did not look at statuses other than success, the promises of not run and 404 for the routes of versions: a 400, 413 or 431, or a 404 for a route that every version has, went unseen. Its clients sent one form of each request, with a body of five bytes in one piece.

The new promise holds in each scenario, and no fault excuses it. Scenario overlap has the faults of every group at twice the rate, and stale reads; the scenarios of the other groups are unchanged.

--- a/tests/soak/Clients.cpp
+++ b/tests/soak/Clients.cpp
@@ -1,5 +1,6 @@
 #include "Clients.h"
 
+#include "RequestText.h"
 #include "Sockets.h"
 
 #include "dogwoodhall/daemon/Clock.h"
@@ -27,6 +28,8 @@
 // Bounds the wait for a paused daemon, which does not answer within the deadline.
 constexpr std::chrono::milliseconds responseTimeout { deadlineMs + 1000 };
 constexpr std::chrono::milliseconds connectTimeout { 1000 };
+// Long enough that each piece arrives by itself.
+constexpr std::chrono::milliseconds pauseBetweenPieces { 2 };
 
 } // namespace
 
@@ -107,28 +110,34 @@
     CallRecord call;
     call.daemon = connection.daemon;
     call.incarnation = connection.incarnation;
-    std::string requestText = "GET /lookups/" + id;
+    RequestText request { "GET", "/lookups/", id, deadlineMs };
     const auto choice = randomBelow(10);
     if (choice < 3) {
         call.kind = CallKind::Order;
-        requestText = "POST /orders/" + id;
+        request.method = "POST";
+        request.path = "/orders/";
     } else if (choice < 5 && m_routingVersion > 0) {
         call.version = m_routingVersion;
-        requestText = "GET /v" + std::to_string(m_routingVersion) + "/" + id;
+        request.path = "/v" + std::to_string(m_routingVersion) + "/";
     } else if (choice == 5) {
         call.isRestricted = true;
-        requestText = "GET /restricted/" + id;
+        request.path = "/restricted/";
     }
-    requestText += " HTTP/1.1\r\nHost: shop\r\nDogwoodhall-Attempt-Id: " + id
-        + "\r\nDogwoodhall-Deadline-Ms: " + std::to_string(deadlineMs) + "\r\n";
-    requestText += call.kind == CallKind::Order ? "Content-Length: 5\r\n\r\norder" : "\r\n";
+    const auto pieces = composeRequest(request, [this](std::size_t n) { return randomBelow(n); });
     call.sentAt = monotonicNow();
     connection.stream.expires_after(responseTimeout);
     connection.isReusable = false;
-    const auto [writeError, bytesWritten]
-        = co_await asio::async_write(connection.stream, asio::buffer(requestText), useTuple);
+    beast::error_code ec;
+    for (std::size_t n = 0; n < pieces.size() && !ec; ++n) {
+        if (n > 0) {
+            asio::steady_timer pause(m_io, pauseBetweenPieces);
+            co_await pause.async_wait(useTuple);
+        }
+        const auto [writeError, bytesWritten]
+            = co_await asio::async_write(connection.stream, asio::buffer(pieces[n]), useTuple);
+        ec = writeError;
+    }
     http::response<http::string_body> response;
-    beast::error_code ec = writeError;
     if (!ec) {
         const auto [readError, n] = co_await http::async_read(connection.stream, connection.buffer, response, useTuple);
         ec = readError;
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -17,6 +17,12 @@
 // Statuses that guarantee that the request has not been and will not be executed.
 bool guaranteesNotExecuted(unsigned status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
+// A final refusal of a request as wrong: its sender does not try again.
+bool isDenial(unsigned status)
+{
+    return status >= 300 && status < 500 && status != 429 && !guaranteesNotExecuted(status);
+}
+
 std::string toMillisecondText(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
@@ -35,6 +41,7 @@
     Violations violations;
     checkResponses(violations);
     checkExecutions(violations);
+    checkDeniedRequests(violations);
     checkInterruptedRequests(violations);
     checkDrainingEndpoints(violations);
     checkEvacuations(violations);
@@ -71,6 +78,20 @@
     }
 }
 
+// Every request of the clients is proper. Only the routes of versions come and go; checkRoutingVersions() judges the
+// 404 of their requests. No fault excuses the others: each version has their routes, and a daemon that knows none must
+// say that it is not ready.
+void Ledger::checkDeniedRequests(Violations& violations) const
+{
+    for (const auto& [id, call] : m_calls) {
+        const bool isMissingRoute = call.version && call.status == statusNotFound;
+        if (isDenial(call.status) && !isMissingRoute)
+            violations.push_back({ "no proper request denied",
+                id + " got " + std::to_string(call.status) + " at daemon " + std::to_string(call.daemon) + ", start "
+                    + std::to_string(call.incarnation) });
+    }
+}
+
 // Planned stops, reloads and configuration changes open no fault window: a request that reached an endpoint must still
 // get a complete response.
 void Ledger::checkInterruptedRequests(Violations& violations) const
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -97,6 +97,7 @@
 
     void checkResponses(Violations&) const;
     void checkExecutions(Violations&) const;
+    void checkDeniedRequests(Violations&) const;
     void checkInterruptedRequests(Violations&) const;
     void checkDrainingEndpoints(Violations&) const;
     void checkEvacuations(Violations&) const;
--- a/tests/soak/LedgerTest.cpp
+++ b/tests/soak/LedgerTest.cpp
@@ -100,6 +100,34 @@
             ledger.addExecution("a", "i-1");
         },
         "" },
+    { "404 for a permanent route",
+        [](Ledger& ledger) {
+            auto call = successfulCall(CallKind::Lookup, 3s);
+            call.status = 404;
+            ledger.add("a", call);
+        },
+        "no proper request denied" },
+    { "413 beside a fault",
+        [](Ledger& ledger) {
+            auto call = successfulCall(CallKind::Order, 8s);
+            call.status = 413;
+            ledger.add("a", call);
+            ledger.addFaultWindow({ start + 7s, start + 9s, std::nullopt, false });
+        },
+        "no proper request denied" },
+    { "400 for the route of a version", [](Ledger& ledger) { ledger.add("a", versionedCall(400, 10s)); },
+        "no proper request denied" },
+    { "404 for a version that has just been published", [](Ledger& ledger) { ledger.add("a", versionedCall(404, 2s)); },
+        "" },
+    { "408, 429 and 503",
+        [](Ledger& ledger) {
+            auto call = successfulCall(CallKind::Lookup, 3s);
+            for (const unsigned status : { 408U, 429U, 503U }) {
+                call.status = status;
+                ledger.add(std::to_string(status), call);
+            }
+        },
+        "" },
     { "execution of a request that no client sent", [](Ledger& ledger) { ledger.addExecution("unknown", "i-1"); },
         "only what was asked" },
     { "interrupted response outside fault windows",
--- a/tests/soak/Scenario.cpp
+++ b/tests/soak/Scenario.cpp
@@ -17,6 +17,8 @@
 const std::string_view fleetGroup = "fleet"; // Needs many daemons.
 // Apart from the others, whose seeds stand for failures of the past.
 const std::string_view restoreGroup = "restore";
+const std::string_view everyGroup = "overlap";
+constexpr double overlapFactor = 2;
 
 struct FaultKindInfo {
     FaultKind kind;
@@ -55,6 +57,7 @@
     { FaultKind::StopDaemon, "stop-daemon", "restore", true, milliseconds(0) },
     { FaultKind::StoreDown, "store-down", "restore", false, milliseconds(2000) },
     { FaultKind::Evacuate, "evacuate", "restore", true, milliseconds(0) },
+    { FaultKind::StaleStoreReads, "stale-store-reads", "overlap", false, milliseconds(5000) },
 };
 
 const LinkFault linkFaults[] = { LinkFault::Delayed, LinkFault::Reset, LinkFault::ResponsesStalled, LinkFault::Stalled,
@@ -82,7 +85,7 @@
     std::copy_if(
         std::begin(faultKinds), std::end(faultKinds), std::back_inserter(candidates), [&](const FaultKindInfo& row) {
             const bool isInAll = row.group != fleetGroup && row.group != restoreGroup;
-            return selection == row.group || (selection == "all" && isInAll);
+            return selection == row.group || selection == everyGroup || (selection == "all" && isInAll);
         });
     std::vector<Fault> faults;
     if (candidates.empty())
@@ -92,7 +95,8 @@
         = [&](std::size_t n) { return std::uniform_int_distribution<std::size_t>(0, n - 1)(random); };
     const Duration first = std::chrono::seconds(1);
     const Duration last = std::max<Duration>(limits.length - limits.faultFreeTail, first + milliseconds(1));
-    const auto count = static_cast<std::size_t>(toSeconds(last) * limits.faultsPerSecond);
+    const double rate = limits.faultsPerSecond * (selection == everyGroup ? overlapFactor : 1);
+    const auto count = static_cast<std::size_t>(toSeconds(last) * rate);
     for (std::size_t n = 0; n < count; ++n) {
         const auto& row = candidates[randomBelow(candidates.size())];
         Fault fault;
--- a/tests/soak/Scenario.h
+++ b/tests/soak/Scenario.h
@@ -29,6 +29,7 @@
     FaultManyEndpoints, // The fault mode on half of the endpoints.
     Evacuate, // A data centre, for longer than the delay after which nothing new may be sent to it.
     RestoreStore, // Down for a moment, and back from a copy that is `duration` old, in the next era.
+    StaleStoreReads, // Serializable reads of the store return an old state.
     TurnAwayDaemons, // The store answers 429 and 503 to a third of the daemons and serves the others.
 };
 
@@ -55,6 +56,7 @@
 
 // The faults of a run, determined by the seed; they may overlap. `selection` is "all" or one group of faults:
 // "signals", "links", "store", "endpoints", "planned", "fleet" or "restore". The last two are not part of "all".
+// "overlap" has the faults of every group, twice as many at a time.
 // Returns no faults for an unknown group.
 std::vector<Fault> makeScenario(std::uint64_t seed, const std::string& selection, const ScenarioLimits&);
 
--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -156,6 +156,11 @@
 
 void SoakCluster::setStoreMode(const std::string& state) { callStore("PUT", "/control/mode?state=" + state); }
 
+void SoakCluster::setStaleReads(bool isStale)
+{
+    callStore("PUT", isStale ? "/control/serializable?stale=1" : "/control/serializable?stale=0");
+}
+
 void SoakCluster::compactStore() { callStore("PUT", "/control/compact"); }
 
 void SoakCluster::copyStore() { callStore("PUT", "/control/copy"); }
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -52,6 +52,8 @@
     const std::map<std::string, std::string>& endpointDataCentres() const { return m_endpointDataCentres; }
     void setStoreMode(const std::string& state);
     void compactStore();
+    // Serializable reads return the state of this moment until it is called with false.
+    void setStaleReads(bool);
     // Keeps a copy of the store, to which restoreStore() goes back in the next era.
     void copyStore();
     void restoreStore();
--- a/tests/soak/SoakRun.cpp
+++ b/tests/soak/SoakRun.cpp
@@ -119,6 +119,7 @@
     case FaultKind::StoreDown:
     case FaultKind::StoreBusy:
     case FaultKind::CompactStore:
+    case FaultKind::StaleStoreReads:
         injectStoreFault(fault);
         return;
     case FaultKind::Evacuate:
@@ -257,6 +258,12 @@
 void SoakRun::injectStoreFault(const Fault& fault)
 {
     ++m_report.faults[toString(fault.kind)];
+    if (fault.kind == FaultKind::StaleStoreReads) {
+        // Excuses nothing: only the checks of waiting watches use such reads.
+        m_cluster.setStaleReads(true);
+        scheduleAt(monotonicNow() + fault.duration, [this] { m_cluster.setStaleReads(false); });
+        return;
+    }
     recordFaultWindow(std::nullopt, true, fault.duration);
     if (fault.kind == FaultKind::CompactStore) {
         m_cluster.compactStore();
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -58,7 +58,7 @@
     add("pause-ms", options::value<std::size_t>()->default_value(defaultMaxPauseMs),
         "most milliseconds between two requests of a client");
     add("scenario", options::value<std::string>()->default_value("all"),
-        "faults: all, signals, links, store, endpoints, planned, fleet or restore");
+        "faults: all, signals, links, store, endpoints, planned, fleet, restore or overlap");
     add("json", "print one JSON object per run");
     options::variables_map values;
     try {
