--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -3,6 +3,8 @@
 #include "Base64.h"
 #include "TestClient.h"
 
+#include "dogwoodhall/daemon/Clock.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
 #include <fstream>
@@ -225,11 +227,14 @@
 std::vector<std::pair<std::string, TimePoint>> SoakCluster::arrivals() const
 {
     std::vector<std::pair<std::string, TimePoint>> arrivals;
+    // The endpoints write times of the steady clock.
+    const auto steadyNow = std::chrono::steady_clock::now().time_since_epoch();
+    const Duration offset = monotonicNow().sinceOrigin() - std::chrono::duration_cast<Duration>(steadyNow);
     for (const auto& endpoint : m_endpointIds) {
         std::ifstream file((m_folder / (endpoint + ".arrivals")).string());
         std::string id;
         for (std::int64_t ms = 0; file >> id >> ms;)
-            arrivals.emplace_back(id, TimePoint(std::chrono::milliseconds(ms)));
+            arrivals.emplace_back(id, TimePoint(std::chrono::milliseconds(ms) + offset));
     }
     return arrivals;
 }
