Deny no request while the newest routes cannot be read

Callers would get 404 for a route that the operator has added, if this build cannot read the routing document that adds it: the document before stays in force and is confirmed as usual, although the member knows that it is not the newest. No user has reported it.

ConfigurationInForce says whether it knows a later routing document that it cannot read, and the lease permits no denial then: a request without a route gets not-ready (503, not run), and known routes are served. A rejected lower version, or an older copy of the store, changes nothing, as the document in force is the newer one.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
@@ -96,6 +96,8 @@
     TopologyDeclaration topology() const;
     // The routing document in force; null if there is none.
     std::shared_ptr<const RoutingDeclaration> routing() const;
+    // Whether no later routing document is known that this build cannot read.
+    bool isRoutingNewest() const;
     std::vector<std::shared_ptr<const EndpointRegistration>> registrations() const;
     // Data centres that operators evacuate.
     std::set<DataCentreId> evacuatedDataCentres() const;
@@ -117,6 +119,7 @@
     struct Rejection {
         Record record;
         std::string reason;
+        bool isReadable = true; // False if the parser has rejected it, so that its content is unknown.
     };
     // At least one of the two is present. A rejection is kept only while its revision is above the one in force.
     struct Entry {
@@ -144,6 +147,7 @@
     ParseRecord m_parse;
     std::map<RecordKey, Entry> m_entries;
     std::set<const Record*, ByRevision> m_byRevision; // Points into m_entries.
+    std::set<RecordKey> m_unreadable; // Keys whose newest record the parser has rejected.
     std::set<RecordKey> m_evacuations; // Keys that have, or had, an evacuation in force.
     ConfigurationDigest m_digest;
     Revision m_completeRead; // The highest of completeReadOffered().
--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
@@ -46,6 +46,9 @@
     // A read that began at `at` got no answer from the store.
     void storeUnreachable(TimePoint at);
 
+    // Whether the routing document held is the newest that this member knows of. Nothing is denied while it is not.
+    void setHoldsNewestRoutes(bool holds) { m_holdsNewestRoutes = holds; }
+
     // Whether this share of the lease's time has passed since the last confirmation, so that peers should be asked.
     bool isDue(Fraction share, TimePoint now) const;
     // The same, and the store may answer, so that the member should confirm its records by a read.
@@ -62,6 +65,7 @@
     std::optional<TimePoint> m_unreachableAt;
     std::optional<TimePoint> m_answeredAt;
     Era m_era;
+    bool m_holdsNewestRoutes = true;
 };
 
 } // namespace dogwoodhall
--- a/packages/configuration/src/ConfigurationInForce.cpp
+++ b/packages/configuration/src/ConfigurationInForce.cpp
@@ -98,10 +98,12 @@
     }
     InForce offered { record, nullptr };
     std::string reason;
+    bool isReadable = true;
     if (!record.deleted) {
         auto parsed = m_parse(record);
         const auto* previous = entry.inForce ? entry.inForce->declaration.get() : nullptr;
         const bool isSameEra = entry.inForce && entry.inForce->record.revision.era() == record.revision.era();
+        isReadable = parsed.has_value();
         if (!parsed)
             reason = std::move(parsed.error());
         else if (isSameEra && isOlderRoutingVersion(*parsed, previous))
@@ -118,7 +120,7 @@
     if (isValid)
         reason = record.key.value() + ": " + supersededReason;
     if (isHighest)
-        reject(entry, { record, reason });
+        reject(entry, { record, reason, isReadable });
     if (!isValid)
         return { OfferResult::Rejected, std::move(reason) };
     return { isHighest ? OfferResult::Superseded : OfferResult::NotNewer, std::move(reason) };
@@ -174,6 +176,8 @@
     // the record if it has no value.
     if (rejection.record.value.size() > maxRecordValueBytes.count())
         rejection.record.value.clear();
+    if (!rejection.isReadable)
+        m_unreadable.insert(rejection.record.key);
     entry.rejection = std::move(rejection);
     m_byRevision.insert(&entry.rejection->record);
 }
@@ -183,6 +187,7 @@
     if (!entry.rejection)
         return;
     m_byRevision.erase(&entry.rejection->record);
+    m_unreadable.erase(entry.rejection->record.key);
     entry.rejection.reset();
 }
 
@@ -325,6 +330,14 @@
     return documents.empty() ? nullptr : documents.front();
 }
 
+bool ConfigurationInForce::isRoutingNewest() const
+{
+    return std::none_of(m_unreadable.begin(), m_unreadable.end(), [&](const RecordKey& key) {
+        const auto& inForce = m_entries.at(key).inForce;
+        return inForce && std::get_if<RoutingDeclaration>(inForce->declaration.get());
+    });
+}
+
 TopologyDeclaration ConfigurationInForce::topology() const
 {
     const auto it = m_entries.find(RecordKey("topology"));
--- a/packages/configuration/src/ConfigurationLease.cpp
+++ b/packages/configuration/src/ConfigurationLease.cpp
@@ -42,6 +42,8 @@
     if (m_maxAge)
         deniesUntil = m_confirmedAt ? *m_confirmedAt + *m_maxAge : TimePoint();
     const TimePoint validUntil = hasLimit() ? deniesUntil : TimePoint::max();
+    if (!m_holdsNewestRoutes)
+        deniesUntil = TimePoint();
     return { m_confirmedAt, validUntil, deniesUntil, m_confirmedBy, m_answeredAt, m_era };
 }
 
--- a/packages/configuration/tests/ConfigurationLeaseTest.cpp
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -84,6 +84,18 @@
         cr_expect_not(lease.isDue(half, askedAt - 1ms), "%s", row.name);
 }
 
+// Guards against a 404 by routes that the member knows not to be the newest. Known routes are served.
+Test(ConfigurationLease, deniesNothingByOldRoutes)
+{
+    ConfigurationLease lease(3s);
+    lease.confirm(start);
+    lease.setHoldsNewestRoutes(false);
+    cr_expect(lease.term().validUntil == start + 3s);
+    cr_expect(lease.term().deniesUntil == TimePoint());
+    lease.setHoldsNewestRoutes(true);
+    cr_expect(lease.term().deniesUntil == start + 3s);
+}
+
 // Guards against a member that decides before its records were ever confirmed.
 Test(ConfigurationLease, isInvalidBeforeTheFirstConfirmation)
 {
--- a/packages/configuration/tests/StoreEraTest.cpp
+++ b/packages/configuration/tests/StoreEraTest.cpp
@@ -13,10 +13,12 @@
 
 namespace {
 
-// "r" and a version is a routing document, "-" an endpoint that states no edition; others are the run of an endpoint
-// and the number of its entry. What follows a space is its address, which tells entries apart.
+// "r" and a version is a routing document, "?" cannot be read, "-" is an endpoint that states no edition; others are
+// the run of an endpoint and the number of its entry. What follows a space is its address, which tells entries apart.
 tl::expected<Declaration, std::string> parseValue(const Record& record)
 {
+    if (record.value.starts_with('?'))
+        return tl::unexpected(std::string("unknown kind"));
     std::istringstream text(record.value.substr(1));
     std::uint64_t number = 0;
     text >> number;
@@ -107,6 +109,40 @@
     } while (std::next_permutation(order.begin(), order.end()));
 }
 
+struct NewestRow {
+    const char* name;
+    Offer offers[4]; // Offered in this order.
+    bool isNewest;
+};
+
+const NewestRow newestRows[] = {
+    { "no record", {}, true },
+    { "one version", { { 1, 50, "r7" } }, true },
+    { "a later one that cannot be read", { { 1, 50, "r7" }, { 1, 60, "?" } }, false },
+    { "an earlier one that cannot be read", { { 1, 60, "r7" }, { 1, 50, "?" } }, true },
+    { "readable again", { { 1, 50, "r7" }, { 1, 60, "?" }, { 1, 70, "r9" } }, true },
+    { "twice unreadable", { { 1, 50, "r7" }, { 1, 60, "?" }, { 1, 70, "?" } }, false },
+    { "a lower version", { { 1, 50, "r7" }, { 1, 60, "r6" } }, true },
+    { "a lower version after an unreadable one", { { 1, 50, "r7" }, { 1, 60, "?" }, { 1, 70, "r6" } }, true },
+    { "the copy shows an older version", { { 1, 110, "r9" }, { 2, 50, "r7" } }, true },
+    { "unreadable in the copy", { { 1, 110, "r9" }, { 2, 50, "?" } }, false },
+    { "an endpoint's entry", { { 1, 50, "11 ready" }, { 1, 60, "?" } }, true },
+};
+
+// Guards against a 404 for a route that only a routing document names which this build cannot read.
+ParameterizedTestParameters(ConfigurationInForce, tellsWhetherItsRoutesAreTheNewest) { return rowIndices(newestRows); }
+
+ParameterizedTest(std::size_t* index, ConfigurationInForce, tellsWhetherItsRoutesAreTheNewest)
+{
+    const auto& row = newestRows[*index];
+    ConfigurationInForce configuration(parseValue);
+    for (const auto& offer : row.offers) {
+        if (offer.era > 0)
+            configuration.offer(recordOf(offer));
+    }
+    cr_expect_eq(configuration.isRoutingNewest(), row.isNewest, "%s", row.name);
+}
+
 struct JoinRow {
     const char* name;
     Offer known[2]; // To a member from before the restoration.
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -453,9 +453,11 @@
             m_gossip->fleet().setRegions(std::move(regions));
     }
     m_metrics.configurationRevision.set(m_configuration.highestRevision().value());
+    m_lease.setHoldsNewestRoutes(m_configuration.isRoutingNewest());
     const bool isPublished = updateReadiness();
     if (hasChanged && !isPublished)
         requestPublication(PublicationReason::Records);
+    renewLease();
 }
 
 void ControlThread::acceptHosts(const HostList& hosts)
--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -16,6 +16,10 @@
 // A member's share of the retry slack grows during its first window; the constructor waits for two windows.
 constexpr unsigned retryWindowMs = 100;
 
+constexpr std::size_t seedCount = 3;
+
+std::string peerIp(std::size_t daemon) { return "127.0.0." + std::to_string(daemon + 2); }
+
 json::object route(
     const std::string& prefix, const char* kind, unsigned timeoutMs, const std::vector<std::string>& allowedRegions)
 {
@@ -71,16 +75,17 @@
     publishEndpoint(m_endpoints.size() - 1, "ready");
 }
 
-void RegistryCluster::startDaemon() { m_daemons.push_back(makeDaemon("entry-" + std::to_string(m_daemons.size()))); }
+void RegistryCluster::startDaemon() { m_daemons.push_back(makeDaemon(m_daemons.size())); }
 
 void RegistryCluster::restartDaemon(std::size_t daemon)
 {
     m_daemons.at(daemon).process.kill();
-    m_daemons.at(daemon) = makeDaemon("entry-" + std::to_string(daemon));
+    m_daemons.at(daemon) = makeDaemon(daemon);
 }
 
-RegistryCluster::Daemon RegistryCluster::makeDaemon(const std::string& name) const
+RegistryCluster::Daemon RegistryCluster::makeDaemon(std::size_t number) const
 {
+    const std::string name = "entry-" + std::to_string(number);
     const auto file = m_folder / (name + ".json");
     json::object settings { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", "dc0" },
         { "callerAddress", "127.0.0.1:0" }, { "peerAddress", "127.0.0.1:0" }, { "adminAddress", "127.0.0.1:0" },
@@ -92,6 +97,13 @@
                 { "warmUpSlack", m_options.warmUpSlack } } } };
     if (m_options.maxConfigurationAgeMs)
         settings["registry"].as_object()["maxConfigurationAgeMs"] = *m_options.maxConfigurationAgeMs;
+    if (m_options.knowEachOther) {
+        settings["peerAddress"] = peerIp(number) + ":" + std::to_string(m_peerPort.address().port);
+        json::array seeds;
+        for (std::size_t n = 0; n < seedCount; ++n)
+            seeds.push_back(json::value(peerIp(n) + ":1"));
+        settings["registry"].as_object()["seeds"] = std::move(seeds);
+    }
     const auto more = json::parse(m_options.settings);
     for (const auto& setting : more.as_object())
         settings.insert_or_assign(setting.key(), setting.value());
--- a/tests/system/support/RegistryCluster.h
+++ b/tests/system/support/RegistryCluster.h
@@ -34,7 +34,8 @@
         // "r0", "dc2" is in "r1".
         std::vector<std::string> dataCentres {};
         std::optional<double> coldRequestsPerSecond {}; // That an endpoint tolerates; empty for no limit.
-        // Settings of each daemon. The daemons do not know each other.
+        bool knowEachOther = false; // The daemons are seeds of each other.
+        // Settings of each daemon.
         double warmUpOverage = 1;
         double warmUpSlack = 0;
         std::optional<unsigned> maxConfigurationAgeMs {}; // Empty for no limit.
@@ -92,7 +93,7 @@
 
 private:
     void startEndpoint();
-    Daemon makeDaemon(const std::string& name) const;
+    Daemon makeDaemon(std::size_t number) const;
     std::string dataCentreOf(std::size_t endpoint) const;
     Response callRegistry(const std::string& method, const std::string& target, const std::string& body = {}) const;
 
@@ -101,6 +102,7 @@
     TemporaryFolder m_folder;
     Process m_registry;
     NetworkAddress m_registryAddress;
+    ReservedPort m_peerPort; // Of all daemons that know each other, each at an address of its own.
     std::vector<Endpoint> m_endpoints;
     std::vector<Daemon> m_daemons;
 };
