Deny no request by limits that may not be in force

Callers got 431 and 413 for heads and bodies that the operator's limits allow, from a member that had no configuration yet (limits of its settings), one that the store had not answered for longer than registry.maxConfigurationAgeMs, and one that had just been paused. A caller does not repeat a denied request, so that each is lost.

Only the denial for a missing route asked whether the configuration is certain. CallerSession asks it by a hook at the first byte of a request, together with the limits that bind it, and refuses what exceeds uncertain ones with not-ready (503, not run, 200 ms). After a part of the body has been passed on the outcome stays unknown, with 504 in place of 413, and the endpoint is not taken for broken. 400 and limits that are certain are as before; so is the path by homes, whose limits are those of the settings.

With the decision taken out, 6 of the 12 new rows of CallerSessionsTest fail.

--- a/packages/daemon/include/dogwoodhall/daemon/traffic/DispatchRunner.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/DispatchRunner.h
@@ -72,6 +72,8 @@
     void logWarmUp(const WarmUpChange&);
     void logRepeat(const RequestState&, const EndpointId&);
     void addRetryBalance(EventLine&, const RequestPlan&) const;
+    // See RequestPath.
+    std::optional<Duration> retryIfUncertain() const;
     // What this member knows of the age of the configuration.
     void addConfirmation(EventLine&) const;
     void logAnswer(const RequestState&, const Attempt&, RelayResult);
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/TrafficThread.h
@@ -98,6 +98,8 @@
     RequestPath makeHomeRequestPath();
     void checkForPause();
     bool spendPingBudget(bool isRepeated);
+    // Whether the limits of callers are certain at the first byte of a request; see RetryIfUncertain.
+    std::optional<Duration> retryIfUncertain();
     // A request that the handler never got.
     void handleRejected(ErrorKind, std::string_view detail);
     void handleCallerClosed(CallerCloseReason);
--- a/packages/daemon/src/traffic/DispatchAttempts.cpp
+++ b/packages/daemon/src/traffic/DispatchAttempts.cpp
@@ -18,7 +18,8 @@
 
 EndpointEvidence evidenceOf(const ExchangeError& error)
 {
-    if (error.isWithheld)
+    // The body exceeds a limit that is not certain; no endpoint's failure has this kind.
+    if (error.isWithheld || error.kind == ErrorKind::NotReady)
         return EndpointEvidence::Unrelated;
     if (error.kind == ErrorKind::DeadlineExceeded)
         return EndpointEvidence::TimedOut;
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -85,6 +85,7 @@
             fewest = std::min<std::size_t>(fewest, service.declaration.maxConnections);
         m_idleLimit = std::max<std::size_t>(fewest / idleShareDivisor / snapshot->fleet.size(), 1);
     };
+    path.retryIfUncertain = [this] { return retryIfUncertain(); };
     path.renewLease = [this](const LeaseTerm& term) { m_term = term; };
     path.stop = [this](const StopSchedule& schedule) { m_dispatcher.stop(schedule); };
     path.running = [this] { return m_running; };
@@ -127,6 +128,12 @@
     return m_term.confirmedAt ? std::optional(monotonicNow() - *m_term.confirmedAt) : std::nullopt;
 }
 
+std::optional<Duration> DispatchRunner::retryIfUncertain() const
+{
+    const bool isCertain = m_snapshot->isReady && monotonicNow() < m_term.deniesUntil;
+    return isCertain ? std::nullopt : std::optional(notReadyRetry);
+}
+
 DecisionContext DispatchRunner::context() { return { monotonicNow(), m_random }; }
 
 asio::awaitable<void> DispatchRunner::run(IncomingRequest request, const ResponseWriter& writer)
@@ -148,10 +155,10 @@
         RefuseRequest refusal { plan.error(), Outcome::NotRun, std::nullopt };
         if (plan.error() == ErrorKind::Draining)
             refusal.retryAfter = drainingRetry;
-        const bool mayBeAdded = plan.error() == ErrorKind::NoRoute && monotonicNow() >= m_term.deniesUntil;
-        if (mayBeAdded) {
+        const auto retryAfter = retryIfUncertain();
+        if (plan.error() == ErrorKind::NoRoute && retryAfter) {
             refusal.kind = ErrorKind::NotReady;
-            refusal.retryAfter = notReadyRetry;
+            refusal.retryAfter = retryAfter;
         }
         refusal.detail = describe(query);
         co_return co_await refuse(writer, call.id, refusal, nullptr);
@@ -172,6 +179,8 @@
         if (!prefetched || !*prefetched) {
             const auto kind = prefetched ? prefetched->error().kind : ErrorKind::RequestTimeout;
             RefuseRequest refusal { kind, Outcome::NotRun, std::nullopt };
+            if (kind == ErrorKind::NotReady)
+                refusal.retryAfter = notReadyRetry;
             if (prefetched)
                 refusal.detail = prefetched->error().detail;
             co_return co_await refuse(writer, state.id, refusal, &state.plan);
--- a/packages/daemon/src/traffic/TrafficThread.cpp
+++ b/packages/daemon/src/traffic/TrafficThread.cpp
@@ -64,7 +64,7 @@
           },
           { [this] { checkDrained(); },
               [this](ErrorKind kind, std::string_view detail) { handleRejected(kind, detail); },
-              [this](CallerCloseReason reason) { handleCallerClosed(reason); } })
+              [this](CallerCloseReason reason) { handleCallerClosed(reason); }, [this] { return retryIfUncertain(); } })
     , m_peerServer(
           m_io.get_executor(), m_options.peerLimits,
           [this](IncomingRequest request, ResponseWriter writer) {
@@ -254,6 +254,12 @@
     }
 }
 
+std::optional<Duration> TrafficThread::retryIfUncertain()
+{
+    checkForPause();
+    return m_path.retryIfUncertain ? m_path.retryIfUncertain() : std::nullopt;
+}
+
 asio::awaitable<void> TrafficThread::handleCaller(IncomingRequest request, ResponseWriter writer)
 {
     checkForPause();
--- a/packages/http/include/dogwoodhall/http/CallerSession.h
+++ b/packages/http/include/dogwoodhall/http/CallerSession.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 namespace dogwoodhall {
@@ -30,14 +31,27 @@
 // Called for each request that the session rejects without calling the handler, with the reason for logs.
 using RequestRejected = std::function<void(ErrorKind, std::string_view detail)>;
 
+// Asked at the first byte of each request. Empty if the limits of heads and bodies are certain to be those in force.
+// Otherwise a request that exceeds them is refused as NotReady, to be sent again after this time, since its caller
+// would not repeat a request that is denied. After a part of the body has been passed on, the handler decides the
+// outcome.
+using RetryIfUncertain = std::function<std::optional<Duration>()>;
+
+// What a session asks and tells its owner.
+struct CallerSessionHooks {
+    RequestRejected rejected; // May be empty.
+    RetryIfUncertain retryIfUncertain; // May be empty: the limits are certain then.
+    std::function<void()> relieve; // The account is short.
+};
+
 // Server side of one caller's HTTP/1.1 connection: reads requests, passes each to the handler and writes the responses
 // in the order of the requests. Requests are served one at a time, beside those that RequestPipeline lets run ahead.
 // Malformed, oversized and slow requests get an error response, after which the connection is closed.
 class CallerSession {
 public:
-    // `rejected` may be empty. The account must outlive the session; `relieve` is called when it is short.
-    CallerSession(asio::ip::tcp::socket, CallerLimits, RequestHandler, RequestRejected rejected, CallerAccount&,
-        ConnectionId, std::function<void()> relieve);
+    // The account must outlive the session.
+    CallerSession(
+        asio::ip::tcp::socket, CallerLimits, RequestHandler, CallerSessionHooks, CallerAccount&, ConnectionId);
     ~CallerSession();
 
     // Serves requests until the connection ends.
--- a/packages/http/include/dogwoodhall/http/CallerSessions.h
+++ b/packages/http/include/dogwoodhall/http/CallerSessions.h
@@ -23,6 +23,7 @@
         std::function<void()> sessionEnded; // After each connection.
         RequestRejected rejected;
         std::function<void(CallerCloseReason)> closed; // A connection is closed for want of room, or as it is too slow.
+        RetryIfUncertain retryIfUncertain {};
     };
 
     CallerSessions(asio::any_io_executor, CallerLimits, const CallerShares&, RequestHandler, Hooks);
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -275,24 +275,24 @@
 asio::awaitable<void> CallerSession::Impl::refuseForLimit()
 {
     m_current->keepAlive = false;
-    if (m_rejected)
-        m_rejected(ErrorKind::CallerLimit, "no room for this connection");
+    if (m_hooks.rejected)
+        m_hooks.rejected(ErrorKind::CallerLimit, "no room for this connection");
     co_await writeError(writer(*m_current), ErrorKind::CallerLimit, Outcome::NotRun, evictedRetry);
 }
 
 asio::awaitable<void> CallerSession::Impl::respondToParseError(beast::error_code ec)
 {
     m_current->keepAlive = false;
-    const auto kind = errorKindFor(ec);
-    if (m_rejected)
-        m_rejected(kind, ec.message());
-    co_await writeError(writer(*m_current), kind, Outcome::NotRun);
+    const auto kind = rejectionFor(ec);
+    if (m_hooks.rejected)
+        m_hooks.rejected(kind, ec.message());
+    const auto retryAfter = kind == ErrorKind::NotReady ? m_current->retryIfUncertain : std::nullopt;
+    co_await writeError(writer(*m_current), kind, Outcome::NotRun, retryAfter);
 }
 
 CallerSession::CallerSession(asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler,
-    RequestRejected rejected, CallerAccount& account, ConnectionId id, std::function<void()> relieve)
-    : m_impl(std::make_unique<Impl>(
-        std::move(socket), limits, std::move(handler), std::move(rejected), account, id, std::move(relieve)))
+    CallerSessionHooks hooks, CallerAccount& account, ConnectionId id)
+    : m_impl(std::make_unique<Impl>(std::move(socket), limits, std::move(handler), std::move(hooks), account, id))
 {
 }
 
--- a/packages/http/src/CallerSessionImpl.h
+++ b/packages/http/src/CallerSessionImpl.h
@@ -33,18 +33,15 @@
     return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
 }
 
-// For reporting an error of the parser or of a read.
-ErrorKind errorKindFor(beast::error_code);
-
 class CallerSession::Impl {
 public:
-    Impl(asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler, RequestRejected rejected,
-        CallerAccount& account, ConnectionId id, std::function<void()> relieve)
+    Impl(asio::ip::tcp::socket socket, CallerLimits limits, RequestHandler handler, CallerSessionHooks hooks,
+        CallerAccount& account, ConnectionId id)
         : m_stream(std::move(socket))
         , m_limits(limits)
         , m_handler(std::move(handler))
-        , m_rejected(std::move(rejected))
-        , m_charge(account, id, std::move(relieve))
+        , m_hooks(std::move(hooks))
+        , m_charge(account, id, std::move(m_hooks.relieve))
         , m_readTimer(m_stream.get_executor())
         , m_monitorEnd(m_stream.get_executor(), asio::steady_timer::time_point::max())
         , m_bodyFinished(m_stream.get_executor(), asio::steady_timer::time_point::max())
@@ -78,6 +75,8 @@
     // error response could be sent.
     void armReadTimer(Duration wait);
     void disarmReadTimer();
+    // For an error of the parser or of a read.
+    ErrorKind rejectionFor(beast::error_code) const;
     asio::awaitable<void> respondToParseError(beast::error_code);
     asio::awaitable<void> refuseForLimit();
     void enter(CallerStage);
@@ -121,7 +120,7 @@
     beast::tcp_stream m_stream;
     CallerLimits m_limits;
     RequestHandler m_handler;
-    RequestRejected m_rejected;
+    CallerSessionHooks m_hooks; // Without `relieve`.
     CallerCharge m_charge;
     CallerStage m_stage = CallerStage::Idle;
     bool m_isEvicted = false;
--- a/packages/http/src/CallerSessionInput.cpp
+++ b/packages/http/src/CallerSessionInput.cpp
@@ -20,8 +20,6 @@
 constexpr int maxUnreadAnswerBytes = 64 * 1024;
 constexpr auto unreadAnswerPause = std::chrono::milliseconds(50);
 
-} // namespace
-
 ErrorKind errorKindFor(beast::error_code ec)
 {
     // The buffer overflows where a chunk header or the trailers exceed the size allowed for a head.
@@ -34,6 +32,15 @@
     return ErrorKind::BadRequest;
 }
 
+} // namespace
+
+ErrorKind CallerSession::Impl::rejectionFor(beast::error_code ec) const
+{
+    const auto kind = errorKindFor(ec);
+    const bool exceedsLimit = kind == ErrorKind::HeadersTooLarge || kind == ErrorKind::BodyTooLarge;
+    return exceedsLimit && m_current->retryIfUncertain ? ErrorKind::NotReady : kind;
+}
+
 asio::awaitable<beast::error_code> CallerSession::Impl::waitForFirstByte()
 {
     chargeConnection();
@@ -51,9 +58,11 @@
     co_return ec == beast::error::timeout ? asio::error::eof : ec;
 }
 
-// A request is bound by the limits in force at its first byte.
+// A request is bound by the limits in force at its first byte. Limits that become certain later may be others.
 void CallerSession::Impl::applyLimits()
 {
+    if (m_hooks.retryIfUncertain)
+        m_current->retryIfUncertain = m_hooks.retryIfUncertain();
     m_current->parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes.count()));
     m_current->parser->body_limit(m_limits.bodyBytes.count());
     // Has space for the largest head and one more read, also after bytes that arrived under higher limits.
@@ -231,7 +240,7 @@
         const auto ec = m_timedOut ? beast::error_code(beast::error::timeout) : result;
         if (ec && ec != http::error::need_buffer) {
             m_current->keepAlive = false;
-            const auto kind = m_isEvicted ? ErrorKind::CallerLimit : errorKindFor(ec);
+            const auto kind = m_isEvicted ? ErrorKind::CallerLimit : rejectionFor(ec);
             co_return tl::unexpected(ExchangeError { kind, false, ec.message() });
         }
         size = buf.size() - parser.get().body().size;
--- a/packages/http/src/CallerSessions.cpp
+++ b/packages/http/src/CallerSessions.cpp
@@ -70,9 +70,9 @@
     socket.set_option(asio::ip::tcp::no_delay(true), ec);
     socket.set_option(asio::socket_base::receive_buffer_size(receiveBufferBytes / kernelBufferFactor), ec);
     const ConnectionId id(m_nextConnection++);
+    CallerSessionHooks hooks { m_hooks.rejected, m_hooks.retryIfUncertain, [this] { relieve(); } };
     auto& session = m_sessions[id];
-    session = std::make_unique<CallerSession>(
-        std::move(socket), m_limits, m_handler, m_hooks.rejected, m_account, id, [this] { relieve(); });
+    session = std::make_unique<CallerSession>(std::move(socket), m_limits, m_handler, std::move(hooks), m_account, id);
     if (m_closesAfterNextResponse)
         session->closeAfterNextResponse();
     asio::co_spawn(m_executor, run(id), rethrowToLoop);
--- a/packages/http/src/CurrentRequest.h
+++ b/packages/http/src/CurrentRequest.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "dogwoodhall/budget/CallerAccount.h"
+#include "dogwoodhall/core/Units.h"
 #include "dogwoodhall/http/RequestPipeline.h"
 
 #include "MessageRules.h"
@@ -37,6 +38,7 @@
 struct CurrentRequest {
     std::optional<boost::beast::http::request_parser<boost::beast::http::buffer_body>> parser;
     ChunkExtensionLimit chunkExtensions;
+    std::optional<Duration> retryIfUncertain; // Of the limits that bind the request; see RetryIfUncertain.
     bool expectsContinue = false;
     bool keepAlive = false;
     bool isHead = false;
--- a/packages/http/tests/CallerSessionsTest.cpp
+++ b/packages/http/tests/CallerSessionsTest.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -176,12 +177,15 @@
 // thread of the test.
 class EchoFixture {
 public:
-    explicit EchoFixture(const CallerLimits& limits = {})
+    explicit EchoFixture(const CallerLimits& limits = {}, CallerSessions::Hooks hooks = {})
         : m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0))
         , m_caller(m_io)
-        , sessions(m_io.get_executor(), limits, [](IncomingRequest request, const ResponseWriter& writer) {
-            return respondWithSize(std::move(request), writer);
-        })
+        , sessions(
+              m_io.get_executor(), limits, CallerShares {},
+              [](IncomingRequest request, const ResponseWriter& writer) {
+                  return respondWithSize(std::move(request), writer);
+              },
+              std::move(hooks))
     {
         m_caller.connect(m_acceptor.local_endpoint());
         m_caller.set_option(tcp::no_delay(true));
@@ -407,14 +411,86 @@
     cr_expect(second.starts_with(expected) && second.empty() == expected.empty(), "%s: %s", row.name, second.c_str());
 }
 
+#define POST_CHUNKED "POST / HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+namespace {
+
+CallerLimits lowLimits()
+{
+    auto limits = limitsOf(1'000, 1'000, longIdle);
+    limits.headerFields = 20;
+    return limits;
+}
+
+std::string manyFields()
+{
+    std::string text = "GET / HTTP/1.1\r\nHost: shop\r\n";
+    for (int n = 0; n < 30; ++n)
+        text += "a: b\r\n";
+    return text + "\r\n";
+}
+
+} // namespace
+
+struct UncertainLimitsRow {
+    const char* name;
+    std::string (*text)();
+    bool isCertainAtFirstByte;
+    bool isCertainLater;
+    const char* response;
+    bool hasRetryTime = false; // Of the session; that of a body is the handler's.
+};
+
+#define DENIED(STATUS) "HTTP/1.1 " STATUS
+#define NOT_READY "HTTP/1.1 503"
+
+const UncertainLimitsRow uncertainLimitsRows[] = {
+    { "head", [] { return postOf(3'000, "body"); }, false, false, NOT_READY, true },
+    { "head, certain", [] { return postOf(3'000, "body"); }, true, true, DENIED("431") },
+    { "head, certain after its first byte", [] { return postOf(3'000, "body"); }, false, true, NOT_READY, true },
+    { "head, uncertain after its first byte", [] { return postOf(3'000, "body"); }, true, false, DENIED("431") },
+    { "fields", manyFields, false, false, NOT_READY, true },
+    { "announced body", [] { return postOf(0, std::string(2'000, 'b')); }, false, false, NOT_READY, true },
+    { "announced body, certain", [] { return postOf(0, std::string(2'000, 'b')); }, true, true, DENIED("413") },
+    { "chunked body", [] { return POST_CHUNKED "7d0\r\n" + std::string(2'000, 'b') + "\r\n0\r\n\r\n"; }, false, false,
+        NOT_READY },
+    { "trailers", [] { return POST_CHUNKED "0\r\nX: " + std::string(20'000, 't') + "\r\n\r\n"; }, false, false,
+        NOT_READY },
+    { "malformed head", [] { return std::string("GET / HTTP/1.1\r\nHost shop\r\n\r\n"); }, false, false,
+        DENIED("400") },
+    { "malformed chunk", [] { return std::string(POST_CHUNKED "x\r\n"); }, false, false, DENIED("400") },
+    { "within the limits", [] { return postOf(0, "body"); }, false, false, "HTTP/1.1 200" },
+};
+
+// Guards against a request denied by limits that may not be the ones in force at its first byte: its caller does not
+// repeat it, although another member may serve it.
+ParameterizedTestParameters(CallerSessions, denyByCertainLimitsOnly) { return rowIndices(uncertainLimitsRows); }
+
+ParameterizedTest(std::size_t* index, CallerSessions, denyByCertainLimitsOnly, .timeout = 60)
+{
+    const auto& row = uncertainLimitsRows[*index];
+    bool isCertain = row.isCertainAtFirstByte;
+    CallerSessions::Hooks hooks;
+    hooks.retryIfUncertain = [&isCertain]() -> std::optional<Duration> {
+        return isCertain ? std::nullopt : std::optional<Duration>(std::chrono::milliseconds(200));
+    };
+    EchoFixture fixture(lowLimits(), std::move(hooks));
+    const auto text = row.text();
+    fixture.send(std::string_view(text).substr(0, 1));
+    isCertain = row.isCertainLater;
+    fixture.send(std::string_view(text).substr(1));
+    const auto response = fixture.received();
+    cr_expect(response.starts_with(row.response), "%s: %s", row.name, response.c_str());
+    const bool hasRetryTime = response.find("Retry-After: 0.200") != std::string::npos;
+    cr_expect_eq(hasRetryTime, row.hasRetryTime, "%s: %s", row.name, response.c_str());
+}
+
 struct EndlessRequestRow {
     const char* name;
     const char* start;
     const char* piece;
 };
 
-#define POST_CHUNKED "POST / HTTP/1.1\r\nHost: shop\r\nTransfer-Encoding: chunked\r\n\r\n"
-
 const EndlessRequestRow endlessRequestRows[] = {
     { "header fields", "GET / HTTP/1.1\r\nHost: shop\r\n", "X-Field: value\r\n" },
     // Each read of 4,096 bytes ends in the first byte of a line, so that the parser has consumed all lines before it.
--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -15,6 +15,8 @@
 
 // A member's share of the retry slack grows during its first window; the constructor waits for two windows.
 constexpr unsigned retryWindowMs = 100;
+constexpr unsigned headerTimeoutMs = 10'000;
+constexpr unsigned idleTimeoutMs = 15'000;
 
 constexpr std::size_t seedCount = 3;
 
@@ -48,6 +50,7 @@
 
 RegistryCluster::RegistryCluster(std::size_t endpoints, std::size_t daemons, Options options)
     : m_options(options)
+    , m_callerBounds(options.callerBounds)
     , m_registry({ REGISTRY_BINARY })
     , m_registryAddress(m_registry.readListening().at("address"))
 {
@@ -217,9 +220,19 @@
         const auto name = "unused-" + std::to_string(n);
         routes[name] = route("/" + name + "/", "idempotent", m_options.routeTimeoutMs, allowedRegions);
     }
-    publishText("op/config",
-        json::serialize(json::object { { "version", digits }, { "routes", std::move(routes) },
-            { "services", json::object { { "catalogue", catalogue } } } }));
+    json::object document { { "version", digits }, { "routes", std::move(routes) },
+        { "services", json::object { { "catalogue", catalogue } } } };
+    if (m_callerBounds)
+        document["limits"] = json::object { { "max_header_bytes", m_callerBounds->headerBytes },
+            { "max_body_bytes", m_callerBounds->bodyBytes }, { "header_timeout_ms", headerTimeoutMs },
+            { "idle_timeout_ms", idleTimeoutMs } };
+    publishText("op/config", json::serialize(document));
+}
+
+void RegistryCluster::publishBounds(unsigned version, const CallerBounds& bounds)
+{
+    m_callerBounds = bounds;
+    publishRouting(version);
 }
 
 std::uint64_t RegistryCluster::publishEndpoint(std::size_t endpoint, const std::string& state, unsigned warmUpLeftMs)
--- a/tests/system/support/RegistryCluster.h
+++ b/tests/system/support/RegistryCluster.h
@@ -26,6 +26,12 @@
         NetworkAddress admin;
     };
 
+    // Of heads and bodies of callers, as the routing document states them.
+    struct CallerBounds {
+        std::uint64_t headerBytes;
+        std::uint64_t bodyBytes;
+    };
+
     struct Options {
         unsigned drainGraceMs = 500; // Of each daemon.
         unsigned stopGraceMs = 5000;
@@ -40,6 +46,7 @@
         double warmUpSlack = 0;
         std::optional<unsigned> maxConfigurationAgeMs {}; // Empty for no limit.
         unsigned unusedRoutes = 0; // In each routing document, of about 250 bytes each.
+        std::optional<CallerBounds> callerBounds {}; // Empty for a routing document without limits.
         std::string settings = "{}"; // More settings of each daemon, as a JSON object.
     };
 
@@ -75,6 +82,8 @@
     // Writes the routing document; the idempotent route has this path prefix, and both allow these regions.
     void publishRouting(
         unsigned version, const std::string& prefix = "/lookups/", const std::vector<std::string>& allowedRegions = {});
+    // Writes the routing document with these limits, which later ones keep.
+    void publishBounds(unsigned version, const CallerBounds&);
     // Returns the revision of the entry.
     std::uint64_t publishEndpoint(std::size_t endpoint, const std::string& state, unsigned warmUpLeftMs = 0);
     // Waits until all daemons use this revision or a later one; throws at testDeadline.
@@ -98,6 +107,7 @@
     Response callRegistry(const std::string& method, const std::string& target, const std::string& body = {}) const;
 
     const Options m_options;
+    std::optional<CallerBounds> m_callerBounds;
     unsigned m_entriesWritten = 0; // Of all endpoints.
     TemporaryFolder m_folder;
     Process m_registry;
--- a/tools/src/StandInServer.cpp
+++ b/tools/src/StandInServer.cpp
@@ -93,9 +93,10 @@
     RequestHandler handler = [this, fd](IncomingRequest request, ResponseWriter writer) {
         return m_timedHandler(std::move(request), std::move(writer), lastReceivedAt(fd));
     };
-    std::function<void()> relieve = [] {};
+    CallerSessionHooks hooks;
+    hooks.relieve = [] {};
     CallerSession session(
-        std::move(socket), unlimitedBody(), std::move(handler), nullptr, account, ConnectionId(1), std::move(relieve));
+        std::move(socket), unlimitedBody(), std::move(handler), std::move(hooks), account, ConnectionId(1));
     co_await session.run();
 }
 
