Test that a refused body does not count against its endpoint

promisesNothingForABodyPassedOn sends five bodies and compares the chance that the member gives the endpoint before and after: a failed request takes a fifth of it.

--- a/tests/system/DenialStatesTest.cpp
+++ b/tests/system/DenialStatesTest.cpp
@@ -241,6 +241,14 @@
         504 },
 };
 
+namespace {
+
+constexpr int bodies = 5;
+// A failed request takes a fifth from the chance that the member gives its endpoint.
+constexpr double maxChanceLost = 0.1;
+
+} // namespace
+
 // Guards against a promise that a request has not run, a part of whose body has been passed on before it exceeded a
 // limit, and against an endpoint that is taken for broken for it.
 ParameterizedTestParameters(DenialStates, promisesNothingForABodyPassedOn) { return rowIndices(passedOnRows); }
@@ -249,9 +257,14 @@
 {
     const auto& row = passedOnRows[*index];
     auto state = row.enter();
+    const double before = state->cluster.chance("/lookups/1");
     const ProperRequest request { "", [] { return chunkedBody(15); }, 1, 0 };
-    const auto response = send(*state, request);
-    cr_expect_eq(response.status, row.status, "%s: %u", row.name, response.status);
-    cr_expect_eq(response.field("Dogwoodhall-Outcome"), "unknown", "%s", row.name);
+    for (int n = 0; n < bodies; ++n) {
+        const auto response = send(*state, request);
+        cr_expect_eq(response.status, row.status, "%s: %u", row.name, response.status);
+        cr_expect_eq(response.field("Dogwoodhall-Outcome"), "unknown", "%s", row.name);
+    }
+    const double after = state->cluster.chance("/lookups/1");
+    cr_expect_gt(after, before - maxChanceLost, "%s: chance %g, then %g", row.name, before, after);
     cr_expect_eq(state->cluster.request("GET", "/lookups/1", "after").status, 200, "%s: the next request", row.name);
 }
--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -156,6 +156,13 @@
     return std::stoul(call(m_endpoints.at(endpoint).address, { "GET", "/control/busiest-second", {}, {}, {} }).body);
 }
 
+double RegistryCluster::chance(const std::string& path, std::size_t daemon) const
+{
+    const auto target = "/where?host=shop&path=" + path;
+    const auto where = json::parse(call(m_daemons.at(daemon).admin, { "GET", target, {}, {}, {} }).body);
+    return where.at("endpoints").at(0).at("chance").to_number<double>();
+}
+
 void RegistryCluster::setMode(std::size_t endpoint, const std::string& query)
 {
     call(m_endpoints.at(endpoint).address, { "PUT", "/control/mode?" + query, {}, {}, {} });
--- a/tests/system/support/RegistryCluster.h
+++ b/tests/system/support/RegistryCluster.h
@@ -67,6 +67,8 @@
     std::size_t contacts(std::size_t endpoint) const;
     // The most requests that arrived at the endpoint within any second.
     std::size_t busiestSecond(std::size_t endpoint) const;
+    // That the daemon gives the only endpoint to answer a request with this path in time.
+    double chance(const std::string& path, std::size_t daemon = 0) const;
     void setMode(std::size_t endpoint, const std::string& query);
     void setRegistryMode(const std::string& state);
     void compactRegistry();
