Take no confirmation from a peer for a part of the records

Callers could get 404 by an old routing document from a member that had been cut off. Records arrive in order of revision and each key only with its newest change, so that after a first part its highest revision may be above that of a peer that holds a routing document which it lacks; a confirmation from that peer counted.

Offered records of a sequence say how far their sender was, and RecordTransfer lets no peer confirm the records before that is reached.

--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -7,6 +7,7 @@
 #include "dogwoodhall/configuration/ConfigurationLease.h"
 #include "dogwoodhall/configuration/JoinBarrier.h"
 #include "dogwoodhall/configuration/LapsedEndpoints.h"
+#include "dogwoodhall/configuration/RecordTransfer.h"
 #include "dogwoodhall/configuration/StoreRestoration.h"
 #include "dogwoodhall/daemon/DaemonMetrics.h"
 #include "dogwoodhall/daemon/PlatformAdapter.h"
@@ -77,7 +78,7 @@
     // Leaves only what a complete read changes, and adds the deletions that follow from it.
     void reduceToChanges(RecordBatch&);
     void observeEra(Era);
-    void acceptFromPeer(const MemberId& sender, const std::vector<Record>&);
+    void acceptFromPeer(const OfferRecords&);
     void acceptRecords(const std::vector<Record>&);
     // Accepts the records and forwards new ones within the own data centre. Returns true if there were new ones.
     bool acceptAndForward(const std::vector<Record>&);
@@ -126,6 +127,7 @@
     RandomEngine m_random { std::random_device {}() };
     RecordSource m_source;
     JoinBarrier m_joinBarrier;
+    RecordTransfer m_transfer;
     ConfigurationLease m_lease;
     LeaseTerm m_publishedTerm; // Given to the traffic threads.
     LapsedEndpoints m_lapsed;
--- a/packages/daemon/include/dogwoodhall/daemon/control/GossipDriver.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/GossipDriver.h
@@ -25,7 +25,7 @@
 public:
     struct Hooks {
         std::function<void()> membersChanged;
-        std::function<void(const MemberId& sender, const std::vector<Record>&)> offerRecords;
+        std::function<void(const OfferRecords&)> offerRecords;
         std::function<void(const std::vector<PoolLoadSummary>&)> observeLoads;
         std::function<void(Duration gap)> stateExpired;
         // Charges a message to the measuring budget before it is sent. Returns false if the budget is exhausted.
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -135,7 +135,7 @@
         [this](std::size_t most) { return ownLoads(most); },
         [this] { return m_lease.isDue(firstReaderShare, monotonicNow()); } };
     GossipDriver::Hooks hooks { [this] { requestPublication(PublicationReason::Members); },
-        [this](const MemberId& sender, const std::vector<Record>& records) { acceptFromPeer(sender, records); },
+        [this](const OfferRecords& offer) { acceptFromPeer(offer); },
         [this](const std::vector<PoolLoadSummary>& loads) { m_hooks.observeLoads(loads); },
         [this](Duration gap) {
             m_metrics.wakeUps.add();
@@ -275,7 +275,8 @@
     m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest, reply.sender.isReady, sentAt);
     updateReadiness();
     renewLease();
-    if (reply.confirmedAge && m_configuration.highestRevision() >= reply.configuration.highest)
+    const Revision held = m_configuration.highestRevision();
+    if (reply.confirmedAge && held >= reply.configuration.highest && m_transfer.isComplete(held))
         confirmRecords(sentAt - *reply.confirmedAge, reply.sender.id);
     // A member that has just started need not wait for its own read to fail.
     if (!reply.sender.canReadPlatform && !m_lease.isConfirmed()) {
@@ -380,9 +381,12 @@
 
 // Changes from another data centre are forwarded like changes from the registry, because the registry may refuse all
 // members of this data centre.
-void ControlThread::acceptFromPeer(const MemberId& sender, const std::vector<Record>& records)
+void ControlThread::acceptFromPeer(const OfferRecords& offer)
 {
-    const auto* member = m_gossip->fleet().find(sender);
+    const auto& records = offer.records;
+    if (offer.senderHighest && !records.empty())
+        m_transfer.received(records.back().revision, *offer.senderHighest);
+    const auto* member = m_gossip->fleet().find(offer.from);
     if (!member || member->dataCentre == m_settings.dataCentre) {
         acceptRecords(records);
         return;
--- a/packages/daemon/src/control/GossipDriver.cpp
+++ b/packages/daemon/src/control/GossipDriver.cpp
@@ -68,7 +68,7 @@
     for (auto& action : actions) {
         std::visit(Overloaded {
                        [&](Exchange& request) { asio::co_spawn(m_io, exchange(request), rethrowToLoop); },
-                       [&](OfferRecords& offer) { m_hooks.offerRecords(offer.from, offer.records); },
+                       [&](OfferRecords& offer) { m_hooks.offerRecords(offer); },
                        [&](ObservePoolLoads& observed) { m_hooks.observeLoads(observed.loads); },
                        [&](MembersChanged&) { m_hooks.membersChanged(); },
                        [&](StateExpired& expired) { m_hooks.stateExpired(expired.gap); },
--- a/packages/fleet/include/dogwoodhall/fleet/FleetActions.h
+++ b/packages/fleet/include/dogwoodhall/fleet/FleetActions.h
@@ -20,6 +20,7 @@
 struct OfferRecords {
     MemberId from;
     std::vector<Record> records;
+    std::optional<Revision> senderHighest {}; // Of a sequence of records, which may go on after these.
 
     friend bool operator==(const OfferRecords&, const OfferRecords&) = default;
 };
--- a/packages/fleet/src/FleetRecords.cpp
+++ b/packages/fleet/src/FleetRecords.cpp
@@ -98,7 +98,8 @@
     const Revision held = observeRecords(now);
     const bool isInSequence = !message.recordsAfter || *message.recordsAfter <= held;
     if (!message.records.empty() && isInSequence)
-        actions.emplace_back(OfferRecords { message.sender.id, message.records });
+        actions.emplace_back(OfferRecords { message.sender.id, message.records,
+            message.recordsAfter ? std::optional(message.configuration.highest) : std::nullopt });
     if (!message.records.empty() && message.recordsAfter && isInSequence)
         relay(message, now, actions);
 }
--- a/packages/fleet/tests/FleetRecordsTest.cpp
+++ b/packages/fleet/tests/FleetRecordsTest.cpp
@@ -239,3 +239,32 @@
     cr_assert(handled.reply.has_value());
     cr_expect_eq(handled.reply->records.size(), row.sent, "%s: %zu", row.name, handled.reply->records.size());
 }
+
+struct SequenceRow {
+    const char* name;
+    std::optional<Revision> after; // Empty: the records are no sequence.
+    std::optional<Revision> senderHighest;
+};
+
+const SequenceRow sequenceRows[] = {
+    { "a part of a sequence", Revision(0), Revision(newest) },
+    { "records that repair", std::nullopt, std::nullopt },
+};
+
+// Guards against a member that takes a part of the records for all, as the part does not say how far the sender was.
+ParameterizedTestParameters(FleetRecords, tellHowFarTheSenderWas) { return rowIndices(sequenceRows); }
+
+ParameterizedTest(std::size_t* index, FleetRecords, tellHowFarTheSenderWas)
+{
+    const auto& row = sequenceRows[*index];
+    Node peer("peer", 1);
+    GossipMessage message;
+    message.sender = member("sender", 2);
+    message.configuration = { Revision(newest), 0 };
+    message.records = { { RecordKey("1"), Revision(1), false, "value" } };
+    message.recordsAfter = row.after;
+    const auto handled = peer.fleet->handle(message, start);
+    const OfferRecords expected { message.sender.id, message.records, row.senderHighest };
+    const auto isExpected = [&](const FleetAction& it) { return it == FleetAction(expected); };
+    cr_expect(std::any_of(handled.actions.begin(), handled.actions.end(), isExpected), "%s", row.name);
+}
