--- a/tests/soak/Scenario.cpp
+++ b/tests/soak/Scenario.cpp
@@ -84,7 +84,7 @@
     std::vector<FaultKindInfo> candidates;
     std::copy_if(
         std::begin(faultKinds), std::end(faultKinds), std::back_inserter(candidates), [&](const FaultKindInfo& row) {
-            const bool isInAll = row.group != fleetGroup && row.group != restoreGroup;
+            const bool isInAll = row.group != fleetGroup && row.group != restoreGroup && row.group != everyGroup;
             return selection == row.group || selection == everyGroup || (selection == "all" && isInAll);
         });
     std::vector<Fault> faults;
