End an unanswered confirmation before the lease ends

While the store was silent, known routes got 503 for a moment: a member looks every 250 ms whether a confirmation is due, at 0.8 s of a lease of 2 s, and one without an answer took 1 s, which adds up to 2.05 s. DenialTest servesKnownRoutesInAnOutage, row silent, failed once at a load of 22 (503 after 1,279 ms) and not in three repeats.

The store's answers take 240 ms where it is slow.

--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -25,8 +25,9 @@
 // Interval between reads by a non-watcher whose last read failed. Every call has a cost, even a refused one, and
 // outages last several seconds.
 constexpr std::chrono::seconds recheckPeriod { 5 };
-// How often a waiting watch looks whether the records must be confirmed.
-constexpr Duration confirmationPoll = std::chrono::milliseconds(250);
+// How often a waiting watch looks whether the records must be confirmed. A confirmation that gets no answer has to end
+// before the lease does.
+constexpr Duration confirmationPoll = std::chrono::milliseconds(100);
 // Between reads that fail to confirm the records.
 constexpr Duration confirmationRetryDelay = std::chrono::seconds(1);
 // Longer than the time-outs of a source. A failed read that took longer was held up by this process and says nothing
