Wait for peers from the time at which a member is ready

A member that became ready more than 10 s after its start, because the store turned it away or its processor is small, denied requests at once, without an answer of a peer. Found in review: with 11 s until it was ready, mayDeny() was true.

The wait begins when the member is ready. The row of JoinBarrierTest for the longest wait stated the time from the start; it now states the same 10 s from readiness, and failed before.

--- a/packages/configuration/src/JoinBarrier.cpp
+++ b/packages/configuration/src/JoinBarrier.cpp
@@ -50,7 +50,7 @@
 
 bool JoinBarrier::mayDeny(std::size_t knownPeers, TimePoint now) const
 {
-    const bool hasWaited = now - m_startedAt >= silenceLimit;
+    const bool hasWaited = now - m_readyAt >= silenceLimit;
     return m_isReady && (hasWaited || m_answeredSinceReady.size() >= std::min(knownPeers, requiredAnswers));
 }
 
