Repair members for a minute after the store came back from a copy

A member that had run for longer than a minute when the store came back from an older copy, and had missed the lost version, got it from peers only at the same highest revision, which may take long while endpoints write; until then it could deny requests for that version's routes. Found in review by reading, not shown with daemons.

Peers send the records of earlier eras also for a minute after they have seen a new era. FleetRecordsTest repairMembersThatHaveJustStarted: the new row fails without the change, 8 of 8 pass with it.

--- a/packages/fleet/include/dogwoodhall/fleet/Fleet.h
+++ b/packages/fleet/include/dogwoodhall/fleet/Fleet.h
@@ -267,6 +267,8 @@
     bool m_hasFollowedUp = false; // In this period.
     std::map<MemberId, TimePoint> m_exchanges; // Start times of the exchanges in flight.
     RecordDistribution m_records;
+    Era m_era; // Of the highest revision held.
+    std::optional<TimePoint> m_eraSeenAt; // When the first record of it was held.
     std::map<MemberId, PendingClaim> m_pendingClaims;
     std::set<MemberId> m_unreachable; // Suspect or gone.
     std::vector<MemberId> m_retries; // Members with one failed exchange.
--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -146,18 +146,20 @@
     startExchange(m_table.find(message.sender.id), now, handled.actions);
 }
 
-// A member that has started since the store came back from an older copy cannot wait until both have the same highest
-// revision. Records of its own era that are above its own would hide that it lacks those in between.
+// Soon after the store came back from an older copy, or for a member that has started since, the records of earlier
+// eras that stay in force cannot wait until both have the same highest revision.
 void Fleet::addRepair(GossipMessage& reply, const GossipMessage& request, TimePoint now) const
 {
     const Revision theirs = request.configuration.highest;
     const bool isAsHigh = theirs == m_hooks.digest().highest;
-    const bool isFirstEra = theirs.era() == Era();
+    const bool namesNoEra = theirs.era() == Era();
     const auto* requester = m_table.find(request.sender.id);
-    const bool isNew = requester && now - requester->runFirstSeenAt < m_limits.joinWindow;
-    if (!isAsHigh && (!isNew || isFirstEra))
+    const bool hasStarted = requester && now - requester->runFirstSeenAt < m_limits.joinWindow;
+    const bool hasEraBegun = m_eraSeenAt && now - *m_eraSeenAt < m_limits.joinWindow;
+    if (!isAsHigh && (namesNoEra || !(hasStarted || hasEraBegun)))
         return;
     reply.records = m_hooks.recordsForRepair(m_limits.maxRecordBytes);
+    // Records of the requester's era above its highest revision would hide that it lacks those in between.
     if (!isAsHigh)
         std::erase_if(reply.records, [&](const Record& it) { return it.revision.era() >= theirs.era(); });
 }
--- a/packages/fleet/src/FleetRecords.cpp
+++ b/packages/fleet/src/FleetRecords.cpp
@@ -30,6 +30,10 @@
 Revision Fleet::observeRecords(TimePoint now)
 {
     const Revision highest = m_hooks.digest().highest;
+    if (highest.era() > m_era) {
+        m_era = highest.era();
+        m_eraSeenAt = now;
+    }
     m_records.observe(highest, now);
     return highest;
 }
--- a/packages/fleet/tests/FleetRecordsTest.cpp
+++ b/packages/fleet/tests/FleetRecordsTest.cpp
@@ -202,6 +202,7 @@
     Revision held; // Highest revision of the requester; that of the replying member is 40 of era 2.
     std::chrono::seconds since; // The requester's start.
     std::size_t sent; // Of the records at 50 of era 1 and at 39 of era 2 that repair it.
+    bool hasEraBegun = false; // The replying member has just seen the first record of era 2.
 };
 
 const RepairRow repairRows[] = {
@@ -209,6 +210,7 @@
     { "as high, started a minute ago", Revision(40, Era(2)), std::chrono::seconds(61), 2 },
     { "higher, has just started", Revision(45, Era(2)), std::chrono::seconds(0), 1 },
     { "higher, started a minute ago", Revision(45, Era(2)), std::chrono::seconds(61), 0 },
+    { "higher, started a minute ago, the era has begun", Revision(45, Era(2)), std::chrono::seconds(61), 1, true },
     { "lower, has just started", Revision(38, Era(2)), std::chrono::seconds(0), 1 },
     { "of the earlier era", Revision(60, Era(1)), std::chrono::seconds(0), 0 },
     { "has nothing", Revision(), std::chrono::seconds(0), 0 },
@@ -221,8 +223,9 @@
 ParameterizedTest(std::size_t* index, FleetRecords, repairMembersThatHaveJustStarted)
 {
     const auto& row = repairRows[*index];
-    Fleet::Hooks hooks { [] {
-                            return ConfigurationDigest { Revision(newest, Era(2)), 1 };
+    Era era(row.hasEraBegun ? 1 : 2);
+    Fleet::Hooks hooks { [&era] {
+                            return ConfigurationDigest { Revision(newest, era), 1 };
                         },
         [](Revision, ByteCount) { return std::vector<Record> {}; },
         [](ByteCount) {
@@ -235,6 +238,7 @@
     request.sender = member("started", 2);
     request.configuration = { row.held, 2 };
     fleet.handle(request, start);
+    era = Era(2);
     const auto handled = fleet.handle(request, start + row.since);
     cr_assert(handled.reply.has_value());
     cr_expect_eq(handled.reply->records.size(), row.sent, "%s: %zu", row.name, handled.reply->records.size());
