--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationInForce.h
@@ -147,6 +147,7 @@
     ParseRecord m_parse;
     std::map<RecordKey, Entry> m_entries;
     std::set<const Record*, ByRevision> m_byRevision; // Points into m_entries.
+    std::set<RecordKey> m_rejected; // Keys that have a rejection.
     std::set<RecordKey> m_unreadable; // Keys whose newest record the parser has rejected.
     std::set<RecordKey> m_evacuations; // Keys that have, or had, an evacuation in force.
     ConfigurationDigest m_digest;
--- a/packages/configuration/src/ConfigurationInForce.cpp
+++ b/packages/configuration/src/ConfigurationInForce.cpp
@@ -176,6 +176,7 @@
     // the record if it has no value.
     if (rejection.record.value.size() > maxRecordValueBytes.count())
         rejection.record.value.clear();
+    m_rejected.insert(rejection.record.key);
     if (!rejection.isReadable)
         m_unreadable.insert(rejection.record.key);
     entry.rejection = std::move(rejection);
@@ -187,6 +188,7 @@
     if (!entry.rejection)
         return;
     m_byRevision.erase(&entry.rejection->record);
+    m_rejected.erase(entry.rejection->record.key);
     m_unreadable.erase(entry.rejection->record.key);
     entry.rejection.reset();
 }
@@ -237,12 +239,12 @@
 {
     std::vector<Record> records;
     std::uint64_t bytes = 0;
-    auto it = m_entries.upper_bound(after);
-    for (std::size_t n = 0; n < m_entries.size(); ++n, ++it) {
-        if (it == m_entries.end())
-            it = m_entries.begin();
-        const auto& [inForce, rejection] = it->second;
-        if (!inForce || !rejection)
+    auto it = m_rejected.upper_bound(after);
+    for (std::size_t n = 0; n < m_rejected.size(); ++n, ++it) {
+        if (it == m_rejected.end())
+            it = m_rejected.begin();
+        const auto& inForce = m_entries.at(*it).inForce;
+        if (!inForce)
             continue;
         bytes += inForce->record.key.value().size() + inForce->record.value.size();
         if (!records.empty() && bytes > limit.count())
