Take no confirmation from a peer of another era

A peer of an earlier build, or one that has not seen the store's new era, stays at what it had and is confirmed in it; its reply extended the lease of a member that holds records of the new era and that the store does not answer. Found in review by reading, not shown with daemons.

handlePeerAnswer() requires the same era, and renews the term once. Names of the review: mayDeny for all reasons not to deny, mayDenyUntil, retryAfter.

--- a/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
+++ b/packages/configuration/include/dogwoodhall/configuration/ConfigurationLease.h
@@ -14,7 +14,7 @@
     TimePoint validUntil; // max() without a limit.
     // A request may be denied by what the records lack, or forbid, until then. Other than validUntil this also holds
     // while no member can know of changes. max() without a limit.
-    TimePoint deniesUntil;
+    TimePoint mayDenyUntil;
     // For logs.
     std::optional<MemberId> confirmedBy {}; // The peer that confirmed the records; empty if this member's own read did.
     std::optional<TimePoint> storeAnsweredAt {}; // The last time that the store answered this member.
@@ -46,8 +46,9 @@
     // A read that began at `at` got no answer from the store.
     void storeUnreachable(TimePoint at);
 
-    // Whether the routing document held is the newest that this member knows of. Nothing is denied while it is not.
-    void setHoldsNewestRoutes(bool holds) { m_holdsNewestRoutes = holds; }
+    // False while the member knows of a newer routing document, or has not heard from its peers. Nothing is denied
+    // then.
+    void setMayDeny(bool mayDeny) { m_mayDeny = mayDeny; }
 
     // Whether this share of the lease's time has passed since the last confirmation, so that peers should be asked.
     bool isDue(Fraction share, TimePoint now) const;
@@ -65,7 +66,7 @@
     std::optional<TimePoint> m_unreachableAt;
     std::optional<TimePoint> m_answeredAt;
     Era m_era;
-    bool m_holdsNewestRoutes = true;
+    bool m_mayDeny = true;
 };
 
 } // namespace dogwoodhall
--- a/packages/configuration/src/ConfigurationLease.cpp
+++ b/packages/configuration/src/ConfigurationLease.cpp
@@ -38,13 +38,13 @@
 
 LeaseTerm ConfigurationLease::term() const
 {
-    TimePoint deniesUntil = TimePoint::max();
+    TimePoint mayDenyUntil = TimePoint::max();
     if (m_maxAge)
-        deniesUntil = m_confirmedAt ? *m_confirmedAt + *m_maxAge : TimePoint();
-    const TimePoint validUntil = hasLimit() ? deniesUntil : TimePoint::max();
-    if (!m_holdsNewestRoutes)
-        deniesUntil = TimePoint();
-    return { m_confirmedAt, validUntil, deniesUntil, m_confirmedBy, m_answeredAt, m_era };
+        mayDenyUntil = m_confirmedAt ? *m_confirmedAt + *m_maxAge : TimePoint();
+    const TimePoint validUntil = hasLimit() ? mayDenyUntil : TimePoint::max();
+    if (!m_mayDeny)
+        mayDenyUntil = TimePoint();
+    return { m_confirmedAt, validUntil, mayDenyUntil, m_confirmedBy, m_answeredAt, m_era };
 }
 
 } // namespace dogwoodhall
--- a/packages/configuration/tests/ConfigurationLeaseTest.cpp
+++ b/packages/configuration/tests/ConfigurationLeaseTest.cpp
@@ -26,7 +26,7 @@
     std::optional<Duration> maxAge;
     std::vector<Evidence> evidence;
     std::optional<Duration> validUntil; // Since the start; empty: no limit.
-    std::optional<Duration> deniesUntil; // Likewise.
+    std::optional<Duration> mayDenyUntil; // Likewise.
     std::optional<Duration> needsConfirmationAt; // By a read, since the start; empty: never.
     std::optional<Duration> isDueAt; // From peers; empty: never.
 };
@@ -72,9 +72,9 @@
     const auto expected = row.validUntil ? start + *row.validUntil : TimePoint::max();
     cr_expect(lease.term().validUntil == expected, "%s: valid until %f s", row.name,
         toSeconds(lease.term().validUntil - start));
-    const auto denies = row.deniesUntil ? start + *row.deniesUntil : TimePoint::max();
-    cr_expect(lease.term().deniesUntil == denies, "%s: denies until %f s", row.name,
-        toSeconds(lease.term().deniesUntil - start));
+    const auto denies = row.mayDenyUntil ? start + *row.mayDenyUntil : TimePoint::max();
+    cr_expect(lease.term().mayDenyUntil == denies, "%s: denies until %f s", row.name,
+        toSeconds(lease.term().mayDenyUntil - start));
     const TimePoint due = start + row.needsConfirmationAt.value_or(1h);
     cr_expect_eq(lease.needsConfirmation(half, due), row.needsConfirmationAt.has_value(), "%s", row.name);
     cr_expect_not(lease.needsConfirmation(half, due - 1ms), "%s", row.name);
@@ -89,11 +89,11 @@
 {
     ConfigurationLease lease(3s);
     lease.confirm(start);
-    lease.setHoldsNewestRoutes(false);
+    lease.setMayDeny(false);
     cr_expect(lease.term().validUntil == start + 3s);
-    cr_expect(lease.term().deniesUntil == TimePoint());
-    lease.setHoldsNewestRoutes(true);
-    cr_expect(lease.term().deniesUntil == start + 3s);
+    cr_expect(lease.term().mayDenyUntil == TimePoint());
+    lease.setMayDeny(true);
+    cr_expect(lease.term().mayDenyUntil == start + 3s);
 }
 
 // Guards against a member that decides before its records were ever confirmed.
--- a/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/ControlThread.h
@@ -84,10 +84,10 @@
     bool acceptAndForward(const std::vector<Record>&);
     void recordsUnreachable();
     void handlePeerAnswer(const GossipMessage& reply, TimePoint sentAt);
-    void confirmRecords(TimePoint at, const std::optional<MemberId>& by = {});
+    void confirmRecords(TimePoint at);
     bool needsConfirmation() const;
     void renewLease();
-    bool holdsNewestRoutes() const;
+    bool mayDeny() const;
     Era storeEra() const;
     std::optional<Duration> confirmedAge() const;
     void trackLapsedEndpoints(const std::vector<Record>&);
--- a/packages/daemon/include/dogwoodhall/daemon/traffic/RequestPath.h
+++ b/packages/daemon/include/dogwoodhall/daemon/traffic/RequestPath.h
@@ -18,8 +18,8 @@
     std::function<void(const SnapshotPointer&)> apply;
     // Empty if the path decides by the snapshot whatever its age.
     std::function<void(const LeaseTerm&)> renewLease;
-    // Empty if what the configuration lacks or forbids is certain. Otherwise no request may be denied for good by it,
-    // and callers should try again after this time. Empty function if the path always decides by what it has.
+    // Returns nothing if what the configuration lacks or forbids is certain. Otherwise no request may be denied for
+    // good by it, and callers should try again after this time. Empty if the path always decides by what it has.
     std::function<std::optional<Duration>()> retryIfUncertain;
     std::function<void(const StopSchedule&)> stop; // The process ends as scheduled. Empty if the path has no schedule.
     std::function<std::size_t()> running; // Number of requests in progress.
--- a/packages/daemon/src/control/ControlThread.cpp
+++ b/packages/daemon/src/control/ControlThread.cpp
@@ -274,20 +274,21 @@
     m_lastPeerAnswer = sentAt;
     m_joinBarrier.peerAnswered(reply.sender.id, reply.configuration.highest, reply.sender.isReady, sentAt);
     updateReadiness();
-    renewLease();
     const Revision held = m_configuration.highestRevision();
-    if (reply.confirmedAge && held >= reply.configuration.highest && m_transfer.isComplete(held))
-        confirmRecords(sentAt - *reply.confirmedAge, reply.sender.id);
+    const Revision theirs = reply.configuration.highest;
+    // A peer that has not seen this member's era may be confirmed in what the store has lost.
+    const bool holdsAll = held >= theirs && held.era() == theirs.era() && m_transfer.isComplete(held);
+    if (reply.confirmedAge && holdsAll)
+        m_lease.confirm(sentAt - *reply.confirmedAge, reply.sender.id);
     // A member that has just started need not wait for its own read to fail.
-    if (!reply.sender.canReadPlatform && !m_lease.isConfirmed()) {
+    if (!reply.sender.canReadPlatform && !m_lease.isConfirmed())
         m_lease.storeUnreachable(sentAt);
-        renewLease();
-    }
+    renewLease();
 }
 
-void ControlThread::confirmRecords(TimePoint at, const std::optional<MemberId>& by)
+void ControlThread::confirmRecords(TimePoint at)
 {
-    m_lease.confirm(at, by);
+    m_lease.confirm(at);
     renewLease();
 }
 
@@ -306,7 +307,7 @@
 // A term must not reach the traffic threads before the records that it is about.
 void ControlThread::renewLease()
 {
-    m_lease.setHoldsNewestRoutes(holdsNewestRoutes());
+    m_lease.setMayDeny(mayDeny());
     if (m_pacer.hasPending() || m_lease.term() == m_publishedTerm)
         return;
     m_publishedTerm = m_lease.term();
@@ -314,7 +315,7 @@
 }
 
 // As far as this member can know.
-bool ControlThread::holdsNewestRoutes() const
+bool ControlThread::mayDeny() const
 {
     if (!m_configuration.isRoutingNewest() || !m_settings.registry)
         return m_configuration.isRoutingNewest();
@@ -564,7 +565,7 @@
     snapshot->isDraining = m_isDraining;
     m_published = std::move(snapshot);
     m_hooks.publish(m_published);
-    m_lease.setHoldsNewestRoutes(holdsNewestRoutes());
+    m_lease.setMayDeny(mayDeny());
     m_publishedTerm = m_lease.term();
     m_hooks.renewLease(m_publishedTerm);
     const Duration cost = threadProcessorTime() - start;
--- a/packages/daemon/src/traffic/DispatchRunner.cpp
+++ b/packages/daemon/src/traffic/DispatchRunner.cpp
@@ -20,7 +20,8 @@
 
 // Request bodies up to this size are buffered so that the request can be retried.
 constexpr ByteCount replayLimit { 64 * 1024 };
-// Retry delay sent before the first configuration has been read. Members are ready within 1 s of their start.
+// Retry delay sent while the configuration is missing or not certain: another member may know it, and this one is ready
+// within 1 s of its start.
 constexpr Duration notReadyRetry = std::chrono::milliseconds(200);
 // Retry delay sent while the process stops: the next attempt reaches another member.
 constexpr Duration drainingRetry = Duration::zero();
@@ -130,7 +131,7 @@
 
 std::optional<Duration> DispatchRunner::retryIfUncertain() const
 {
-    const bool isCertain = m_snapshot->isReady && monotonicNow() < m_term.deniesUntil;
+    const bool isCertain = m_snapshot->isReady && monotonicNow() < m_term.mayDenyUntil;
     return isCertain ? std::nullopt : std::optional(notReadyRetry);
 }
 
@@ -270,6 +271,8 @@
     }
     if (m_term.validUntil != TimePoint::max())
         line.addMilliseconds("leaseLeftMs", m_term.validUntil - now);
+    if (m_term.mayDenyUntil != TimePoint::max())
+        line.addMilliseconds("denialLeftMs", m_term.mayDenyUntil - now);
     if (m_term.storeAnsweredAt)
         line.addMilliseconds("storeAnsweredMs", now - *m_term.storeAnsweredAt);
     line.add("storeEra", m_term.storeEra.value());
--- a/packages/http/src/CallerSession.cpp
+++ b/packages/http/src/CallerSession.cpp
@@ -286,7 +286,7 @@
     const auto kind = rejectionFor(ec);
     if (m_hooks.rejected)
         m_hooks.rejected(kind, ec.message());
-    const auto retryAfter = kind == ErrorKind::NotReady ? m_current->retryIfUncertain : std::nullopt;
+    const auto retryAfter = kind == ErrorKind::NotReady ? m_current->retryAfter : std::nullopt;
     co_await writeError(writer(*m_current), kind, Outcome::NotRun, retryAfter);
 }
 
--- a/packages/http/src/CallerSessionInput.cpp
+++ b/packages/http/src/CallerSessionInput.cpp
@@ -38,7 +38,7 @@
 {
     const auto kind = errorKindFor(ec);
     const bool exceedsLimit = kind == ErrorKind::HeadersTooLarge || kind == ErrorKind::BodyTooLarge;
-    return exceedsLimit && m_current->retryIfUncertain ? ErrorKind::NotReady : kind;
+    return exceedsLimit && m_current->retryAfter ? ErrorKind::NotReady : kind;
 }
 
 asio::awaitable<beast::error_code> CallerSession::Impl::waitForFirstByte()
@@ -62,7 +62,7 @@
 void CallerSession::Impl::applyLimits()
 {
     if (m_hooks.retryIfUncertain)
-        m_current->retryIfUncertain = m_hooks.retryIfUncertain();
+        m_current->retryAfter = m_hooks.retryIfUncertain();
     m_current->parser->header_limit(static_cast<std::uint32_t>(m_limits.headerBytes.count()));
     m_current->parser->body_limit(m_limits.bodyBytes.count());
     // Has space for the largest head and one more read, also after bytes that arrived under higher limits.
--- a/packages/http/src/CurrentRequest.h
+++ b/packages/http/src/CurrentRequest.h
@@ -38,7 +38,7 @@
 struct CurrentRequest {
     std::optional<boost::beast::http::request_parser<boost::beast::http::buffer_body>> parser;
     ChunkExtensionLimit chunkExtensions;
-    std::optional<Duration> retryIfUncertain; // Of the limits that bind the request; see RetryIfUncertain.
+    std::optional<Duration> retryAfter; // If the limits that bind the request are not certain; see RetryIfUncertain.
     bool expectsContinue = false;
     bool keepAlive = false;
     bool isHead = false;
