--- a/packages/fleet/include/dogwoodhall/fleet/GossipMessage.h
+++ b/packages/fleet/include/dogwoodhall/fleet/GossipMessage.h
@@ -38,8 +38,8 @@
     std::vector<Member> members; // At most FleetLimits::maxMemberUpdates.
     std::vector<PoolLoadSummary> poolLoads; // At most FleetLimits::maxPoolLoads.
     // Records above `recordsAfter` in ascending order of revision, without gaps. Bounded by
-    // FleetLimits::maxRecordBytes, but at least one if the receiver is behind. In a reply to a member with the same
-    // highest revision and a different hash: records in force for keys whose newest record was rejected.
+    // FleetLimits::maxRecordBytes, but at least one if the receiver is behind. In a reply to a member with a different
+    // hash that needs no sequence: records in force for keys whose newest record was rejected; see Fleet::addRepair().
     std::vector<Record> records;
     // A receiver whose highest revision is lower ignores the records, because it would miss those in between without
     // noticing. Empty if the records are not a sequence.
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -18,10 +18,7 @@
 bool guaranteesNotExecuted(unsigned status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
 // A final refusal of a request as wrong: its sender does not try again.
-bool isDenial(unsigned status)
-{
-    return status >= 300 && status < 500 && status != 429 && !guaranteesNotExecuted(status);
-}
+bool isDenial(unsigned status) { return status >= 300 && status < 500 && !guaranteesNotExecuted(status); }
 
 std::string toMillisecondText(Duration duration)
 {
