Relay no answer that lost to its hedge before its body was read

A process could end, with every request in progress on it, or a caller could get bytes of unset memory. When a hedge is answered, the first attempt is cancelled. If the head of its own answer had just been read, exchange() kept the response and then left by the exception of the cancellation, before awaitBody() had made the body. sendAndRelay() took an attempt with a response for the winner and read the body of an empty optional.

An attempt now wins only if exchange() has ended with a response whose body has begun.

HedgeRaceTest stops the daemon while both answers arrive.

--- a/packages/daemon/src/traffic/DispatchAttempts.cpp
+++ b/packages/daemon/src/traffic/DispatchAttempts.cpp
@@ -87,8 +87,11 @@
     const SendRequest action;
     const TimePoint sentAt;
     bool isOver = false; // The end of the attempt has been reported to the dispatcher.
-    std::optional<IncomingResponse> response; // To be relayed.
+    std::optional<IncomingResponse> response;
     std::optional<ReplayableBody> body; // The response body.
+    // The response can be relayed: its head was accepted and its body has begun. A cancellation may leave a response of
+    // which neither is true.
+    bool isAnswered = false;
 
 private:
     Dispatcher& m_dispatcher;
@@ -105,8 +108,8 @@
         co_await (runFirstAttempt(state, first, hedge) || runHedge(state, first, hedge));
     else
         co_await runFirstAttempt(state, first, hedge);
-    Attempt* winner = first.response ? &first : nullptr;
-    if (!winner && hedge && hedge->response)
+    Attempt* winner = first.isAnswered ? &first : nullptr;
+    if (!winner && hedge && hedge->isAnswered)
         winner = &*hedge;
     if (!winner)
         co_return false;
@@ -129,7 +132,7 @@
 {
     co_await exchange(state, first);
     const bool isHedgeRunning = hedge && !hedge->isOver;
-    if (!first.response && isHedgeRunning)
+    if (!first.isAnswered && isHedgeRunning)
         co_await waitUntil(TimePoint::max());
 }
 
@@ -169,7 +172,7 @@
         }
     }
     // If the hedge got no response, the first attempt may still get one.
-    const bool isAnswered = hedge && hedge->response;
+    const bool isAnswered = hedge && hedge->isAnswered;
     if (!isAnswered && !first.isOver)
         co_await waitUntil(TimePoint::max());
 }
@@ -205,6 +208,7 @@
     if (description.load)
         m_dispatcher.endpoints().recordReportFromResponse(attempt.action.choice.endpoint, *description.load, now);
     attempt.isOver = true;
+    attempt.isAnswered = true;
 }
 
 asio::awaitable<bool> DispatchRunner::awaitBody(RequestState& state, Attempt& attempt)
--- a/tools/src/RegisteredUpstreamStandIn.cpp
+++ b/tools/src/RegisteredUpstreamStandIn.cpp
@@ -33,7 +33,7 @@
 //   delay_ms=<n>   delay before the response
 //   warmup_ms=<n>  how long the endpoint says that it stays cold, from this call on; 0 for warm
 //   status=<n>    status of the response, also one that HTTP does not have
-//   padding=<n>   bytes after the text of the response
+//   padding=<n>   bytes after the text of the response; head_padding=<n> bytes of a field of its head
 //   leaving=<value>   value of Server-Leaving in all answers; leaving_in=request|health|interim limits it to answers to
 //       requests, to health calls, or to an interim head before the answer to a request
 //   retry_after=<value>   value of Retry-After in each 503; fault=busy refuses with a 503 that proves nothing
@@ -321,6 +321,8 @@
     head.fields.add(std::string(attemptIdField), isFault("other") ? "another" : id);
     if (!isFault("unsigned"))
         head.fields.add("Dogwoodhall-Response-Signature", "signed-" + id);
+    if (const auto padding = m_mode.number("head_padding", 0))
+        head.fields.add("X-Padding", std::string(static_cast<std::size_t>(padding), 'p'));
     addWithdrawal(head.fields, "request", head.status);
     head.bodyLength = { BodyLength::Kind::Exact, ByteCount(text.size()) };
     if (isFault("unframed"))
