Take a cancelled wait for an answer's body for no time-out

An endpoint that answered a little after the hedge was recorded as timed out, with the full weight of a failure instead of that of an attempt that lost to its hedge. When an attempt is cancelled between two reads of the body, the read leaves by an exception and the wait for the deadline ends without one, so that the wait seemed to have been the first to end. The same held for an answer that is streamed to a caller who disconnects.

The wait says whether it was cancelled; awaitBody() and relay() now ask.

--- a/packages/daemon/src/traffic/DispatchAttempts.cpp
+++ b/packages/daemon/src/traffic/DispatchAttempts.cpp
@@ -216,6 +216,9 @@
     const auto resized = [&state](std::size_t bytes) { state.progress.kept(state.body.memory() + bytes); };
     attempt.body.emplace(attempt.response->readBody, answerPrefetch, resized);
     const auto result = co_await (attempt.body->prefetch() || waitUntil(state.plan.deadline()));
+    // The other attempt has finished first, or the caller has disconnected.
+    if (const auto* isLate = std::get_if<1>(&result); isLate && !*isLate)
+        co_return false;
     ExchangeError error { ErrorKind::DeadlineExceeded, false, "the answer's body did not arrive in time" };
     if (const auto* prefetched = std::get_if<0>(&result)) {
         if (*prefetched)
@@ -284,7 +287,7 @@
         const auto result = co_await (relayAnswer(answer, writer, noOp) || waitUntil(state.plan.deadline()));
         if (const auto* relayed = std::get_if<0>(&result))
             outcome = *relayed;
-        else
+        else if (std::get<1>(result)) // Else the caller has disconnected.
             outcome.result = RelayResult::SourceFailed;
     }
     (outcome.result == RelayResult::Complete ? m_metrics.relayed : m_metrics.broken).add();
