--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -7,7 +7,9 @@
   -Wno-mismatched-new-delete)
 target_compile_definitions(dogwoodhall_options INTERFACE BOOST_LOG_DYN_LINK BOOST_ASIO_NO_DEPRECATED)
 if(DOGWOODHALL_SANITIZE)
-  target_compile_options(dogwoodhall_options INTERFACE -fsanitize=${DOGWOODHALL_SANITIZE} -fno-omit-frame-pointer)
+  # Undefined behaviour ends the process, since CTest does not show the output of tests that pass.
+  target_compile_options(dogwoodhall_options INTERFACE -fsanitize=${DOGWOODHALL_SANITIZE}
+    -fno-sanitize-recover=undefined -fno-omit-frame-pointer)
   target_link_options(dogwoodhall_options INTERFACE -fsanitize=${DOGWOODHALL_SANITIZE})
   # The thread sanitizer does not model the fences of Asio, which only add to orders that its mutexes give already.
   if(DOGWOODHALL_SANITIZE STREQUAL "thread")
