--- a/tests/system/StoreReadTest.cpp
+++ b/tests/system/StoreReadTest.cpp
@@ -6,6 +6,8 @@
 #include "dogwoodhall/platform/StoreClient.h"
 
 #include <algorithm>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <set>
@@ -23,6 +25,14 @@
     result = co_await client.readRecords(Duration::zero());
 }
 
+std::set<RecordKey> keysOf(const RecordBatch& batch)
+{
+    std::set<RecordKey> keys;
+    for (const auto& record : batch.records)
+        keys.insert(record.key);
+    return keys;
+}
+
 } // namespace
 
 struct ReadRow {
@@ -60,10 +70,59 @@
     asio::co_spawn(io, readOnce(client, result), rethrowToLoop);
     io.run_for(testDeadline);
     cr_assert(result.has_value(), "%s: %s", row.name, result ? "" : result.error().detail.c_str());
-    std::set<RecordKey> keys;
-    for (const auto& record : result->records)
-        keys.insert(record.key);
+    const auto keys = keysOf(*result);
     cr_expect_eq(keys.contains(RecordKey(row.key)), row.isRead, "%s", row.name);
     cr_expect_eq(keys.size(), row.items + (row.isRead ? 1 : 0), "%s", row.name);
     cr_expect(result->isComplete, "%s", row.name);
 }
+
+struct CancelRow {
+    const char* name;
+    std::size_t items; // The store returns three a page.
+};
+
+const CancelRow cancelRows[] = {
+    { "one page", 3 },
+    { "two pages", 5 },
+    { "four pages", 11 },
+};
+
+// Guards against a member that takes its records for complete although a cancelled read has lost them: the next read
+// then returned only the changes since.
+ParameterizedTestParameters(StoreRead, losesNothingByCancellation) { return rowIndices(cancelRows); }
+
+ParameterizedTest(std::size_t* index, StoreRead, losesNothingByCancellation, .timeout = 60)
+{
+    const auto& row = cancelRows[*index];
+    Process registry({ REGISTRY_BINARY });
+    const auto address = registry.readListening().at("address");
+    for (std::size_t n = 0; n < row.items; ++n) {
+        const auto target = "/control/items/servers/i-" + std::to_string(n);
+        cr_assert_eq(call(address, { "PUT", target, {}, toBase64("{}"), {} }).status, 200);
+    }
+    // Cancels the read after each number of its steps until it ends by itself.
+    bool hasEnded = false;
+    for (int steps = 0; !hasEnded; ++steps) {
+        asio::io_context io;
+        platform::StoreClient client(io.get_executor(), address);
+        tl::expected<RecordBatch, ExchangeError> result = tl::unexpected(ExchangeError {});
+        asio::cancellation_signal cancel;
+        bool isOver = false;
+        asio::co_spawn(io, readOnce(client, result),
+            asio::bind_cancellation_slot(cancel.slot(), [&](const std::exception_ptr&) { isOver = true; }));
+        for (int n = 0; n < steps && !isOver; ++n)
+            io.run_one_for(testDeadline);
+        hasEnded = isOver;
+        cancel.emit(asio::cancellation_type::terminal);
+        while (!isOver)
+            cr_assert_gt(io.run_one_for(testDeadline), 0u, "%s: not over, %d steps", row.name, steps);
+        if (result)
+            continue;
+        io.restart();
+        asio::co_spawn(io, readOnce(client, result), rethrowToLoop);
+        io.run_for(testDeadline);
+        cr_assert(result.has_value(), "%s: no second read, %d steps", row.name, steps);
+        cr_expect(result->isComplete, "%s: not complete, %d steps", row.name, steps);
+        cr_expect_eq(keysOf(*result).size(), row.items, "%s: %zu, %d steps", row.name, keysOf(*result).size(), steps);
+    }
+}
