Confirm no records while all of them are read anew

A member whose watch met a compacted history could hold its old records for the newest, tell its peers so, and answer 404 for routes added since. It then reads all entries, within the watch; a check meanwhile compared the store's revision with no position and found nothing newer, and as a linearizable check that confirmed the lease. The same held for a first read that waits.

hasNewerRecords() is empty while there is no position; the watcher then neither confirms nor takes the watch for lost.

Not shown on a running daemon.

--- a/packages/daemon/include/dogwoodhall/daemon/control/PlatformClient.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/PlatformClient.h
@@ -13,7 +13,7 @@
     // Long poll: the service waits for up to `wait` if no record is newer than `since`.
     ExchangeResult<RecordBatch> readRecords(Revision since, Duration wait);
     // Returns whether the service has records that the watch in progress should have returned.
-    ExchangeResult<bool> hasNewerRecords();
+    ExchangeResult<std::optional<bool>> hasNewerRecords();
     ExchangeResult<HostList> readHosts();
 
 private:
--- a/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
+++ b/packages/daemon/include/dogwoodhall/daemon/control/RecordSource.h
@@ -5,6 +5,7 @@
 #include "dogwoodhall/exchange/Exchange.h"
 
 #include <functional>
+#include <optional>
 #include <vector>
 
 namespace dogwoodhall {
@@ -33,10 +34,10 @@
     // Waits for up to `wait` if no record is newer than `since`. Fails with ErrorKind::UpstreamTruncated if an answer
     // began but did not arrive completely.
     std::function<ExchangeResult<RecordBatch>(Revision since, Duration wait)> readRecords;
-    // Asks the service, without waiting, whether it has records that the watch in progress should have returned. Fails
-    // if the service does not respond, with ErrorKind::UpstreamRefused if it refuses the question. Must be callable
-    // while readRecords is in progress.
-    std::function<ExchangeResult<bool>(ReadConsistency)> hasNewerRecords {};
+    // Asks the service, without waiting, whether it has records that the watch in progress should have returned; empty
+    // if that cannot be told, because all records are being read. Fails if the service does not respond, with
+    // ErrorKind::UpstreamRefused if it refuses the question. Must be callable while readRecords is in progress.
+    std::function<ExchangeResult<std::optional<bool>>(ReadConsistency)> hasNewerRecords {};
     // Makes the next read begin after this revision, since the member holds all records up to it. Empty if each read is
     // by `since`.
     std::function<void(Revision)> skipTo {};
--- a/packages/daemon/src/control/PlatformClient.cpp
+++ b/packages/daemon/src/control/PlatformClient.cpp
@@ -94,7 +94,7 @@
     co_return parseAnswer(body, toBatch);
 }
 
-ExchangeResult<bool> PlatformClient::hasNewerRecords()
+ExchangeResult<std::optional<bool>> PlatformClient::hasNewerRecords()
 {
     auto body = co_await get("/v1/records?since=" + std::to_string(m_since.value()) + "&wait_ms=0", readTimeout);
     const auto batch = parseAnswer(body, toBatch);
--- a/packages/daemon/src/control/PlatformWatcher.cpp
+++ b/packages/daemon/src/control/PlatformWatcher.cpp
@@ -164,7 +164,7 @@
         }
         if (hasNewer)
             reportAnswer();
-        if (isConfirmation && hasNewer && !*hasNewer)
+        if (isConfirmation && hasNewer && *hasNewer == std::optional(false))
             reportConfirmed(now);
         if (!hasNewer) {
             // The failed watch began so long ago that its own failure says nothing about the service.
@@ -173,7 +173,7 @@
             result = tl::unexpected(hasNewer.error());
             co_return;
         }
-        if (!*hasNewer)
+        if (!hasNewer->value_or(false))
             continue;
         co_await pause(maxWatchDelay); // The response may be on its way.
         if (result)
--- a/packages/daemon/tests/PlatformWatcherTest.cpp
+++ b/packages/daemon/tests/PlatformWatcherTest.cpp
@@ -51,7 +51,7 @@
 
 enum class CheckResult { NothingNewer, Newer, NoResponse };
 
-ExchangeResult<bool> check(asio::io_context& io, std::chrono::milliseconds time, CheckResult result)
+ExchangeResult<std::optional<bool>> check(asio::io_context& io, std::chrono::milliseconds time, CheckResult result)
 {
     const bool isCancelled = co_await isCancelledWithin(io, time);
     if (isCancelled)
--- a/tests/system/StoreReadTest.cpp
+++ b/tests/system/StoreReadTest.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -25,6 +26,13 @@
     result = co_await client.readRecords(Duration::zero());
 }
 
+using Check = tl::expected<std::optional<bool>, ExchangeError>;
+
+asio::awaitable<void> checkOnce(platform::StoreClient& client, std::optional<Check>& check)
+{
+    check = co_await client.hasNewerRecords(ReadConsistency::Linearizable);
+}
+
 std::set<RecordKey> keysOf(const RecordBatch& batch)
 {
     std::set<RecordKey> keys;
@@ -126,3 +134,55 @@
         cr_expect_eq(keysOf(*result).size(), row.items, "%s: %zu, %d steps", row.name, keysOf(*result).size(), steps);
     }
 }
+
+struct CheckRow {
+    const char* name;
+    bool isHistoryGone; // Of a watch; otherwise the first read.
+};
+
+const CheckRow checkRows[] = {
+    { "first read", false },
+    { "watch whose history is gone", true },
+};
+
+// Guards against records that are confirmed while all of them are read anew: what has changed has not arrived yet.
+ParameterizedTestParameters(StoreRead, knowsNoNewestBeforeItsEnd) { return rowIndices(checkRows); }
+
+ParameterizedTest(std::size_t* index, StoreRead, knowsNoNewestBeforeItsEnd, .timeout = 60)
+{
+    constexpr std::size_t items = 11;
+    const auto& row = checkRows[*index];
+    Process registry({ REGISTRY_BINARY });
+    const auto address = registry.readListening().at("address");
+    const auto put = [&](const std::string& target) {
+        cr_assert_eq(call(address, { "PUT", target, {}, toBase64("{}"), {} }).status, 200, "%s", target.c_str());
+    };
+    for (std::size_t n = 0; n < items; ++n)
+        put("/control/items/servers/i-" + std::to_string(n));
+    asio::io_context io;
+    platform::StoreClient client(io.get_executor(), address);
+    tl::expected<RecordBatch, ExchangeError> result;
+    if (row.isHistoryGone) {
+        asio::co_spawn(io, readOnce(client, result), rethrowToLoop);
+        io.run_for(testDeadline);
+        cr_assert(result.has_value(), "%s: no first read", row.name);
+        io.restart();
+        put("/control/items/op/config");
+        put("/control/compact");
+    }
+    // A page then takes longer than the answer to a check.
+    put("/control/pace?bytes_per_second=600");
+    result = tl::unexpected(ExchangeError {});
+    bool isOver = false;
+    asio::co_spawn(io, readOnce(client, result), [&](const std::exception_ptr&) { isOver = true; });
+    while (!isOver) {
+        std::optional<Check> check;
+        asio::co_spawn(io, checkOnce(client, check), rethrowToLoop);
+        while (!check)
+            cr_assert_gt(io.run_one_for(testDeadline), 0u, "%s: no answer", row.name);
+        if (!result && *check)
+            cr_expect(!(*check)->has_value(), "%s: said to be %s", row.name, ***check ? "old" : "newest");
+    }
+    cr_expect(result && result->isComplete, "%s: not complete", row.name);
+    cr_expect_eq(keysOf(*result).size(), items + (row.isHistoryGone ? 1 : 0), "%s", row.name);
+}
