Keep a connection that is idle from the response that it carried

A connection could be closed while it waited in the pool; its id stayed there, and the next request to the endpoint, or the periodic close of idle connections, ended with an exception (unordered_map::at). A response is abandoned when its time limit passes; if its end arrives in the same turn of the event loop, the connection has already been returned. A response could also have closed the connection under a later request.

A connection now gets a new id when it is returned to the pool, so that the old response reaches nothing.

--- a/packages/http/src/UpstreamClient.cpp
+++ b/packages/http/src/UpstreamClient.cpp
@@ -454,7 +454,11 @@
     }
     connection.parser.reset();
     connection.idleSince = std::chrono::steady_clock::now();
-    idle.push_back(id);
+    // Under a new id, so that the response that has ended no longer reaches the connection.
+    auto node = m_connections.extract(id);
+    node.key() = ConnectionId(m_nextConnection++);
+    idle.push_back(node.key());
+    m_connections.insert(std::move(node));
 }
 
 void UpstreamClient::closeIdleConnections()
--- a/packages/http/tests/IdleConnectionsTest.cpp
+++ b/packages/http/tests/IdleConnectionsTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <chrono>
+#include <functional>
 
 using namespace dogwoodhall;
 using std::chrono::milliseconds;
@@ -22,8 +23,9 @@
 // A server that responds only after all requests have arrived, so that each needs its own connection, and its client.
 class Fixture {
 public:
-    Fixture(std::size_t requests, UpstreamLimits limits)
+    Fixture(std::size_t requests, UpstreamLimits limits, std::function<void(IncomingResponse&)> ended = {})
         : m_requests(requests)
+        , m_ended(std::move(ended))
         , m_acceptor(m_io.get_executor())
         , m_address(m_acceptor.listen({ IpAddress::loopback(), 0 }, PortSharing::Exclusive).value())
         , m_sessions(m_io.get_executor(), CallerLimits {},
@@ -65,11 +67,14 @@
         cr_assert_eq(response->head.status, 200);
         auto body = co_await readFullBody(*response, ByteCount(100), deadline);
         cr_assert(body.has_value());
+        if (m_ended)
+            m_ended(*response);
         ++m_completed;
     }
 
     asio::io_context m_io;
     std::size_t m_requests;
+    std::function<void(IncomingResponse&)> m_ended; // Called with each response that has been read.
     std::size_t m_arrived = 0;
     std::size_t m_completed = 0;
     Acceptor m_acceptor;
@@ -118,3 +123,31 @@
     cr_assert_eq(
         fixture.client.openConnections(), row.keptLater, "%s: %zu", row.name, fixture.client.openConnections());
 }
+
+struct EndedRow {
+    const char* name;
+    std::size_t limit;
+    std::size_t kept;
+};
+
+const EndedRow endedRows[] = {
+    { "connections kept", 8, 6 },
+    { "some closed", 4, 4 },
+    { "all closed", 0, 0 },
+};
+
+// Guards against a response that is abandoned after its end, as when its time limit passes at the same moment, and
+// closes a connection that waits for the next request.
+ParameterizedTestParameters(IdleConnections, outliveTheirResponses) { return rowIndices(endedRows); }
+
+ParameterizedTest(std::size_t* index, IdleConnections, outliveTheirResponses)
+{
+    const auto& row = endedRows[*index];
+    UpstreamLimits limits;
+    limits.idleTimeout = milliseconds(60'000);
+    limits.idleLimit = [&](const NetworkAddress&) { return row.limit; };
+    Fixture fixture(6, std::move(limits), [](IncomingResponse& response) { response.abandon(); });
+    cr_expect_eq(fixture.client.openConnections(), row.kept, "%s: %zu", row.name, fixture.client.openConnections());
+    fixture.client.closeIdleConnections();
+    cr_expect_eq(fixture.client.openConnections(), row.kept, "%s: %zu", row.name, fixture.client.openConnections());
+}
