Meet each step of a slow answer in HedgeRaceTest

The row that showed the fault depended on the exact number of turns of the event loop, and after its first round the daemon preferred the fast endpoint, so that the other rounds met no race. Each round has a new daemon now, heads grow by a step of 8 kB, and the route's time limit is 4 s, so that a short stall of the machine is no failure. The checks of each answer are the same.

--- a/tests/system/HedgeRaceTest.cpp
+++ b/tests/system/HedgeRaceTest.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr int rounds = 20;
+constexpr int rounds = 4;
 constexpr std::size_t slowEndpoint = 0;
 constexpr std::size_t fastEndpoint = 1;
 // Hedges leave 165 ms after the request. While the daemon is stopped, the fast endpoint answers the hedge and then the
@@ -37,9 +37,13 @@
     { "slow one in several reads", "&padding=60000", "" },
     { "slow one longer than what is read ahead", "&padding=200000", "" },
     { "both longer than what is read ahead", "&padding=200000", "&padding=200000" },
+    // Each read of a head takes at most 16 KB, so that the hedge is answered after another step of the slow one.
     { "slow one with a head of 20 kB", "&head_padding=20000", "" },
+    { "slow one with a head of 28 kB", "&head_padding=28000", "" },
     { "slow one with a head of 36 kB", "&head_padding=36000", "" },
+    { "slow one with a head of 44 kB", "&head_padding=44000", "" },
     { "slow one with a head of 52 kB", "&head_padding=52000", "" },
+    { "slow one with a head of 60 kB", "&head_padding=60000", "" },
 };
 
 namespace {
@@ -72,13 +76,14 @@
     const auto& row = hedgeRaceRows[*index];
     RegistryCluster::Options options;
     options.settings = R"({ "trafficThreads": 1 })";
-    RegistryCluster cluster(2, 1, options);
-    cluster.setMode(slowEndpoint, std::string(slowMode) + row.slowMode);
-    cluster.setMode(fastEndpoint, std::string(fastMode) + row.fastMode);
-    auto& daemon = cluster.daemon();
-    const auto hedges = [&] { return counterOf(daemon.admin, "dogwoodhall_hedges_total"); };
-    const auto hedgesBefore = hedges();
+    options.routeTimeoutMs = 4000;
+    std::uint64_t hedged = 0;
     for (int round = 0; round < rounds; ++round) {
+        // A new daemon has not yet seen the slow endpoint lose, and prefers it.
+        RegistryCluster cluster(2, 1, options);
+        cluster.setMode(slowEndpoint, std::string(slowMode) + row.slowMode);
+        cluster.setMode(fastEndpoint, std::string(fastMode) + row.fastMode);
+        auto& daemon = cluster.daemon();
         const auto id = "race-" + std::to_string(round);
         const auto client = startRequest(daemon.caller, id);
         ::usleep(stopAfterMicroseconds);
@@ -91,6 +96,7 @@
         cr_assert_eq(response.status, 200, "%s, %s: %u %s", row.name, id.c_str(), response.status, error.c_str());
         const bool isWhole = response.isComplete && isAnswerTo(id, response.body);
         cr_assert(isWhole, "%s, %s: another body of %zu bytes", row.name, id.c_str(), response.body.size());
+        hedged += counterOf(daemon.admin, "dogwoodhall_hedges_total");
     }
-    cr_expect(hedges() > hedgesBefore, "%s: no hedge", row.name);
+    cr_expect_gt(hedged, 0u, "%s: no hedge", row.name);
 }
