--- a/tests/system/support/TestClient.cpp
+++ b/tests/system/support/TestClient.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr std::size_t readBytes = 64 * 1024;
+// Above the 64 KB that the daemon takes from an endpoint.
+constexpr std::uint32_t responseHeadLimit = 128 * 1024;
 
 } // namespace
 
@@ -62,6 +64,7 @@
 {
     http::response_parser<http::string_body> parser;
     parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+    parser.header_limit(responseHeadLimit);
     parser.eager(true);
     parser.skip(isHeadOnly);
     boost::system::error_code ec;
