Send what repairs a member beside the newer records

A member that had just started could answer 404 for a route of a version that the store had lost, for about a second, while endpoints wrote all the time. Its peer's reply carried the newer records of the store's era, and only a reply without records carried those of earlier eras that stay in force. The member took the reply for an answer, and so denied by the copy's version until a later reply repaired it.

The records of earlier eras now go with the sequence, before it: they are of lower eras, so that the order of revisions holds and its end still tells how far the sender is.

FleetRecordsTest repairMembersThatHaveJustStarted has two rows more, of which one fails without the change.

--- a/packages/fleet/src/Fleet.cpp
+++ b/packages/fleet/src/Fleet.cpp
@@ -131,7 +131,7 @@
         if (isBehind)
             m_records.add(message.sender.id, { theirs.highest, {} });
         handled.reply = replyTo(message, now);
-        if (theirs.hash != mine.hash && handled.reply->records.empty())
+        if (theirs.hash != mine.hash)
             addRepair(*handled.reply, message, now);
         return;
     }
@@ -156,12 +156,15 @@
     const auto* requester = m_table.find(request.sender.id);
     const bool hasStarted = requester && now - requester->runFirstSeenAt < m_limits.joinWindow;
     const bool hasEraBegun = m_eraSeenAt && now - *m_eraSeenAt < m_limits.joinWindow;
-    if (!isAsHigh && (namesNoEra || !(hasStarted || hasEraBegun)))
+    if (isAsHigh ? !reply.records.empty() : namesNoEra || !(hasStarted || hasEraBegun))
         return;
-    reply.records = m_hooks.recordsForRepair(m_limits.maxRecordBytes);
+    auto records = m_hooks.recordsForRepair(m_limits.maxRecordBytes);
     // Records of the requester's era above its highest revision would hide that it lacks those in between.
     if (!isAsHigh)
-        std::erase_if(reply.records, [&](const Record& it) { return it.revision.era() >= theirs.era(); });
+        std::erase_if(records, [&](const Record& it) { return it.revision.era() >= theirs.era(); });
+    // Those of earlier eras come before a sequence of its own era, with which they must go: the requester takes the
+    // reply for an answer.
+    reply.records.insert(reply.records.begin(), records.begin(), records.end());
 }
 
 // The records that the message would have carried are still due.
--- a/packages/fleet/tests/FleetRecordsTest.cpp
+++ b/packages/fleet/tests/FleetRecordsTest.cpp
@@ -203,6 +203,7 @@
     std::chrono::seconds since; // The requester's start.
     std::size_t sent; // Of the records at 50 of era 1 and at 39 of era 2 that repair it.
     bool hasEraBegun = false; // The replying member has just seen the first record of era 2.
+    bool hasNewer = false; // The reply also carries the record at 40 of era 2.
 };
 
 const RepairRow repairRows[] = {
@@ -212,6 +213,9 @@
     { "higher, started a minute ago", Revision(45, Era(2)), std::chrono::seconds(61), 0 },
     { "higher, started a minute ago, the era has begun", Revision(45, Era(2)), std::chrono::seconds(61), 1, true },
     { "lower, has just started", Revision(38, Era(2)), std::chrono::seconds(0), 1 },
+    { "lower, has just started, newer records follow", Revision(38, Era(2)), std::chrono::seconds(5), 2, false, true },
+    { "lower, started a minute ago, newer records follow", Revision(38, Era(2)), std::chrono::seconds(61), 1, false,
+        true },
     { "of the earlier era", Revision(60, Era(1)), std::chrono::seconds(0), 0 },
     { "has nothing", Revision(), std::chrono::seconds(0), 0 },
 };
@@ -227,7 +231,10 @@
     Fleet::Hooks hooks { [&era] {
                             return ConfigurationDigest { Revision(newest, era), 1 };
                         },
-        [](Revision, ByteCount) { return std::vector<Record> {}; },
+        [&row](Revision, ByteCount) {
+            const Record newer { RecordKey("c"), Revision(newest, Era(2)), false, "x" };
+            return row.hasNewer ? std::vector<Record> { newer } : std::vector<Record> {};
+        },
         [](ByteCount) {
             return std::vector<Record> { { RecordKey("a"), Revision(50, Era(1)), false, "x" },
                 { RecordKey("b"), Revision(39, Era(2)), false, "x" } };
@@ -241,7 +248,10 @@
     era = Era(2);
     const auto handled = fleet.handle(request, start + row.since);
     cr_assert(handled.reply.has_value());
-    cr_expect_eq(handled.reply->records.size(), row.sent, "%s: %zu", row.name, handled.reply->records.size());
+    const auto& records = handled.reply->records;
+    cr_expect_eq(records.size(), row.sent, "%s: %zu", row.name, records.size());
+    if (row.hasNewer)
+        cr_expect_eq(records.back().revision, Revision(newest, Era(2)), "%s", row.name);
 }
 
 struct SequenceRow {
