Report how long callers wait beside a crowd

HostileCallersTest only said that a request was not served in time. Its rows now give the time and the last status of the request and of the readiness check, in the log line of each row and in the messages; conditions and bounds are as before.

--- a/tests/system/HostileCallersTest.cpp
+++ b/tests/system/HostileCallersTest.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <filesystem>
@@ -114,12 +115,41 @@
     return { head, row.unit, row.unitBytes, row.tail };
 }
 
-bool isServed(RegistryCluster& cluster)
+// How long the process took to serve an ordinary request and a readiness check, and the statuses that came last.
+struct Service {
+    bool isServed = false;
+    std::chrono::milliseconds requestTime {};
+    std::chrono::milliseconds readyTime {};
+    unsigned requestStatus = 0;
+    unsigned readyStatus = 0;
+
+    std::string text() const
+    {
+        return "request " + std::to_string(requestStatus) + " after " + std::to_string(requestTime.count())
+            + " ms, readiness " + std::to_string(readyStatus) + " after " + std::to_string(readyTime.count()) + " ms";
+    }
+};
+
+Service awaitService(RegistryCluster& cluster)
 {
-    return eventually([&] { return cluster.request("GET", "/lookups/1", "ordinary").status == 200; })
-        && eventually([&] {
-               return call(cluster.daemon().admin, { "GET", "/ready", {}, {}, {} }).status == 200;
-           });
+    Service service;
+    const auto begin = std::chrono::steady_clock::now();
+    const auto elapsed = [&] {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - begin);
+    };
+    const bool isRequestServed = eventually([&] {
+        service.requestStatus = cluster.request("GET", "/lookups/1", "ordinary").status;
+        return service.requestStatus == 200;
+    });
+    service.requestTime = elapsed();
+    if (!isRequestServed)
+        return service;
+    service.isServed = eventually([&] {
+        service.readyStatus = call(cluster.daemon().admin, { "GET", "/ready", {}, {}, {} }).status;
+        return service.readyStatus == 200;
+    });
+    service.readyTime = elapsed() - service.requestTime;
+    return service;
 }
 
 } // namespace
@@ -149,6 +179,7 @@
     const auto descriptorsBefore = openDescriptors(daemon.process);
     std::size_t memory = 0;
     std::size_t descriptors = 0;
+    Service beside;
     const auto observe = [&] {
         memory = std::max(memory, peakKilobytes(daemon.process));
         descriptors = std::max(descriptors, openDescriptors(daemon.process));
@@ -158,14 +189,19 @@
         crowd.sendAll(row.pieceBytes, observe);
         cr_assert(daemon.process.isRunning(), "%s, %s: the process ended", row.name, door.name);
         observe();
-        cr_expect(isServed(cluster), "%s, %s: not served beside the crowd", row.name, door.name);
+        beside = awaitService(cluster);
+        cr_expect(
+            beside.isServed, "%s, %s: not served beside the crowd: %s", row.name, door.name, beside.text().c_str());
         observe();
     }
-    cr_expect(isServed(cluster), "%s, %s: not served after the crowd", row.name, door.name);
+    const auto after = awaitService(cluster);
+    cr_expect(after.isServed, "%s, %s: not served after the crowd: %s", row.name, door.name, after.text().c_str());
     observe();
     cr_assert(daemon.process.isRunning(), "%s, %s: the process ended", row.name, door.name);
-    cr_log_info("%s, %s: %zu kB before, at most %zu kB, at the end %zu kB; descriptors %zu, at most %zu\n", row.name,
-        door.name, memoryBefore, memory, daemon.process.residentKilobytes(), descriptorsBefore, descriptors);
+    cr_log_info("%s, %s: %zu kB before, at most %zu kB, at the end %zu kB; descriptors %zu, at most %zu; beside the "
+                "crowd %s, after it %s\n",
+        row.name, door.name, memoryBefore, memory, daemon.process.residentKilobytes(), descriptorsBefore, descriptors,
+        beside.text().c_str(), after.text().c_str());
     cr_expect(descriptors <= descriptorsBefore + descriptorGrowthLimit, "%s, %s: %zu descriptors, then %zu", row.name,
         door.name, descriptorsBefore, descriptors);
     if (measuresMemory)
