Accept connections that have arrived together

Cause: the acceptor took one connection in each round of the event loop, and in a busy loop a round runs a request of each connection of the crowd. Now a round takes up to 64 connections that have already arrived, while fewer than half of the share's connections are closing beside it. AcceptorTest acceptsWhatHasArrived: 3 of 5 rows failed with one connection in a round.

--- a/packages/daemon/src/control/OperatorServer.cpp
+++ b/packages/daemon/src/control/OperatorServer.cpp
@@ -50,7 +50,8 @@
     if (!bound)
         throw std::runtime_error("admin port: " + bound.error());
     spawnPermanent(m_io.get_executor(), [this] {
-        return m_acceptor.run([this](asio::ip::tcp::socket socket) { m_sessions.serve(std::move(socket)); });
+        return m_acceptor.run([this](asio::ip::tcp::socket socket) { m_sessions.serve(std::move(socket)); },
+            [this] { return m_sessions.hasRoomForMore(); });
     });
     return *bound;
 }
--- a/packages/daemon/src/traffic/TrafficThread.cpp
+++ b/packages/daemon/src/traffic/TrafficThread.cpp
@@ -102,7 +102,8 @@
     if (!peer)
         throw std::runtime_error("peer port: " + peer.error());
     spawnPermanent(m_io.get_executor(), [this] {
-        return m_acceptor.run([this](asio::ip::tcp::socket socket) { m_sessions.serve(std::move(socket)); });
+        return m_acceptor.run([this](asio::ip::tcp::socket socket) { m_sessions.serve(std::move(socket)); },
+            [this] { return m_sessions.hasRoomForMore(); });
     });
     spawnPermanent(m_io.get_executor(), [this] { return runPeriodicTasks(); });
     return { *caller, *peer };
--- a/packages/exchange/src/Acceptor.cpp
+++ b/packages/exchange/src/Acceptor.cpp
@@ -14,6 +14,8 @@
 // saturate a core.
 constexpr auto retryDelay = std::chrono::milliseconds(50);
 
+constexpr std::size_t maxAcceptedAtOnce = 64;
+
 using ReusePort = asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
 } // namespace
@@ -35,6 +37,8 @@
         m_acceptor.set_option(ReusePort(true), ec);
     if (!ec)
         m_acceptor.bind(local, ec);
+    if (!ec)
+        m_acceptor.non_blocking(true, ec);
     if (!ec)
         m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
     if (ec)
@@ -45,7 +49,7 @@
     return fromEndpoint(bound);
 }
 
-asio::awaitable<void> Acceptor::run(ConnectionHandler handleConnection)
+asio::awaitable<void> Acceptor::run(ConnectionHandler handleConnection, HasRoom hasRoom)
 {
     while (m_acceptor.is_open()) {
         auto [ec, socket] = co_await m_acceptor.async_accept(useTuple);
@@ -54,6 +58,8 @@
             co_return;
         if (!ec) {
             handleConnection(std::move(socket));
+            if (hasRoom)
+                acceptWaiting(handleConnection, hasRoom);
         } else {
             m_retryTimer.expires_after(retryDelay);
             co_await m_retryTimer.async_wait(useTuple);
@@ -61,6 +67,18 @@
     }
 }
 
+void Acceptor::acceptWaiting(const ConnectionHandler& handleConnection, const HasRoom& hasRoom)
+{
+    boost::system::error_code ec;
+    for (std::size_t n = 1; n < maxAcceptedAtOnce && m_acceptor.is_open() && hasRoom(); ++n) {
+        auto socket = m_acceptor.accept(ec);
+        // An error other than an empty queue is met again, and handled, by the next asynchronous accept.
+        if (ec)
+            return;
+        handleConnection(std::move(socket));
+    }
+}
+
 void Acceptor::close()
 {
     boost::system::error_code ec;
--- a/packages/exchange/tests/AcceptorTest.cpp
+++ b/packages/exchange/tests/AcceptorTest.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <sys/resource.h>
+#include <utility>
 #include <vector>
 
 using namespace dogwoodhall;
@@ -35,11 +36,12 @@
 
 // An acceptor on its own event loop and the number of connections it has accepted.
 struct Fixture {
-    Fixture()
+    explicit Fixture(Acceptor::HasRoom hasRoom = nullptr)
         : acceptor(io.get_executor())
         , address(acceptor.listen(ephemeralAddress, PortSharing::Exclusive).value())
     {
-        asio::co_spawn(io, acceptor.run([this](asio::ip::tcp::socket) { ++accepted; }), asio::detached);
+        auto handleConnection = [this](asio::ip::tcp::socket) { ++accepted; };
+        asio::co_spawn(io, acceptor.run(std::move(handleConnection), std::move(hasRoom)), asio::detached);
         // UndefinedBehaviorSanitizer opens a pipe when it first checks a type, and reports a false error if that fails.
         // Polling here lets it do so while file descriptors are available.
         io.poll();
@@ -119,6 +121,47 @@
         fixture.io.run_one();
 }
 
+struct BacklogRow {
+    const char* name;
+    bool asksForRoom;
+    std::size_t room; // For connections after the first.
+    std::size_t connections;
+    std::size_t accepted; // Before another handler may run.
+};
+
+const BacklogRow backlogRows[] = {
+    { "one in a round", false, 0, 5, 1 },
+    { "no room for more", true, 0, 5, 1 },
+    { "room for some", true, 3, 5, 4 },
+    { "room for all", true, 100, 5, 5 },
+    { "more than one round takes", true, 1000, 100, 64 },
+};
+
+// Guards against a caller behind a crowd that waits for a round of the event loop for each connection before its own,
+// and against a crowd that keeps the loop from running other handlers.
+ParameterizedTestParameters(Acceptor, acceptsWhatHasArrived) { return rowIndices(backlogRows); }
+
+ParameterizedTest(std::size_t* index, Acceptor, acceptsWhatHasArrived)
+{
+    const auto& row = backlogRows[*index];
+    std::size_t room = row.room;
+    auto hasRoom = [&room] {
+        if (room == 0)
+            return false;
+        --room;
+        return true;
+    };
+    Fixture fixture(row.asksForRoom ? Acceptor::HasRoom(hasRoom) : nullptr);
+    std::vector<asio::ip::tcp::socket> callers;
+    for (std::size_t n = 0; n < row.connections; ++n)
+        callers.push_back(fixture.connect());
+    while (fixture.accepted == 0)
+        fixture.io.run_one();
+    cr_expect_eq(fixture.accepted, row.accepted, "%s: %zu", row.name, fixture.accepted);
+    while (fixture.accepted < row.connections)
+        fixture.io.run_one();
+}
+
 struct CloseRow {
     const char* name;
     bool isPausing; // After an error.
--- a/packages/http/include/dogwoodhall/http/CallerSessions.h
+++ b/packages/http/include/dogwoodhall/http/CallerSessions.h
@@ -31,6 +31,9 @@
     CallerSessions(asio::any_io_executor, CallerLimits, RequestHandler, std::function<void()> sessionEnded = nullptr);
 
     void serve(asio::ip::tcp::socket);
+    // False while as many connections are closing as may be beside the share, so that their descriptors are released
+    // before others are accepted.
+    bool hasRoomForMore() const { return m_account.closing() < 2 * m_maxLingering; }
     // Closes each connection after its request in progress, or immediately if it is idle.
     void stopAfterCurrentRequests();
     // Closes each connection, including those accepted later, after its next response; see CallerSession.
@@ -57,7 +60,7 @@
     RequestHandler m_handler;
     Hooks m_hooks;
     CallerAccount m_account; // Outlives the sessions.
-    std::size_t m_maxLingering; // Evicted connections.
+    std::size_t m_maxLingering; // Evicted connections. As many again may be closing without lingering.
     std::unordered_map<ConnectionId, std::unique_ptr<CallerSession>> m_sessions;
     std::uint64_t m_nextConnection = 1;
     bool m_closesAfterNextResponse = false;
