Reserve the peer ports of the daemons of a test cluster

Cause, as far as shown: rows run beside each other, their members have the same names, and a killed daemon's port was free for a daemon of another row, which then gets the gossip meant for the killed one. In a trial, a daemon of a second cluster at the port of a killed one of the first was at revision 4 instead of 3 within 250 ms and stayed there. That the port was in fact reused in the failed row is not shown. Each daemon now listens on a reserved port that is kept until the cluster ends, as upstreams and the platform do; each start still has a port of its own.

--- a/tests/system/support/Cluster.cpp
+++ b/tests/system/support/Cluster.cpp
@@ -69,8 +69,9 @@
 DaemonProcess Cluster::launchDaemon(const std::string& name, const std::string& dataCentre)
 {
     const auto settings = m_folder / (name + ".json");
+    const auto& peerPort = m_peerPorts.emplace_back();
     json::object fields { { "schemaVersion", 1 }, { "member", name }, { "dataCentre", dataCentre },
-        { "callerAddress", ephemeralAddress }, { "peerAddress", ephemeralAddress },
+        { "callerAddress", ephemeralAddress }, { "peerAddress", toString(peerPort.address()) },
         { "adminAddress", ephemeralAddress }, { "platformAddress", toString(m_platformAddressOfDaemons) },
         { "slowSenderTimeoutMs", slowSenderTimeoutMs } };
     std::optional<NetworkAddress> advertised;
--- a/tests/system/support/Cluster.h
+++ b/tests/system/support/Cluster.h
@@ -95,6 +95,9 @@
     NetworkAddress m_platformAddressOfDaemons;
     std::vector<UpstreamProcess> m_upstreams;
     std::vector<DaemonProcess> m_daemons;
+    // Of each daemon ever started: a daemon of a concurrent test at the port of a killed one would be sent the records
+    // of this cluster, and hold them.
+    std::vector<ReservedPort> m_peerPorts;
     std::size_t m_slots = 3;
     boost::json::object m_settings; // Of each daemon, in addition to the required ones.
 };
