--- a/tests/system/DenialTest.cpp
+++ b/tests/system/DenialTest.cpp
@@ -16,13 +16,6 @@
 constexpr useconds_t pollInterval = 20'000;
 constexpr useconds_t margin = 500'000;
 
-RegistryCluster::Options withLease()
-{
-    RegistryCluster::Options options;
-    options.maxConfigurationAgeMs = static_cast<unsigned>(maxAge.count());
-    return options;
-}
-
 } // namespace
 
 struct OutageRow {
@@ -38,7 +31,7 @@
 ParameterizedTest(std::size_t* index, Denial, namesNoMissingRouteByAnOldConfiguration, .timeout = 60)
 {
     const auto& row = outageRows[*index];
-    RegistryCluster cluster(1, 1, withLease());
+    RegistryCluster cluster(1, 1, RegistryCluster::Options::withMaxConfigurationAge(maxAge));
     ::usleep(firstReadPause);
     cr_assert_eq(cluster.request("GET", "/finds/1", "before").status, 404, "%s", row.registryMode);
     cluster.setRegistryMode(row.registryMode);
@@ -60,7 +53,7 @@
 {
     using Clock = std::chrono::steady_clock;
     const auto& row = outageRows[*index];
-    RegistryCluster cluster(1, 1, withLease());
+    RegistryCluster cluster(1, 1, RegistryCluster::Options::withMaxConfigurationAge(maxAge));
     ::usleep(firstReadPause);
     cluster.setRegistryMode(row.registryMode);
     const auto begin = Clock::now();
--- a/tests/system/RestoredStoreTest.cpp
+++ b/tests/system/RestoredStoreTest.cpp
@@ -18,13 +18,6 @@
 constexpr useconds_t pollInterval = 20'000;
 constexpr std::chrono::milliseconds observed { 1000 };
 
-RegistryCluster::Options withLease()
-{
-    RegistryCluster::Options options;
-    options.maxConfigurationAgeMs = static_cast<unsigned>(maxChangeTime / std::chrono::milliseconds(1));
-    return options;
-}
-
 bool areAll(RegistryCluster& cluster, const std::string& path, unsigned status)
 {
     bool result = true;
@@ -36,13 +29,7 @@
 // Whether each daemon answers with this status within the time that a change may take.
 bool becomes(RegistryCluster& cluster, const std::string& path, unsigned status)
 {
-    const auto end = Clock::now() + maxChangeTime;
-    while (!areAll(cluster, path, status)) {
-        if (Clock::now() >= end)
-            return false;
-        ::usleep(pollInterval);
-    }
-    return true;
+    return eventually([&] { return areAll(cluster, path, status); }, maxChangeTime);
 }
 
 // Whether each daemon answers with this status and no other for some time.
@@ -89,7 +76,7 @@
 ParameterizedTest(std::size_t* index, RestoredStore, followsTheNextEra, .timeout = 60)
 {
     const auto& row = restoreRows[*index];
-    RegistryCluster cluster(2, daemons, withLease());
+    RegistryCluster cluster(2, daemons, RegistryCluster::Options::withMaxConfigurationAge(maxChangeTime));
     cluster.publishRouting(7, "/lookups/");
     cluster.copyRegistry();
     // Last, at the highest of the revisions that are given out again.
@@ -145,7 +132,7 @@
 ParameterizedTest(std::size_t* index, RestoredStore, keepsTheStateOfEndpoints, .timeout = 60)
 {
     const auto& row = restoredEndpointRows[*index];
-    RegistryCluster cluster(1, daemons, withLease());
+    RegistryCluster cluster(1, daemons, RegistryCluster::Options::withMaxConfigurationAge(maxChangeTime));
     const bool isInCopy = row.since != Since::Joined;
     if (!isInCopy) {
         cluster.removeEndpoint(0);
--- a/tests/system/StoreReadTest.cpp
+++ b/tests/system/StoreReadTest.cpp
@@ -21,6 +21,31 @@
 
 namespace {
 
+// The registry stand-in with this many items. It returns three a page.
+class Registry {
+public:
+    explicit Registry(std::size_t items)
+        : m_process({ REGISTRY_BINARY })
+        , m_address(m_process.readListening().at("address"))
+    {
+        for (std::size_t n = 0; n < items; ++n)
+            put("items/servers/i-" + std::to_string(n));
+    }
+
+    const NetworkAddress& address() const { return m_address; }
+
+    // Calls this control target with an item as its body.
+    void put(const std::string& target) const
+    {
+        const auto status = call(m_address, { "PUT", "/control/" + target, {}, toBase64("{}"), {} }).status;
+        cr_assert_eq(status, 200, "%s: %u", target.c_str(), status);
+    }
+
+private:
+    Process m_process;
+    NetworkAddress m_address;
+};
+
 asio::awaitable<void> readOnce(platform::StoreClient& client, tl::expected<RecordBatch, ExchangeError>& result)
 {
     result = co_await client.readRecords(Duration::zero());
@@ -64,16 +89,10 @@
 ParameterizedTest(std::size_t* index, StoreRead, includesChangesBetweenPages, .timeout = 60)
 {
     const auto& row = readRows[*index];
-    Process registry({ REGISTRY_BINARY });
-    const auto address = registry.readListening().at("address");
-    const auto put = [&](const std::string& target) {
-        return call(address, { "PUT", target, {}, toBase64("{}"), {} }).status;
-    };
-    for (std::size_t n = 0; n < row.items; ++n)
-        cr_assert_eq(put("/control/items/servers/i-" + std::to_string(n)), 200);
-    cr_assert_eq(put("/control/items-after-page/" + std::string(row.key)), 200);
+    const Registry registry(row.items);
+    registry.put("items-after-page/" + std::string(row.key));
     asio::io_context io;
-    platform::StoreClient client(io.get_executor(), address);
+    platform::StoreClient client(io.get_executor(), registry.address());
     tl::expected<RecordBatch, ExchangeError> result;
     asio::co_spawn(io, readOnce(client, result), rethrowToLoop);
     io.run_for(testDeadline);
@@ -102,17 +121,12 @@
 ParameterizedTest(std::size_t* index, StoreRead, losesNothingByCancellation, .timeout = 60)
 {
     const auto& row = cancelRows[*index];
-    Process registry({ REGISTRY_BINARY });
-    const auto address = registry.readListening().at("address");
-    for (std::size_t n = 0; n < row.items; ++n) {
-        const auto target = "/control/items/servers/i-" + std::to_string(n);
-        cr_assert_eq(call(address, { "PUT", target, {}, toBase64("{}"), {} }).status, 200);
-    }
+    const Registry registry(row.items);
     // Cancels the read after each number of its steps until it ends by itself.
     bool hasEnded = false;
     for (int steps = 0; !hasEnded; ++steps) {
         asio::io_context io;
-        platform::StoreClient client(io.get_executor(), address);
+        platform::StoreClient client(io.get_executor(), registry.address());
         tl::expected<RecordBatch, ExchangeError> result = tl::unexpected(ExchangeError {});
         asio::cancellation_signal cancel;
         bool isOver = false;
@@ -152,26 +166,20 @@
 {
     constexpr std::size_t items = 11;
     const auto& row = checkRows[*index];
-    Process registry({ REGISTRY_BINARY });
-    const auto address = registry.readListening().at("address");
-    const auto put = [&](const std::string& target) {
-        cr_assert_eq(call(address, { "PUT", target, {}, toBase64("{}"), {} }).status, 200, "%s", target.c_str());
-    };
-    for (std::size_t n = 0; n < items; ++n)
-        put("/control/items/servers/i-" + std::to_string(n));
+    const Registry registry(items);
     asio::io_context io;
-    platform::StoreClient client(io.get_executor(), address);
+    platform::StoreClient client(io.get_executor(), registry.address());
     tl::expected<RecordBatch, ExchangeError> result;
     if (row.isHistoryGone) {
         asio::co_spawn(io, readOnce(client, result), rethrowToLoop);
         io.run_for(testDeadline);
         cr_assert(result.has_value(), "%s: no first read", row.name);
         io.restart();
-        put("/control/items/op/config");
-        put("/control/compact");
+        registry.put("items/op/config");
+        registry.put("compact");
     }
     // A page then takes longer than the answer to a check.
-    put("/control/pace?bytes_per_second=600");
+    registry.put("pace?bytes_per_second=600");
     result = tl::unexpected(ExchangeError {});
     bool isOver = false;
     asio::co_spawn(io, readOnce(client, result), [&](const std::exception_ptr&) { isOver = true; });
--- a/tests/system/UnsureDenialTest.cpp
+++ b/tests/system/UnsureDenialTest.cpp
@@ -17,23 +17,10 @@
 constexpr std::chrono::milliseconds maxChangeTime { 3000 };
 constexpr useconds_t pollInterval = 20'000;
 
-RegistryCluster::Options withLease()
-{
-    RegistryCluster::Options options;
-    options.maxConfigurationAgeMs = static_cast<unsigned>(maxAge.count());
-    return options;
-}
-
 // Whether the daemon answers with this status within the time that a change may take.
 bool becomes(RegistryCluster& cluster, const std::string& path, unsigned status, std::size_t daemon = 0)
 {
-    const auto end = Clock::now() + maxChangeTime;
-    while (cluster.request("GET", path, "probe", daemon).status != status) {
-        if (Clock::now() >= end)
-            return false;
-        ::usleep(pollInterval);
-    }
-    return true;
+    return eventually([&] { return cluster.request("GET", path, "probe", daemon).status == status; }, maxChangeTime);
 }
 
 } // namespace
@@ -65,7 +52,8 @@
 ParameterizedTest(std::size_t* index, UnsureDenial, waitsWhileTheNewestRoutesCannotBeRead, .timeout = 60)
 {
     const auto& row = unreadableRows[*index];
-    RegistryCluster cluster(1, 1, row.hasLease ? withLease() : RegistryCluster::Options {});
+    RegistryCluster cluster(
+        1, 1, row.hasLease ? RegistryCluster::Options::withMaxConfigurationAge(maxAge) : RegistryCluster::Options {});
     cr_assert_eq(cluster.request("GET", "/finds/1", "before").status, 404, "%s", row.name);
     cluster.waitForRevision(cluster.publishText("op/config", row.document));
     ::usleep(500'000); // The term reaches the traffic threads after the revision.
@@ -106,7 +94,7 @@
 ParameterizedTest(std::size_t* index, UnsureDenial, waitsAfterAStartWithoutTheStore, .timeout = 60)
 {
     const auto& row = startRows[*index];
-    auto options = withLease();
+    auto options = RegistryCluster::Options::withMaxConfigurationAge(maxAge);
     options.knowEachOther = true;
     RegistryCluster cluster(1, 1, options);
     cluster.setRegistryMode(row.registryMode);
@@ -159,7 +147,7 @@
 {
     const auto& row = restartRows[*index];
     const std::size_t restarted = row.daemons - 1;
-    auto options = withLease();
+    auto options = RegistryCluster::Options::withMaxConfigurationAge(maxAge);
     options.knowEachOther = true;
     RegistryCluster cluster(1, row.daemons, options);
     cluster.publishRouting(7, "/lookups/");
--- a/tests/system/support/RegistryCluster.cpp
+++ b/tests/system/support/RegistryCluster.cpp
@@ -43,6 +43,13 @@
 
 } // namespace
 
+RegistryCluster::Options RegistryCluster::Options::withMaxConfigurationAge(std::chrono::milliseconds age)
+{
+    Options options;
+    options.maxConfigurationAgeMs = static_cast<unsigned>(age.count());
+    return options;
+}
+
 RegistryCluster::RegistryCluster(std::size_t endpoints, std::size_t daemons)
     : RegistryCluster(endpoints, daemons, Options {})
 {
--- a/tests/system/support/RegistryCluster.h
+++ b/tests/system/support/RegistryCluster.h
@@ -4,6 +4,7 @@
 #include "TemporaryFolder.h"
 #include "TestClient.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,6 +49,8 @@
         unsigned unusedRoutes = 0; // In each routing document, of about 250 bytes each.
         std::optional<CallerBounds> callerBounds {}; // Empty for a routing document without limits.
         std::string settings = "{}"; // More settings of each daemon, as a JSON object.
+
+        static Options withMaxConfigurationAge(std::chrono::milliseconds);
     };
 
     RegistryCluster(std::size_t endpoints, std::size_t daemons = 1);
--- a/tests/system/support/TestClient.h
+++ b/tests/system/support/TestClient.h
@@ -60,10 +60,10 @@
 
 Response call(const NetworkAddress&, const TestRequest&);
 
-// Polls until the condition holds; false at testDeadline. For state whose changes are not signalled.
-template <typename Condition> bool eventually(Condition condition)
+// Polls until the condition holds; false after `limit`. For state whose changes are not signalled.
+template <typename Condition> bool eventually(Condition condition, std::chrono::milliseconds limit = testDeadline)
 {
-    const auto end = std::chrono::steady_clock::now() + testDeadline;
+    const auto end = std::chrono::steady_clock::now() + limit;
     while (!condition()) {
         if (std::chrono::steady_clock::now() >= end)
             return false;
