--- a/tests/soak/Clients.cpp
+++ b/tests/soak/Clients.cpp
@@ -6,6 +6,7 @@
 #include "dogwoodhall/daemon/Clock.h"
 #include "dogwoodhall/exchange/UseTuple.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -30,6 +31,7 @@
 constexpr std::chrono::milliseconds connectTimeout { 1000 };
 // Long enough that each piece arrives by itself.
 constexpr std::chrono::milliseconds pauseBetweenPieces { 2 };
+constexpr std::size_t maxDenialBytes = 100;
 
 } // namespace
 
@@ -147,7 +149,11 @@
         co_return call;
     call.status = response.result_int();
     call.isComplete = true;
-    const auto body = response.body();
+    const auto& body = response.body();
+    if (isDenial(call.status)) {
+        call.denial = body.substr(0, maxDenialBytes);
+        std::replace(call.denial.begin(), call.denial.end(), '\n', ' ');
+    }
     call.matchesRequest
         = response["Dogwoodhall-Response-Signature"] == "signed-" + id && body.ends_with(" served " + id + "\n");
     connection.isReusable = response.keep_alive();
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -17,9 +17,6 @@
 // Statuses that guarantee that the request has not been and will not be executed.
 bool guaranteesNotExecuted(unsigned status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
-// A final refusal of a request as wrong: its sender does not try again.
-bool isDenial(unsigned status) { return status >= 300 && status < 500 && !guaranteesNotExecuted(status); }
-
 std::string toMillisecondText(Duration duration)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count()) + " ms";
@@ -27,6 +24,8 @@
 
 } // namespace
 
+bool isDenial(unsigned status) { return status >= 300 && status < 500 && !guaranteesNotExecuted(status); }
+
 std::size_t Ledger::served() const
 {
     return static_cast<std::size_t>(
@@ -80,12 +79,15 @@
 // say that it is not ready.
 void Ledger::checkDeniedRequests(Violations& violations) const
 {
+    const auto first = std::min_element(
+        m_calls.begin(), m_calls.end(), [](const auto& a, const auto& b) { return a.second.sentAt < b.second.sentAt; });
     for (const auto& [id, call] : m_calls) {
         const bool isMissingRoute = call.version && call.status == statusNotFound;
         if (isDenial(call.status) && !isMissingRoute)
             violations.push_back({ "no proper request denied",
                 id + " got " + std::to_string(call.status) + " at daemon " + std::to_string(call.daemon) + ", start "
-                    + std::to_string(call.incarnation) });
+                    + std::to_string(call.incarnation) + ", " + toMillisecondText(call.sentAt - first->second.sentAt)
+                    + " after the first request: \"" + call.denial + "\"" });
     }
 }
 
--- a/tests/soak/Ledger.h
+++ b/tests/soak/Ledger.h
@@ -12,6 +12,9 @@
 
 enum class CallKind { Lookup, Order }; // Lookups are idempotent, orders are not.
 
+// A final refusal of a request as wrong: its sender does not try again.
+bool isDenial(unsigned status);
+
 // One client request and its outcome.
 struct CallRecord {
     CallKind kind = CallKind::Lookup;
@@ -24,6 +27,7 @@
     unsigned status = 0; // 0: no response.
     bool isComplete = false; // The response was received completely.
     bool matchesRequest = false; // Signature and body are those of an endpoint's response to this request.
+    std::string denial {}; // Body of a denial, without line ends.
 };
 
 // The period of an unplanned fault. Planned changes get no window, as they must not affect requests.
