Reserve the caller ports of the soak's daemons

The soak counted 404s as denials of ours that a process at a reused port had sent: a daemon that starts can get the caller port of one that is down, whose clients go on connecting to it. Shown by a trial with a line for each such port: "admin port of 41 is the caller port of 81" goes with two 404s at daemon 81, with the body of the operators' port; in another run the caller port of one daemon was that of another, whose clients it served unnoticed. Each start now has a reserved port of its own, kept until the run ends.

--- a/tests/soak/SoakCluster.cpp
+++ b/tests/soak/SoakCluster.cpp
@@ -67,8 +67,7 @@
     json::array seeds;
     for (std::size_t n = 0; n < 3; ++n)
         seeds.push_back(json::value(peerIp(n) + ":1"));
-    const json::object settings { { "schemaVersion", 1 }, { "member", daemon.name },
-        { "dataCentre", dataCentreOf(number) }, { "callerAddress", "127.0.0.1:0" },
+    daemon.settings = { { "schemaVersion", 1 }, { "member", daemon.name }, { "dataCentre", dataCentreOf(number) },
         { "peerAddress", peerIp(number) + ":" + std::to_string(m_peerPort.address().port) },
         { "adminAddress", "127.0.0.1:0" }, { "platformAddress", toString(daemon.storeProxy->address()) },
         { "trafficThreads", 1 }, { "measuringCallsPerSecond", 400 }, { "measuringBytesPerSecond", 56000 },
@@ -77,13 +76,14 @@
                 { "retrySlack", 20 }, { "maxConfigurationAgeMs", 2000 }, { "drainGraceMs", 500 },
                 { "stopGraceMs", 6000 }, { "healthCallsPerEndpoint", 60 }, { "warmUpOverage", 1.5 },
                 { "warmUpSlack", 8 } } } };
-    std::ofstream(daemon.settingsPath) << json::serialize(settings);
     m_daemons.push_back(std::move(daemon));
 }
 
 void SoakCluster::startDaemon(std::size_t n)
 {
     auto& daemon = m_daemons.at(n);
+    daemon.settings["callerAddress"] = toString(daemon.callerPorts.emplace_back().address());
+    std::ofstream(daemon.settingsPath) << json::serialize(daemon.settings);
     daemon.process
         = std::make_unique<Process>(std::vector<std::string> { DAEMON_BINARY, "--settings", daemon.settingsPath });
     const auto addresses = daemon.process->readListening();
--- a/tests/soak/SoakCluster.h
+++ b/tests/soak/SoakCluster.h
@@ -4,6 +4,7 @@
 #include "Process.h"
 #include "TemporaryFolder.h"
 
+#include <boost/json/object.hpp>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,9 +27,13 @@
     };
     struct Daemon {
         std::string name;
+        boost::json::object settings;
         std::string settingsPath;
         std::unique_ptr<FaultProxy> storeProxy;
         std::unique_ptr<Process> process;
+        // One for each start, kept until the run ends: clients of a process that has ended would otherwise reach
+        // whichever process took its port.
+        std::vector<ReservedPort> callerPorts {};
         NetworkAddress callerAddress;
         NetworkAddress adminAddress;
         std::uint64_t incarnation = 0;
