Review case 6: a smaller step of the limit

Cause: the case raised max_header_bytes fourfold; twice the former value is enough, and nearer to what an operator would do.

Change: the limit rises from 16,384 to 32,768, and the heads have 30 KB.

--- a/review/stand-ins-2/RaisedLimits.cpp
+++ b/review/stand-ins-2/RaisedLimits.cpp
@@ -12,8 +12,8 @@
 
 constexpr int clients = 8;
 constexpr int formerHeaderBytes = 16384;
-constexpr int raisedHeaderBytes = 65536;
-constexpr int largeFieldBytes = 32 * 1024;
+constexpr int raisedHeaderBytes = 32768;
+constexpr int largeFieldBytes = 30 * 1024;
 constexpr int serviceMs = 300;
 constexpr int configMs = 2000;
 constexpr int deadlineMs = 5000;
